--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,274 @@
+//! What the decision module is told (`Terms`, `Event`) and what it asks for (`Action`).
+//! Servers, products, zones and tenants are small indices given out at the door; nothing here decides.
+
+use crate::time::Span;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TxnId(pub u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key(pub u64);
+
+pub type Build = u32;
+pub type ServerIx = usize;
+pub type ProductIx = usize;
+pub type TenantIx = usize;
+pub type ZoneIx = usize;
+pub type PeerIx = usize;
+
+/// Which servers drop the repeats of a referenced txn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Whether a txn may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    InquiryLike,
+    Referenced { group: Group, memory: Span },
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ProductTerms {
+    pub repeat: Repeat,
+    pub sla: Span,
+    pub sla_stretch: f64,
+    pub expiry: Span,
+    pub revenue: f64,
+    pub late_worth: f64,
+}
+
+/// Who moves a stage on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Control {
+    Votes,
+    Clock,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counting {
+    Together,
+    ByProduct,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    None,
+    WithAnswers,
+    WhenProbed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReleaseTerms {
+    pub control: Control,
+    pub caps: Vec<f64>,
+    pub steps: Vec<f64>,
+    pub counting: Counting,
+    pub window: Span,
+    pub free: f64,
+    pub guarded_stages: usize,
+    pub one_way: bool,
+    pub least_stage: Span,
+    pub vote_life: Span,
+    pub vote_wait: Span,
+    pub votes_a_second: f64,
+    pub beside: bool,
+    pub complaint_share: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct RuleTerms {
+    pub cold_from: f64,
+    pub ramp: Span,
+    pub fall: Span,
+    pub fall_multiple: f64,
+    pub ask_within: Span,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitTerms {
+    pub attempts: usize,
+    pub second_copies: bool,
+    pub recall: bool,
+    pub tell: bool,
+    pub probe: bool,
+    pub retry_after: Option<Span>,
+    pub connect: Span,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    pub zone: ZoneIx,
+    pub balancers: usize,
+    pub ordinal: PeerIx,
+    pub tick: Span,
+    pub discovery: Discovery,
+    pub reports: Reports,
+    pub products: Vec<ProductTerms>,
+    pub tenant_quotas: Vec<f64>,
+    pub release: ReleaseTerms,
+    pub rules: RuleTerms,
+    pub limits: LimitTerms,
+    pub cross_zone_price: f64,
+    pub warm_keys: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub server: ServerIx,
+    pub build: Build,
+    pub zone: ZoneIx,
+    pub cell: u64,
+    pub model: usize,
+    pub weight: f64,
+    pub lifecycle: Lifecycle,
+    /// How long ago it started; none if long ago.
+    pub age: Option<Span>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Changes,
+    Whole,
+    Kept,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Served,
+    Errored,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Recalled,
+    Moot,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Trial,
+    GoingBack,
+    Released,
+    Withdrawn,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Valid,
+    Moot,
+    Full,
+    Errored,
+    TimedOut,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Withdraw,
+    On,
+    Hold,
+    Back,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub inflight: Option<f64>,
+    pub busy: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct StageNews {
+    pub build: Build,
+    pub stage: usize,
+    pub phase: Phase,
+    pub cap: f64,
+    pub word: Word,
+    pub answers_vote: bool,
+    pub age: Span,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Roster {
+        scope: Scope,
+        lines: Vec<Listed>,
+    },
+    Txn {
+        id: TxnId,
+        product: ProductIx,
+        tenant: Option<TenantIx>,
+        key: Option<Key>,
+        left: Span,
+        cost: Option<Span>,
+    },
+    Left {
+        id: TxnId,
+    },
+    Streaming {
+        id: TxnId,
+        attempt: usize,
+    },
+    Closed {
+        id: TxnId,
+        attempt: usize,
+        server: ServerIx,
+        outcome: Outcome,
+        took: Span,
+        ended: bool,
+        load: Load,
+    },
+    Probed {
+        server: ServerIx,
+        outcome: Outcome,
+        load: Load,
+    },
+    Stage(StageNews),
+    Tally {
+        build: Build,
+        product: ProductIx,
+        seen: u64,
+        failed: u64,
+        mean: Span,
+    },
+    Complaint {
+        server: ServerIx,
+        product: ProductIx,
+        age: Span,
+    },
+    Mail {
+        from: PeerIx,
+        text: String,
+    },
+    Wake,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Submit { id: TxnId, server: ServerIx, timeout: Span },
+    Recall { id: TxnId, attempt: usize },
+    Decline { id: TxnId, retry_after: Option<Span> },
+    Void { id: TxnId },
+    Vote { build: Build, stage: usize, verdict: Verdict },
+    Tell { text: String },
+    Probe { server: ServerIx },
+    Listen,
+    Wake { after: Span },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! The decisions of a gateway that routes txns and votes on staged releases.
+//! `policy` decides; `interface` names what goes in and comes out; `time` keeps points and spans apart.
+
+pub mod interface;
+pub mod policy;
+pub mod time;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,787 @@
+//! The decisions of one gateway. `Gateway::new(terms, seed)` makes an instance; `take(now, event)` tells it one
+//! event and gives back the actions it wants, in order. What goes in and out is named in `interface.rs`.
+//! Events change a wanted state (attempts, answers, a vote, bits to peers, a timer); `emit` alone compares it to
+//! what is out already. The ordinary path and the votes follow docs/design.md; letters there mark departures.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use nanorand::{Rng, WyRand};
+
+use crate::interface::*;
+use crate::time::{Point, Span};
+
+// The design page's starting values.
+const ETA: f64 = 0.9;
+const DELTA: f64 = 0.05;
+const FIRST_OUTCOMES: f64 = 20.0;
+const RETELL: Span = Span(1_000_000);
+const FALLBACK: Span = Span(3_000_000);
+const LONGEST_HOLD: Span = Span(3_000_000);
+
+// Ratios to told or learned figures.
+const BEAT: f64 = 0.1; // of the shortest SLA time: the periodic timer
+const HOLD: f64 = 0.04; // of the SLA time: how soon a txn without a server is looked at again
+const HEDGE: f64 = 0.5; // of the SLA time: when a repeatable txn gets a second copy
+const SILENCE: f64 = 4.0; // mean answer times without a word from a server that owes one
+const COLD_PART: f64 = 0.5; // of the work that topples a cold server: what all gateways may send together
+const LEARN: f64 = 0.1; // weight of a new answer in running means
+const FAILING: f64 = 0.6; // share of good answers below which a server is left out
+const LEAVE_OUT: f64 = 2.0; // of the shortest SLA time: the first time that a failing server is left out
+
+/// One row a product: what was told of it, and its mean answer time so far.
+struct Row {
+    repeat: Repeat,
+    sla: Span,
+    mean: Span,
+}
+
+struct Server {
+    listed: Listed,
+    started: Option<Point>,
+    out: usize,
+    /// The first send since the server was last heard of.
+    owes: Option<Point>,
+    pace: f64,
+    good: f64,
+    strikes: i32,
+    left_out: Point,
+    sends: VecDeque<Point>,
+    dither: f64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Standing {
+    Wanted,
+    Out,
+    Unwanted,
+    Recalled,
+    Closed { may_have_run: bool },
+}
+
+struct Attempt {
+    server: ServerIx,
+    build: Build,
+    sent: Point,
+    standing: Standing,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Answer {
+    Owed,
+    Streaming,
+    Decline,
+    Void,
+    Given,
+}
+
+struct Txn {
+    product: ProductIx,
+    key: Option<Key>,
+    taken: Point,
+    expiry: Point,
+    attempts: Vec<Attempt>,
+    answer: Answer,
+    due: Option<Point>,
+}
+
+/// The two builds compared in a stage.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Arm {
+    Earlier = 0,
+    Trial = 1,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Payoff {
+    count: f64,
+    sum: f64,
+}
+
+impl Payoff {
+    fn mean(&self) -> f64 {
+        self.sum / self.count.max(1.0)
+    }
+}
+
+/// What one stage of a rollout has shown so far.
+#[derive(Default)]
+struct Trial {
+    build: Build,
+    stage: usize,
+    since: Point,
+    payoffs: [Payoff; 2],
+    dropped: [bool; 2],
+    voters: [BTreeSet<PeerIx>; 2],
+    told: Option<Point>,
+    held_from: Option<Point>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Ballot {
+    Asked,
+    Stands,
+    Refused,
+}
+
+type Vote = (Build, usize, Verdict);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Watch {
+    Never,
+    Asked(Point),
+    Standing,
+    Failed(Point),
+}
+
+pub struct Gateway {
+    terms: Terms,
+    rows: Vec<Row>,
+    now: Point,
+    chance: WyRand,
+    servers: BTreeMap<ServerIx, Server>,
+    fleet: usize,
+    txns: BTreeMap<TxnId, Txn>,
+    changed: BTreeSet<TxnId>,
+    due: BTreeSet<(Point, TxnId)>,
+    beat: Point,
+    armed: Option<Point>,
+    taken: VecDeque<(Point, ProductIx)>,
+    exposed: VecDeque<(Point, ProductIx, Build)>,
+    pins: BTreeMap<Key, Build>,
+    pinned: f64,
+    news: Option<StageNews>,
+    trial: Trial,
+    vote: Option<Vote>,
+    cast: Option<(Vote, Point, Ballot)>,
+    watch: Watch,
+}
+
+impl Gateway {
+    pub fn new(terms: Terms, seed: u64) -> Gateway {
+        let row = |p: &ProductTerms| Row { repeat: p.repeat, sla: p.sla, mean: p.sla / 4.0 };
+        Gateway {
+            rows: terms.products.iter().map(row).collect(),
+            now: Point::default(),
+            chance: WyRand::new_seed(seed),
+            servers: BTreeMap::new(),
+            fleet: 0,
+            txns: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            due: BTreeSet::new(),
+            beat: Point::default(),
+            armed: None,
+            taken: VecDeque::new(),
+            exposed: VecDeque::new(),
+            pins: BTreeMap::new(),
+            pinned: 0.0,
+            news: None,
+            trial: Trial::default(),
+            vote: None,
+            cast: None,
+            watch: Watch::Never,
+            terms,
+        }
+    }
+
+    pub fn take(&mut self, now: Point, event: Event) -> Vec<Action> {
+        self.now = now;
+        match event {
+            Event::Roster { scope, lines } => self.roster(scope, lines),
+            Event::Txn { id, product, key, left, .. } => self.txn(id, product, key, left),
+            Event::Left { id } => self.finish(id, Answer::Given),
+            Event::Streaming { id, .. } => self.finish(id, Answer::Streaming),
+            Event::Closed { id, attempt, server, outcome, took, ended, .. } => {
+                self.closed(id, attempt, server, outcome, took, ended)
+            }
+            Event::Stage(news) => self.stage(news),
+            Event::Mail { from, text } => self.mail(from, &text),
+            Event::Wake => self.wake(),
+            Event::Probed { .. } | Event::Tally { .. } | Event::Complaint { .. } => {}
+        }
+        self.emit()
+    }
+
+    // ---- servers ----
+
+    fn roster(&mut self, scope: Scope, lines: Vec<Listed>) {
+        match (scope, self.watch) {
+            (Scope::Failed, _) => return self.watch = Watch::Failed(self.now),
+            (Scope::Changes | Scope::Whole, Watch::Asked(_)) => self.watch = Watch::Standing,
+            _ => {}
+        }
+        if scope != Scope::Changes {
+            for server in self.servers.values_mut() {
+                server.listed.lifecycle = Lifecycle::Gone;
+            }
+        }
+        for line in lines {
+            let started = line.age.map(|a| self.now - a);
+            let again = |s: &Server| s.listed.build != line.build || s.started != started;
+            if self.servers.get(&line.server).is_some_and(|s| !again(s)) {
+                self.servers.entry(line.server).and_modify(|s| s.listed = line);
+                continue;
+            }
+            let out = self.servers.get(&line.server).map_or(0, |s| s.out);
+            let fresh = Server {
+                started,
+                out,
+                owes: None,
+                pace: 1.0,
+                good: 1.0,
+                strikes: 0,
+                left_out: self.now,
+                sends: VecDeque::new(),
+                dither: self.draw(),
+                listed: line,
+            };
+            self.servers.insert(fresh.listed.server, fresh);
+        }
+        let ready = self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready).count();
+        self.fleet = self.fleet.max(ready);
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.chance.generate::<f64>()
+    }
+
+    fn shortest_sla(&self) -> Span {
+        self.rows.iter().map(|r| r.sla).min().unwrap_or(Span(1_000_000))
+    }
+
+    /// The part of its capacity that a server has by now, at the least.
+    fn warmth(&self, server: &Server) -> f64 {
+        let Some(started) = server.started else { return 1.0 };
+        let (from, age) = (self.terms.rules.cold_from, self.now - started);
+        (from + (1.0 - from) * age.over(self.terms.rules.ramp)).min(1.0)
+    }
+
+    /// Guards against pushing a cold server over: our share of what may go there within the stated time is
+    /// what we send to an average server, times the part of that multiple that all gateways may use.
+    fn may_warm(&self, server: &Server) -> bool {
+        let warmth = self.warmth(server);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let rules = &self.terms.rules;
+        let window = self.terms.release.window.max(Span(1));
+        let fair = self.taken.len() as f64 / self.fleet.max(1) as f64 * rules.fall.over(window);
+        let most = COLD_PART * rules.fall_multiple * warmth * fair + server.dither;
+        let from = self.now - rules.fall;
+        (server.sends.iter().filter(|s| **s > from).count() as f64) < most.floor()
+    }
+
+    fn healthy(&self, server: &Server) -> bool {
+        let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
+        self.now >= server.left_out && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
+    }
+
+    fn busy(&self, ix: ServerIx) -> f64 {
+        let server = &self.servers[&ix];
+        (server.out + 1) as f64 * server.pace / self.warmth(server)
+    }
+
+    // ---- builds on trial ----
+
+    fn on_trial(&self, build: Build) -> bool {
+        match &self.news {
+            Some(news) => build > news.build || (build == news.build && news.phase != Phase::Released),
+            None => self.servers.values().any(|s| s.listed.build < build),
+        }
+    }
+
+    fn stage_of(&self, build: Build) -> usize {
+        self.news.as_ref().filter(|n| n.build == build).map_or(0, |n| n.stage)
+    }
+
+    /// Guards the exposure cap: one more submission must fit the window that ends now, and a tick beside it.
+    fn within_cap(&self, build: Build, product: ProductIx) -> bool {
+        let told = &self.terms.release;
+        let cap = match self.news.as_ref().filter(|n| n.build == build) {
+            Some(news) => news.cap,
+            None => told.caps.first().copied().unwrap_or(0.0),
+        };
+        if cap <= 0.0 {
+            return false;
+        }
+        let counts = |p: ProductIx| told.counting == Counting::Together || p == product;
+        let edge = self.now - told.window;
+        let sent = self
+            .exposed
+            .iter()
+            .filter(|(at, p, b)| *b == build && counts(*p) && *at >= edge - self.terms.tick);
+        let taken = self.taken.iter().filter(|(at, p)| counts(*p) && *at > edge + self.terms.tick);
+        sent.count() as f64 + 1.0 <= told.free + cap * taken.count() as f64
+    }
+
+    fn pin(&self, txn: &Txn) -> Build {
+        txn.key.and_then(|k| self.pins.get(&k)).copied().unwrap_or(0)
+    }
+
+    fn open_to(&self, server: &Server, txn: &Txn) -> bool {
+        let build = server.listed.build;
+        let on_trial = self.on_trial(build);
+        let row = &self.rows[txn.product];
+        let guarded = on_trial
+            && self.stage_of(build) < self.terms.release.guarded_stages
+            && row.repeat != Repeat::InquiryLike;
+        server.listed.lifecycle == Lifecycle::Ready
+            && build >= self.pin(txn)
+            && !guarded
+            && self.may_repeat_at(server, txn)
+            && self.may_warm(server)
+            && (!on_trial || self.within_cap(build, txn.product))
+    }
+
+    // ---- txns ----
+
+    fn txn(&mut self, id: TxnId, product: ProductIx, key: Option<Key>, left: Span) {
+        self.taken.push_back((self.now, product));
+        let (taken, expiry) = (self.now, self.now + left);
+        let attempts = Vec::new();
+        self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
+        let pinned = self.pin(&self.txns[&id]) > 0;
+        self.pinned += LEARN * LEARN * (f64::from(pinned) - self.pinned);
+        self.place(id);
+    }
+
+    /// Guards rule 2: whether this txn may go to this server after the submissions it has had.
+    fn may_repeat_at(&self, server: &Server, txn: &Txn) -> bool {
+        let ran = |a: &&Attempt| a.standing != Standing::Closed { may_have_run: false };
+        let out = |a: &Attempt| !matches!(a.standing, Standing::Closed { .. });
+        let mut maybe = txn.attempts.iter().filter(ran).peekable();
+        if txn.attempts.iter().any(out) && !self.terms.limits.second_copies {
+            return false;
+        }
+        match self.rows[txn.product].repeat {
+            Repeat::InquiryLike => true,
+            Repeat::OnceOnly => maybe.peek().is_none(),
+            Repeat::Referenced { group, memory } => maybe.all(|a| {
+                let first = self.servers.get(&a.server).map(|s| (s.listed.zone, s.listed.cell));
+                let here = (server.listed.zone, server.listed.cell);
+                let together = match group {
+                    Group::All => true,
+                    Group::Zone => first.is_some_and(|f| f.0 == here.0),
+                    Group::Cell => first == Some(here),
+                };
+                together && self.now + self.terms.tick < a.sent + memory
+            }),
+        }
+    }
+
+    fn may_decline(&self, txn: &Txn) -> bool {
+        let ran = |a: &Attempt| a.standing != Standing::Closed { may_have_run: false };
+        let repeat = self.rows[txn.product].repeat;
+        repeat == Repeat::InquiryLike
+            || matches!(repeat, Repeat::Referenced { group: Group::All, .. })
+            || !txn.attempts.iter().any(ran)
+    }
+
+    /// Finds a server for a submission: the build by its share of ready servers, then two choices inside it.
+    fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
+        let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready;
+        let all = self.servers.values().filter(ready).count() as f64;
+        let new =
+            self.servers.values().filter(ready).filter(|s| self.on_trial(s.listed.build)).count() as f64;
+        // Keys that stay with the trial build are part of its share.
+        let share = ((new / all.max(1.0) - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
+        let trial_first = self.draw() < share && self.txns[&id].attempts.is_empty();
+        let txn = &self.txns[&id];
+        let open = self.servers.iter().filter(|(_, s)| self.open_to(s, txn));
+        let open: Vec<_> =
+            open.map(|(ix, s)| (*ix, self.on_trial(s.listed.build), self.healthy(s))).collect();
+        let tried = |ix: ServerIx| txn.attempts.iter().any(|a| a.server == ix);
+        let mut among: Vec<ServerIx> = Vec::new();
+        for (fresh, well, trial) in [
+            (true, true, trial_first),
+            (true, true, !trial_first),
+            (true, false, trial_first),
+            (false, true, false),
+        ] {
+            let fits = |(ix, on_trial, healthy): &&(ServerIx, bool, bool)| {
+                *on_trial == trial && (*healthy || !well) && !(fresh && tried(*ix))
+            };
+            among = open.iter().filter(fits).map(|o| o.0).collect();
+            if !among.is_empty() {
+                break;
+            }
+        }
+        if among.is_empty() {
+            among = open.iter().map(|o| o.0).collect();
+        }
+        let a = *among.get(self.chance.generate_range(0..among.len().max(1)))?;
+        let b = among[self.chance.generate_range(0..among.len())];
+        Some(if self.busy(b) < self.busy(a) { b } else { a })
+    }
+
+    fn place(&mut self, id: TxnId) {
+        let Some(txn) = self.txns.get(&id) else { return };
+        if txn.answer != Answer::Owed {
+            return;
+        }
+        let outstanding = txn.attempts.iter().any(|a| !matches!(a.standing, Standing::Closed { .. }));
+        let (product, taken, expiry) = (txn.product, txn.taken, txn.expiry);
+        let more = txn.attempts.len() < self.terms.limits.attempts && expiry > self.now;
+        let sla = self.rows[product].sla;
+        let Some(server) = more.then(|| self.choose(id)).flatten() else {
+            if outstanding {
+                return;
+            }
+            if more && self.now + sla * HOLD < expiry.min(taken + sla) {
+                return self.look_again(id, self.now + sla * HOLD);
+            }
+            return self.give_up(id);
+        };
+        let Some(to) = self.servers.get_mut(&server) else { return };
+        let build = to.listed.build;
+        to.out += 1;
+        to.owes = to.owes.or(Some(self.now));
+        to.sends.push_back(self.now);
+        if self.on_trial(build) {
+            self.exposed.push_back((self.now, product, build));
+        }
+        let standing = Standing::Wanted;
+        let attempt = Attempt { server, build, sent: self.now, standing };
+        self.changed.insert(id);
+        if let Some(txn) = self.txns.get_mut(&id) {
+            txn.attempts.push(attempt);
+        }
+        if !outstanding && self.rows[product].repeat != Repeat::OnceOnly && self.terms.limits.second_copies {
+            self.look_again(id, self.now + sla * HEDGE);
+        }
+    }
+
+    fn look_again(&mut self, id: TxnId, at: Point) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        if let Some(before) = txn.due.replace(at) {
+            self.due.remove(&(before, id));
+        }
+        self.due.insert((at, id));
+    }
+
+    fn give_up(&mut self, id: TxnId) {
+        let Some(txn) = self.txns.get(&id) else { return };
+        let answer = if self.may_decline(txn) { Answer::Decline } else { Answer::Void };
+        self.finish(id, answer);
+    }
+
+    /// The txn needs nothing more: what is still out is called back, and nothing is due.
+    fn finish(&mut self, id: TxnId, answer: Answer) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        if matches!(txn.answer, Answer::Given) {
+            return;
+        }
+        txn.answer = answer;
+        if let Some(at) = txn.due.take() {
+            self.due.remove(&(at, id));
+        }
+        for attempt in txn.attempts.iter_mut().filter(|a| a.standing == Standing::Out) {
+            if self.terms.limits.recall && answer != Answer::Streaming {
+                attempt.standing = Standing::Unwanted;
+            }
+        }
+        self.changed.insert(id);
+    }
+
+    fn closed(&mut self, id: TxnId, hop: usize, ix: ServerIx, outcome: Outcome, took: Span, ended: bool) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        let Some(attempt) = txn.attempts.get_mut(hop) else { return };
+        let proven = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        let recalled = outcome == Outcome::Recalled;
+        attempt.standing = Standing::Closed { may_have_run: !proven };
+        let (build, product, key) = (attempt.build, txn.product, txn.key);
+        let row = &mut self.rows[product];
+        let served = outcome == Outcome::Served;
+        if served {
+            row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
+        }
+        let pace = took.over(row.mean);
+        let payoff = f64::from(served && took <= row.sla);
+        let shortest = self.shortest_sla();
+        if let Some(server) = self.servers.get_mut(&ix) {
+            server.out = server.out.saturating_sub(1);
+            if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Recalled) {
+                server.owes = (server.out > 0).then_some(self.now);
+            } else if server.out == 0 {
+                server.owes = None;
+            }
+            if served || outcome == Outcome::TimedOut {
+                server.pace += LEARN * (pace - server.pace);
+            }
+            if !matches!(outcome, Outcome::Moot | Outcome::Recalled | Outcome::Full) {
+                server.good += 2.0 * LEARN * (f64::from(served) - server.good);
+                if server.good < FAILING || outcome == Outcome::ConnectFailed {
+                    // Guards against dead and quick-failing servers, whatever ails them.
+                    server.left_out =
+                        self.now + shortest * (LEAVE_OUT * f64::powi(2.0, server.strikes.min(3)));
+                    server.strikes += 1;
+                    server.good = (1.0 + FAILING) / 2.0;
+                } else if served && server.good > 1.0 - LEARN {
+                    server.strikes = 0;
+                }
+            }
+        }
+        if served && self.terms.release.one_way {
+            if let Some(key) = key.filter(|_| self.on_trial(build)) {
+                self.pins.insert(key, build);
+            }
+        }
+        if !(outcome == Outcome::Moot || recalled && took < self.rows[product].sla) {
+            self.learn(build, payoff);
+        }
+        if ended || served {
+            self.finish(id, Answer::Given);
+        } else if !recalled {
+            self.place(id);
+        }
+        self.changed.insert(id);
+    }
+
+    // ---- the elimination test and the votes ----
+
+    fn learn(&mut self, build: Build, payoff: f64) {
+        if self.news.is_none() || build > self.trial.build {
+            return;
+        }
+        let arm = if build == self.trial.build { Arm::Trial } else { Arm::Earlier };
+        let seen = &mut self.trial.payoffs[arm as usize];
+        seen.count += 1.0;
+        seen.sum += payoff;
+        self.eliminate();
+    }
+
+    /// Successive Elimination between the two builds, as the design page words it.
+    fn eliminate(&mut self) {
+        let [earlier, trial] = self.trial.payoffs;
+        let t = earlier.count.min(trial.count);
+        if t < FIRST_OUTCOMES || self.trial.dropped.contains(&true) {
+            return;
+        }
+        let alpha = ((8.0 * t * t / ETA).ln() / t).sqrt();
+        let gap = earlier.mean() - trial.mean();
+        if gap.abs() >= 2.0 * alpha {
+            let arm = if gap > 0.0 { Arm::Trial } else { Arm::Earlier };
+            self.trial.dropped[arm as usize] = true;
+            self.trial.voters[arm as usize].insert(self.terms.ordinal);
+        }
+    }
+
+    fn stage(&mut self, news: StageNews) {
+        if news.answers_vote {
+            if let Some((_, _, ballot)) = &mut self.cast {
+                *ballot = match news.word {
+                    Word::Valid | Word::Moot => Ballot::Stands,
+                    Word::Full | Word::Errored | Word::TimedOut => Ballot::Refused,
+                };
+            }
+        }
+        if news.word != Word::Valid {
+            return;
+        }
+        if (news.build, news.stage) != (self.trial.build, self.trial.stage) {
+            let (build, stage, since) = (news.build, news.stage, self.now - news.age);
+            self.trial = Trial { build, stage, since, ..Trial::default() };
+        }
+        if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
+            self.pins.retain(|_, b| *b < news.build);
+        }
+        self.news = Some(news);
+        self.judge();
+    }
+
+    fn mail(&mut self, from: PeerIx, text: &str) {
+        let mut parts = text.split('.');
+        let (build, stage, arm) = (parts.next(), parts.next(), parts.next());
+        let here = build.and_then(|b| b.parse().ok()) == Some(self.trial.build)
+            && stage.and_then(|s| s.parse().ok()) == Some(self.trial.stage);
+        if here && from < self.terms.balancers && self.news.is_some() {
+            match arm {
+                Some("t") => self.trial.voters[Arm::Trial as usize].insert(from),
+                Some("e") => self.trial.voters[Arm::Earlier as usize].insert(from),
+                _ => return,
+            };
+            self.judge();
+        }
+    }
+
+    fn enough(&self) -> usize {
+        let least = (DELTA.ln() / ETA.ln()).floor() as usize;
+        least.min(self.terms.balancers / 2).max(1)
+    }
+
+    /// What to vote now: M trial drops back, M earlier drops on; hold at half under the clock; else on after the
+    /// fallback wait where votes move the rollout.
+    fn judge(&mut self) {
+        self.vote = None;
+        let Some(news) = &self.news else { return };
+        if !matches!(news.phase, Phase::Trial | Phase::Released) {
+            return;
+        }
+        let drops = |arm: Arm| self.trial.voters[arm as usize].len();
+        let (build, stage, enough) = (news.build, news.stage, self.enough());
+        if drops(Arm::Trial) >= enough {
+            self.vote = Some((build, stage, Verdict::Back));
+            return;
+        }
+        if news.phase == Phase::Released {
+            return;
+        }
+        if self.terms.release.control == Control::Clock {
+            let half = 2 * drops(Arm::Trial) >= enough && drops(Arm::Trial) > 0;
+            let from = *self.trial.held_from.get_or_insert(self.now);
+            if half && self.now - from < LONGEST_HOLD {
+                self.vote = Some((build, stage, Verdict::Hold));
+            } else if !half {
+                self.trial.held_from = None;
+            }
+            return;
+        }
+        if drops(Arm::Earlier) >= enough || self.waited_out() {
+            self.vote = Some((build, stage, Verdict::On));
+        }
+    }
+
+    /// Whether the fallback wait after the start of the stage's newest machine is over.
+    fn waited_out(&self) -> bool {
+        let of_build =
+            |s: &&Server| s.listed.build == self.trial.build && s.listed.lifecycle == Lifecycle::Ready;
+        let ours: Vec<&Server> = self.servers.values().filter(of_build).collect();
+        let step = self.terms.release.steps.get(self.trial.stage).copied().unwrap_or(1.0);
+        let newest = ours.iter().filter_map(|s| s.started).max().unwrap_or(self.trial.since);
+        let all = ours.len() as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
+        let since = newest.max(self.trial.since);
+        self.now - since >= FALLBACK && (all || self.now - since >= FALLBACK * 3.0)
+    }
+
+    // ---- periodic work and output ----
+
+    fn wake(&mut self) {
+        if self.armed.is_some_and(|at| self.now >= at) {
+            self.armed = None;
+        }
+        while let Some(&(at, id)) = self.due.first().filter(|d| d.0 <= self.now) {
+            self.due.remove(&(at, id));
+            if let Some(txn) = self.txns.get_mut(&id) {
+                txn.due = None;
+            }
+            self.place(id);
+        }
+        let edge = self.now - self.terms.release.window - self.terms.tick;
+        while self.taken.front().is_some_and(|t| t.0 < edge) {
+            self.taken.pop_front();
+        }
+        while self.exposed.front().is_some_and(|t| t.0 < edge) {
+            self.exposed.pop_front();
+        }
+        let edge = self.now - self.terms.rules.fall;
+        for server in self.servers.values_mut() {
+            while server.sends.front().is_some_and(|s| *s < edge) {
+                server.sends.pop_front();
+            }
+        }
+        self.judge();
+    }
+
+    /// The difference between what is wanted and what is out already.
+    fn emit(&mut self) -> Vec<Action> {
+        let mut out = Vec::new();
+        for id in std::mem::take(&mut self.changed) {
+            let Some(txn) = self.txns.get_mut(&id) else { continue };
+            for (hop, attempt) in txn.attempts.iter_mut().enumerate() {
+                match attempt.standing {
+                    Standing::Wanted => {
+                        attempt.standing = Standing::Out;
+                        out.push(Action::Submit { id, server: attempt.server, timeout: Span::ZERO });
+                    }
+                    Standing::Unwanted => {
+                        attempt.standing = Standing::Recalled;
+                        out.push(Action::Recall { id, attempt: hop });
+                    }
+                    _ => {}
+                }
+            }
+            match txn.answer {
+                Answer::Decline => {
+                    let retry_after = self.terms.limits.retry_after;
+                    out.push(Action::Decline { id, retry_after });
+                    txn.answer = Answer::Given;
+                }
+                Answer::Void => {
+                    out.push(Action::Void { id });
+                    txn.answer = Answer::Given;
+                }
+                _ => {}
+            }
+            let closed = |a: &Attempt| matches!(a.standing, Standing::Closed { .. });
+            if txn.answer == Answer::Given && txn.attempts.iter().all(closed) {
+                self.txns.remove(&id);
+            }
+        }
+        self.emit_vote(&mut out);
+        self.emit_bits(&mut out);
+        self.emit_watch(&mut out);
+        let beat = self.shortest_sla() * BEAT;
+        if self.beat <= self.now {
+            self.beat = self.now + beat;
+        }
+        let next = self.due.first().map_or(self.beat, |d| d.0.min(self.beat)).max(self.now + Span(1));
+        if self.armed.is_none_or(|at| at <= self.now || next < at) {
+            self.armed = Some(next);
+            out.push(Action::Wake { after: next - self.now });
+        }
+        out
+    }
+
+    fn emit_vote(&mut self, out: &mut Vec<Action>) {
+        let told = &self.terms.release;
+        let pause =
+            Span::secs(self.terms.balancers as f64 / told.votes_a_second.max(1.0)).max(told.vote_wait / 8.0);
+        let wanted = match (self.vote, self.cast) {
+            (Some(vote), _) => vote,
+            // A hold that is over is taken away; other votes lapse with their stage.
+            (None, Some(((build, stage, Verdict::Hold), _, _))) => (build, stage, Verdict::Withdraw),
+            _ => return,
+        };
+        if let Some((cast, at, ballot)) = self.cast.filter(|c| c.0 == wanted) {
+            let wait = match ballot {
+                Ballot::Stands if cast.2 == Verdict::Withdraw => return,
+                Ballot::Stands => told.vote_life / 2.0,
+                Ballot::Asked => told.vote_wait + self.terms.tick,
+                Ballot::Refused => pause,
+            };
+            if self.now - at < wait {
+                return;
+            }
+        }
+        let (build, stage, verdict) = wanted;
+        self.cast = Some((wanted, self.now, Ballot::Asked));
+        out.push(Action::Vote { build, stage, verdict });
+    }
+
+    fn emit_bits(&mut self, out: &mut Vec<Action>) {
+        let recently = self.trial.told.is_some_and(|at| self.now - at < RETELL);
+        if !self.terms.limits.tell || self.terms.balancers < 2 || recently {
+            return;
+        }
+        for (arm, name) in [(Arm::Trial, "t"), (Arm::Earlier, "e")] {
+            if self.trial.dropped[arm as usize] {
+                self.trial.told = Some(self.now);
+                out.push(Action::Tell { text: format!("{}.{}.{name}", self.trial.build, self.trial.stage) });
+            }
+        }
+    }
+
+    fn emit_watch(&mut self, out: &mut Vec<Action>) {
+        let within = self.terms.rules.ask_within;
+        let ask = match self.watch {
+            _ if self.terms.discovery == Discovery::Pushed => false,
+            Watch::Never => true,
+            Watch::Standing => false,
+            Watch::Asked(at) => self.now - at >= within / 2.0,
+            Watch::Failed(at) => self.now - at >= within / 8.0,
+        };
+        if ask {
+            self.watch = Watch::Asked(self.now);
+            out.push(Action::Listen);
+        }
+    }
+}
