--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -20,7 +20,7 @@
 
 type Told<T> = Result<T, String>;
 
-fn field<'a>(row: &'a [Value], at: usize) -> &'a Value {
+fn field(row: &[Value], at: usize) -> &Value {
     row.get(at).unwrap_or(&Value::Null)
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -146,6 +146,7 @@
     beat: Point,
     armed: Option<Point>,
     taken: VecDeque<(Point, ProductIx)>,
+    served: VecDeque<Point>,
     exposed: VecDeque<(Point, ProductIx, Build)>,
     pins: BTreeMap<Key, Build>,
     pinned: f64,
@@ -171,6 +172,7 @@
             beat: Point::default(),
             armed: None,
             taken: VecDeque::new(),
+            served: VecDeque::new(),
             exposed: VecDeque::new(),
             pins: BTreeMap::new(),
             pinned: 0.0,
@@ -256,20 +258,24 @@
     }
 
     /// Guards against pushing a cold server over: our share of what may go there within the stated time is
-    /// what we send to an average server, times the part of that multiple that all gateways may use.
+    /// what an average server answers us, times the part of that multiple that all gateways may use. Answers
+    /// are counted, not txns taken: client retries multiply those in a jam, but no server answers more than it can.
     fn may_warm(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
             return true;
         }
         let rules = &self.terms.rules;
-        let window = self.terms.release.window.max(Span(1));
-        let fair = self.taken.len() as f64 / self.fleet.max(1) as f64 * rules.fall.over(window);
+        let fair = self.served.len() as f64 / self.fleet.max(1) as f64 * rules.fall.over(self.lookback());
         let most = COLD_PART * rules.fall_multiple * warmth * fair + server.dither;
         let from = self.now - rules.fall;
         (server.sends.iter().filter(|s| **s > from).count() as f64) < most.floor()
     }
 
+    fn lookback(&self) -> Span {
+        self.terms.release.window + self.terms.tick
+    }
+
     fn healthy(&self, server: &Server) -> bool {
         let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
         self.now >= server.left_out && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
@@ -492,6 +498,7 @@
         let row = &mut self.rows[product];
         let served = outcome == Outcome::Served;
         if served {
+            self.served.push_back(self.now);
             row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
         }
         let pace = took.over(row.mean);
@@ -665,10 +672,13 @@
             }
             self.place(id);
         }
-        let edge = self.now - self.terms.release.window - self.terms.tick;
+        let edge = self.now - self.lookback();
         while self.taken.front().is_some_and(|t| t.0 < edge) {
             self.taken.pop_front();
         }
+        while self.served.front().is_some_and(|s| *s < edge) {
+            self.served.pop_front();
+        }
         while self.exposed.front().is_some_and(|t| t.0 < edge) {
             self.exposed.pop_front();
         }
