--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,10 @@
 const COLD_PART: f64 = 0.5; // of the work that topples a cold server: what all gateways may send together
 const LEARN: f64 = 0.1; // weight of a new answer in running means
 const FAILING: f64 = 0.6; // share of good answers below which a server is left out
+const LAG: f64 = 0.4; // of the SLA time: a mean answer time past this is a queue worth shrinking
+const FIRST_LIMIT: f64 = 8.0; // submissions a server may hold before it has shown what it bears
+const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
+const COPIES: f64 = 0.05; // second copies a txn taken
 const LEAVE_OUT: f64 = 2.0; // of the shortest SLA time: the first time that a failing server is left out
 
 /// One row a product: what was told of it, and its mean answer time so far.
@@ -42,6 +46,9 @@
     /// The first send since the server was last heard of.
     owes: Option<Point>,
     pace: f64,
+    /// How many submissions it may hold of ours, and the mean answer time in SLA times that steers this.
+    limit: f64,
+    lag: f64,
     good: f64,
     strikes: i32,
     left_out: Point,
@@ -150,6 +157,7 @@
     exposed: VecDeque<(Point, ProductIx, Build)>,
     pins: BTreeMap<Key, Build>,
     pinned: f64,
+    copies: f64,
     news: Option<StageNews>,
     trial: Trial,
     vote: Option<Vote>,
@@ -176,6 +184,7 @@
             exposed: VecDeque::new(),
             pins: BTreeMap::new(),
             pinned: 0.0,
+            copies: 0.0,
             news: None,
             trial: Trial::default(),
             vote: None,
@@ -229,6 +238,8 @@
                 out,
                 owes: None,
                 pace: 1.0,
+                limit: FIRST_LIMIT,
+                lag: 0.0,
                 good: 1.0,
                 strikes: 0,
                 left_out: self.now,
@@ -333,6 +344,7 @@
         server.listed.lifecycle == Lifecycle::Ready
             && build >= self.pin(txn)
             && !guarded
+            && (server.out as f64) < server.limit
             && self.may_repeat_at(server, txn)
             && self.may_warm(server)
             && (!on_trial || self.within_cap(build, txn.product))
@@ -345,6 +357,7 @@
         let (taken, expiry) = (self.now, self.now + left);
         let attempts = Vec::new();
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
+        self.copies = (self.copies + COPIES).min(COPIES / LEARN / LEARN);
         let pinned = self.pin(&self.txns[&id]) > 0;
         self.pinned += LEARN * LEARN * (f64::from(pinned) - self.pinned);
         self.place(id);
@@ -426,7 +439,12 @@
         }
         let outstanding = txn.attempts.iter().any(|a| !matches!(a.standing, Standing::Closed { .. }));
         let (product, taken, expiry) = (txn.product, txn.taken, txn.expiry);
-        let more = txn.attempts.len() < self.terms.limits.attempts && expiry > self.now;
+        let mut more = txn.attempts.len() < self.terms.limits.attempts && expiry > self.now;
+        if outstanding {
+            // Guards against second copies that feed a jam: they are a small part of the txns taken.
+            more &= self.copies >= 1.0;
+            self.copies -= f64::from(more);
+        }
         let sla = self.rows[product].sla;
         let Some(server) = more.then(|| self.choose(id)).flatten() else {
             if outstanding {
@@ -501,7 +519,7 @@
             self.served.push_back(self.now);
             row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
         }
-        let pace = took.over(row.mean);
+        let (pace, lag) = (took.over(row.mean), took.over(row.sla));
         let payoff = f64::from(served && took <= row.sla);
         let shortest = self.shortest_sla();
         if let Some(server) = self.servers.get_mut(&ix) {
@@ -514,6 +532,20 @@
             if served || outcome == Outcome::TimedOut {
                 server.pace += LEARN * (pace - server.pace);
             }
+            // Guards against jams, whatever fills the servers (overload, a slow build, a neighbour): what we keep
+            // out at a server shrinks as its answers take longer, and grows while they are quick. Harms where
+            // answers are slow by nature, near the SLA time.
+            if served {
+                server.lag += 2.0 * LEARN * (lag - server.lag);
+                if server.lag > LAG {
+                    server.limit *= 1.0 - LEARN * (server.lag / LAG - 1.0).min(1.0);
+                } else if (server.out + 2) as f64 > server.limit / 2.0 {
+                    server.limit += 1.0 / server.limit;
+                }
+            } else if matches!(outcome, Outcome::TimedOut | Outcome::Full | Outcome::Reset) {
+                server.limit *= EASE;
+            }
+            server.limit = server.limit.max(1.0);
             if !matches!(outcome, Outcome::Moot | Outcome::Recalled | Outcome::Full) {
                 server.good += 2.0 * LEARN * (f64::from(served) - server.good);
                 if server.good < FAILING || outcome == Outcome::ConnectFailed {
@@ -537,6 +569,9 @@
         }
         if ended || served {
             self.finish(id, Answer::Given);
+        } else if outcome == Outcome::Full {
+            // Guards against a storm of submissions when all servers turn away.
+            self.look_again(id, self.now + self.rows[product].sla * HOLD);
         } else if !recalled {
             self.place(id);
         }
