--- a/src/policy.rs
+++ b/src/policy.rs
@@ -476,6 +476,8 @@
 
     fn look_again(&mut self, id: TxnId, at: Point) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
+        // Guards against a wait that outlasts the client: a look comes at its expiry at the latest.
+        let at = at.min(txn.expiry);
         if let Some(before) = txn.due.replace(at) {
             self.due.remove(&(before, id));
         }
