--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,6 +28,7 @@
 const FAILING: f64 = 0.6; // share of good answers below which a server is left out
 const LAG: f64 = 0.4; // of the SLA time: a mean answer time past this is a queue worth shrinking
 const FIRST_LIMIT: f64 = 8.0; // submissions a server may hold before it has shown what it bears
+const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
 const COPIES: f64 = 0.05; // second copies a txn taken
 const LEAVE_OUT: f64 = 2.0; // of the shortest SLA time: the first time that a failing server is left out
@@ -49,6 +50,9 @@
     /// How many submissions it may hold of ours, and the mean answer time in SLA times that steers this.
     limit: f64,
     lag: f64,
+    /// When submissions were sent that we no longer wait for, though the server may still work on them.
+    ghosts: Vec<Point>,
+    shut: Point,
     good: f64,
     strikes: i32,
     left_out: Point,
@@ -240,6 +244,8 @@
                 pace: 1.0,
                 limit: FIRST_LIMIT,
                 lag: 0.0,
+                ghosts: Vec::new(),
+                shut: self.now,
                 good: 1.0,
                 strikes: 0,
                 left_out: self.now,
@@ -344,7 +350,8 @@
         server.listed.lifecycle == Lifecycle::Ready
             && build >= self.pin(txn)
             && !guarded
-            && (server.out as f64) < server.limit
+            && ((server.out + server.ghosts.len()) as f64) < server.limit
+            && self.now >= server.shut
             && self.may_repeat_at(server, txn)
             && self.may_warm(server)
             && (!on_trial || self.within_cap(build, txn.product))
@@ -514,7 +521,7 @@
         let proven = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
         let recalled = outcome == Outcome::Recalled;
         attempt.standing = Standing::Closed { may_have_run: !proven };
-        let (build, product, key) = (attempt.build, txn.product, txn.key);
+        let (build, sent, product, key) = (attempt.build, attempt.sent, txn.product, txn.key);
         let row = &mut self.rows[product];
         let served = outcome == Outcome::Served;
         if served {
@@ -534,6 +541,15 @@
             if served || outcome == Outcome::TimedOut {
                 server.pace += LEARN * (pace - server.pace);
             }
+            // Guards against work that a time-out or a recall does not stop: it counts as held until the server
+            // has answered something sent later, or the longest expiry has passed.
+            if matches!(outcome, Outcome::TimedOut | Outcome::Recalled) {
+                server.ghosts.push(sent);
+            } else if served {
+                server.ghosts.retain(|g| *g > sent);
+            } else if outcome == Outcome::Full {
+                server.shut = self.now + self.rows[product].sla * SHUT;
+            }
             // Guards against jams, whatever fills the servers (overload, a slow build, a neighbour): what we keep
             // out at a server shrinks as its answers take longer, and grows while they are quick. Harms where
             // answers are slow by nature, near the SLA time.
@@ -720,7 +736,9 @@
             self.exposed.pop_front();
         }
         let edge = self.now - self.terms.rules.fall;
+        let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
         for server in self.servers.values_mut() {
+            server.ghosts.retain(|g| self.now - *g < longest);
             while server.sends.front().is_some_and(|s| *s < edge) {
                 server.sends.pop_front();
             }
