--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,6 +14,7 @@
 const ETA: f64 = 0.9;
 const DELTA: f64 = 0.05;
 const FIRST_OUTCOMES: f64 = 20.0;
+const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
 const LONGEST_HOLD: Span = Span(3_000_000);
@@ -96,12 +97,20 @@
 }
 
 /// The two builds compared in a stage.
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Arm {
     Earlier = 0,
     Trial = 1,
 }
 
+/// What a payoff looks at: the page's answer within the SLA time, or that a product was not failed at all.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Side {
+    InTime,
+    Sound,
+    SoundAt(ProductIx),
+}
+
 #[derive(Clone, Copy, Default)]
 struct Payoff {
     count: f64,
@@ -112,6 +121,23 @@
     fn mean(&self) -> f64 {
         self.sum / self.count.max(1.0)
     }
+
+    fn with(&self, other: &Payoff, times: f64) -> Payoff {
+        Payoff { count: self.count + other.count * times, sum: self.sum + other.sum * times }
+    }
+
+    /// The furthest mean, above or below, that the payoffs seen leave possible at the exploration rate `beta`.
+    fn bound(&self, beta: f64, above: bool) -> f64 {
+        let part = |p: f64, q: f64| if p > 0.0 { p * (p / q.max(f64::EPSILON)).ln() } else { 0.0 };
+        let mean = self.mean().clamp(0.0, 1.0);
+        let (mut near, mut far) = (mean, f64::from(above));
+        for _ in 0..BISECTIONS {
+            let q = (near + far) / 2.0;
+            let divergence = part(mean, q) + part(1.0 - mean, 1.0 - q);
+            *(if self.count * divergence <= beta { &mut near } else { &mut far }) = q;
+        }
+        near
+    }
 }
 
 /// What one stage of a rollout has shown so far.
@@ -120,7 +146,7 @@
     build: Build,
     stage: usize,
     since: Point,
-    payoffs: [Payoff; 2],
+    payoffs: BTreeMap<(Side, Arm), BTreeMap<ServerIx, Payoff>>,
     dropped: [bool; 2],
     voters: [BTreeSet<PeerIx>; 2],
     told: Option<Point>,
@@ -529,7 +555,6 @@
             row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
         }
         let (pace, lag) = (took.over(row.mean), took.over(row.sla));
-        let payoff = f64::from(served && took <= row.sla);
         let shortest = self.shortest_sla();
         if let Some(server) = self.servers.get_mut(&ix) {
             server.out = server.out.saturating_sub(1);
@@ -582,8 +607,8 @@
                 self.pins.insert(key, build);
             }
         }
-        if !(outcome == Outcome::Moot || recalled && took < self.rows[product].sla) {
-            self.learn(build, payoff);
+        if !recalled || took >= self.rows[product].sla {
+            self.learn(ix, build, product, outcome, took);
         }
         if ended || served {
             self.finish(id, Answer::Given);
@@ -598,28 +623,68 @@
 
     // ---- the elimination test and the votes ----
 
-    fn learn(&mut self, build: Build, payoff: f64) {
-        if self.news.is_none() || build > self.trial.build {
+    /// One outcome of an arm, seen from one side. An answer says most while a server is warm: a cold one is slow
+    /// whatever its build (departure C), but what it fails it would fail warm.
+    fn learn(&mut self, ix: ServerIx, build: Build, product: ProductIx, outcome: Outcome, took: Span) {
+        let Some(server) = self.servers.get(&ix).filter(|_| self.news.is_some()) else { return };
+        if build > self.trial.build {
             return;
         }
         let arm = if build == self.trial.build { Arm::Trial } else { Arm::Earlier };
-        let seen = &mut self.trial.payoffs[arm as usize];
-        seen.count += 1.0;
-        seen.sum += payoff;
+        let (served, failed) = (outcome == Outcome::Served, outcome == Outcome::Errored);
+        let (warm, row) = (self.warmth(server) >= 1.0, &self.rows[product]);
+        let in_time = served && took <= row.sla;
+        let ready = |s: &Server| s.listed.lifecycle == Lifecycle::Ready && s.listed.build < self.trial.build;
+        let paired = self.servers.values().any(ready);
+        let mut sides = Vec::new();
+        if paired && (warm || in_time || failed) && outcome != Outcome::Moot {
+            sides.push((Side::InTime, in_time));
+        }
+        if served || failed {
+            sides.push((Side::Sound, served));
+            sides.push((Side::SoundAt(product), served));
+        }
+        for (side, good) in sides {
+            self.pay(side, arm, ix, f64::from(good), 1.0);
+        }
         self.eliminate();
     }
 
-    /// Successive Elimination between the two builds, as the design page words it.
+    fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
+        let seen = self.trial.payoffs.entry((side, arm)).or_default().entry(ix).or_default();
+        seen.count += count;
+        seen.sum += sum;
+    }
+
+    /// An arm's payoffs without those of its worst server, if it has others: guards against quick errors, a
+    /// neighbour or a pause at one server that would be held against its build (departure D). Harms by waiting
+    /// for a second server to show the same.
+    fn payoff(&self, side: Side, arm: Arm) -> Payoff {
+        let Some(by_server) = self.trial.payoffs.get(&(side, arm)) else { return Payoff::default() };
+        let all = by_server.values().fold(Payoff::default(), |a, p| a.with(p, 1.0));
+        let worst = by_server.values().min_by(|a, b| a.mean().total_cmp(&b.mean()));
+        worst.filter(|_| by_server.len() > 1).map_or(all, |w| all.with(w, -1.0))
+    }
+
+    /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A), with the error
+    /// that M voters of the balancers there are need to reach delta together (departure B).
     fn eliminate(&mut self) {
-        let [earlier, trial] = self.trial.payoffs;
-        let t = earlier.count.min(trial.count);
-        if t < FIRST_OUTCOMES || self.trial.dropped.contains(&true) {
-            return;
-        }
-        let alpha = ((8.0 * t * t / ETA).ln() / t).sqrt();
-        let gap = earlier.mean() - trial.mean();
-        if gap.abs() >= 2.0 * alpha {
-            let arm = if gap > 0.0 { Arm::Trial } else { Arm::Earlier };
+        let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
+        let eta = DELTA.powf(1.0 / self.enough() as f64).min(ETA);
+        for &side in &sides {
+            let (earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
+            let t = earlier.count.min(trial.count);
+            if t < FIRST_OUTCOMES || self.trial.dropped.contains(&true) {
+                continue;
+            }
+            let beta = ((t.ln() + 1.0) * sides.len() as f64 / eta).ln();
+            let arm = if trial.bound(beta, true) < earlier.bound(beta, false) {
+                Arm::Trial
+            } else if side == Side::InTime && earlier.bound(beta, true) < trial.bound(beta, false) {
+                Arm::Earlier
+            } else {
+                continue;
+            };
             self.trial.dropped[arm as usize] = true;
             self.trial.voters[arm as usize].insert(self.terms.ordinal);
         }
@@ -639,7 +704,10 @@
         }
         if (news.build, news.stage) != (self.trial.build, self.trial.stage) {
             let (build, stage, since) = (news.build, news.stage, self.now - news.age);
-            self.trial = Trial { build, stage, since, ..Trial::default() };
+            // Counts restart each stage; failures do not hang on load and stay with the build (departure E).
+            let mut payoffs = std::mem::take(&mut self.trial.payoffs);
+            payoffs.retain(|(side, _), _| build == self.trial.build && *side != Side::InTime);
+            self.trial = Trial { build, stage, since, payoffs, ..Trial::default() };
         }
         if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
             self.pins.retain(|_, b| *b < news.build);
