--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,6 +14,8 @@
 const ETA: f64 = 0.9;
 const DELTA: f64 = 0.05;
 const FIRST_OUTCOMES: f64 = 20.0;
+const EPSILON: f64 = 0.1; // the paper's approximation factor, for pace alone
+const QUICK: f64 = 1.5; // usual answer times that still count as quick
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
@@ -103,10 +105,12 @@
     Trial = 1,
 }
 
-/// What a payoff looks at: the page's answer within the SLA time, or that a product was not failed at all.
+/// What a payoff looks at: the page's answer within the SLA time, an answer no slower than the earlier build's
+/// usually are on that model, or that nothing, or none of one product, was failed.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Side {
     InTime,
+    Quick,
     Sound,
     SoundAt(ProductIx),
 }
@@ -177,6 +181,8 @@
     chance: WyRand,
     servers: BTreeMap<ServerIx, Server>,
     fleet: usize,
+    /// The earlier build's answer times by model, against the product's mean.
+    usual: BTreeMap<usize, f64>,
     txns: BTreeMap<TxnId, Txn>,
     changed: BTreeSet<TxnId>,
     due: BTreeSet<(Point, TxnId)>,
@@ -204,6 +210,7 @@
             chance: WyRand::new_seed(seed),
             servers: BTreeMap::new(),
             fleet: 0,
+            usual: BTreeMap::new(),
             txns: BTreeMap::new(),
             changed: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -548,10 +555,17 @@
         let recalled = outcome == Outcome::Recalled;
         attempt.standing = Standing::Closed { may_have_run: !proven };
         let (build, sent, product, key) = (attempt.build, attempt.sent, txn.product, txn.key);
+        let on_trial = self.on_trial(build);
         let row = &mut self.rows[product];
         let served = outcome == Outcome::Served;
         if served {
             self.served.push_back(self.now);
+        }
+        if served && !on_trial {
+            if let Some(server) = self.servers.get(&ix) {
+                let usual = self.usual.entry(server.listed.model).or_insert(1.0);
+                *usual += LEARN * LEARN * (took.over(row.mean) - *usual);
+            }
             row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
         }
         let (pace, lag) = (took.over(row.mean), took.over(row.sla));
@@ -640,6 +654,10 @@
         if paired && (warm || in_time || failed) && outcome != Outcome::Moot {
             sides.push((Side::InTime, in_time));
         }
+        if paired && served {
+            let usual = row.mean * self.usual.get(&server.listed.model).copied().unwrap_or(1.0);
+            sides.push((Side::Quick, took <= usual * QUICK / self.warmth(server)));
+        }
         if served || failed {
             sides.push((Side::Sound, served));
             sides.push((Side::SoundAt(product), served));
@@ -677,8 +695,10 @@
             if t < FIRST_OUTCOMES || self.trial.dropped.contains(&true) {
                 continue;
             }
+            // An arm within epsilon of the best is good enough; only pace differs between good builds.
+            let near = if side == Side::Quick { EPSILON } else { 0.0 };
             let beta = ((t.ln() + 1.0) * sides.len() as f64 / eta).ln();
-            let arm = if trial.bound(beta, true) < earlier.bound(beta, false) {
+            let arm = if trial.bound(beta, true) + near < earlier.bound(beta, false) {
                 Arm::Trial
             } else if side == Side::InTime && earlier.bound(beta, true) < trial.bound(beta, false) {
                 Arm::Earlier
@@ -706,7 +726,9 @@
             let (build, stage, since) = (news.build, news.stage, self.now - news.age);
             // Counts restart each stage; failures do not hang on load and stay with the build (departure E).
             let mut payoffs = std::mem::take(&mut self.trial.payoffs);
-            payoffs.retain(|(side, _), _| build == self.trial.build && *side != Side::InTime);
+            payoffs.retain(|(side, _), _| {
+                build == self.trial.build && !matches!(side, Side::InTime | Side::Quick)
+            });
             self.trial = Trial { build, stage, since, payoffs, ..Trial::default() };
         }
         if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
