--- a/src/policy.rs
+++ b/src/policy.rs
@@ -697,7 +697,7 @@
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = if side == Side::Quick { EPSILON } else { 0.0 };
-            let beta = ((t.ln() + 1.0) * sides.len() as f64 / eta).ln();
+            let beta = ((t.ln() + 1.0) / eta).ln();
             let arm = if trial.bound(beta, true) + near < earlier.bound(beta, false) {
                 Arm::Trial
             } else if side == Side::InTime && earlier.bound(beta, true) < trial.bound(beta, false) {
