--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,6 +16,8 @@
 const FIRST_OUTCOMES: f64 = 20.0;
 const EPSILON: f64 = 0.1; // the paper's approximation factor, for pace alone
 const QUICK: f64 = 1.5; // usual answer times that still count as quick
+const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
+const CALM: f64 = 0.8; // of the servers seen, and of present traffic: less is no cause of worse service
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
@@ -56,6 +58,7 @@
     /// When submissions were sent that we no longer wait for, though the server may still work on them.
     ghosts: Vec<Point>,
     shut: Point,
+    dead_until: Point,
     good: f64,
     strikes: i32,
     left_out: Point,
@@ -111,6 +114,7 @@
 enum Side {
     InTime,
     Quick,
+    Whole,
     Sound,
     SoundAt(ProductIx),
 }
@@ -183,6 +187,9 @@
     fleet: usize,
     /// The earlier build's answer times by model, against the product's mean.
     usual: BTreeMap<usize, f64>,
+    before: Payoff,
+    rate: f64,
+    phase_from: Point,
     txns: BTreeMap<TxnId, Txn>,
     changed: BTreeSet<TxnId>,
     due: BTreeSet<(Point, TxnId)>,
@@ -211,6 +218,9 @@
             servers: BTreeMap::new(),
             fleet: 0,
             usual: BTreeMap::new(),
+            before: Payoff::default(),
+            rate: 0.0,
+            phase_from: Point::default(),
             txns: BTreeMap::new(),
             changed: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -279,6 +289,7 @@
                 lag: 0.0,
                 ghosts: Vec::new(),
                 shut: self.now,
+                dead_until: self.now,
                 good: 1.0,
                 strikes: 0,
                 left_out: self.now,
@@ -610,6 +621,9 @@
                     server.left_out =
                         self.now + shortest * (LEAVE_OUT * f64::powi(2.0, server.strikes.min(3)));
                     server.strikes += 1;
+                    if outcome == Outcome::ConnectFailed {
+                        server.dead_until = server.left_out + shortest;
+                    }
                     server.good = (1.0 + FAILING) / 2.0;
                 } else if served && server.good > 1.0 - LEARN {
                     server.strikes = 0;
@@ -646,17 +660,29 @@
         }
         let arm = if build == self.trial.build { Arm::Trial } else { Arm::Earlier };
         let (served, failed) = (outcome == Outcome::Served, outcome == Outcome::Errored);
-        let (warm, row) = (self.warmth(server) >= 1.0, &self.rows[product]);
-        let in_time = served && took <= row.sla;
+        let (warmth, model, mean) = (self.warmth(server), server.listed.model, self.rows[product].mean);
+        let in_time = served && took <= self.rows[product].sla;
         let ready = |s: &Server| s.listed.lifecycle == Lifecycle::Ready && s.listed.build < self.trial.build;
         let paired = self.servers.values().any(ready);
         let mut sides = Vec::new();
-        if paired && (warm || in_time || failed) && outcome != Outcome::Moot {
+        if served || outcome == Outcome::TimedOut {
+            if self.in_question() {
+                if self.calm() {
+                    self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
+                }
+            } else {
+                let keep = if self.before.count > MEMORY { 0.5 } else { 1.0 };
+                let one = Payoff { count: 1.0, sum: f64::from(in_time) };
+                self.before = one.with(&self.before, keep);
+                self.rate = self.taken.len() as f64;
+            }
+        }
+        if paired && (warmth >= 1.0 || in_time || failed) && outcome != Outcome::Moot {
             sides.push((Side::InTime, in_time));
         }
         if paired && served {
-            let usual = row.mean * self.usual.get(&server.listed.model).copied().unwrap_or(1.0);
-            sides.push((Side::Quick, took <= usual * QUICK / self.warmth(server)));
+            let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
+            sides.push((Side::Quick, took <= usual * QUICK / warmth));
         }
         if served || failed {
             sides.push((Side::Sound, served));
@@ -668,6 +694,24 @@
         self.eliminate();
     }
 
+    /// Whether a new build is about, or was released so lately that its load has just come.
+    fn in_question(&self) -> bool {
+        let since = self.now - self.phase_from;
+        match self.news.as_ref().map(|n| n.phase) {
+            Some(Phase::Trial) => true,
+            Some(Phase::Released) => since < self.terms.rules.ramp * 2.0 + FALLBACK,
+            Some(_) => since < self.terms.rules.ramp,
+            None => false,
+        }
+    }
+
+    /// No known cause but the build for worse service: as many servers as ever, none dead, no more traffic.
+    fn calm(&self) -> bool {
+        let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
+        let ready = self.servers.values().filter(ready).count();
+        ready as f64 >= CALM * self.fleet as f64 && CALM * (self.taken.len() as f64) <= self.rate
+    }
+
     fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
         let seen = self.trial.payoffs.entry((side, arm)).or_default().entry(ix).or_default();
         seen.count += count;
@@ -690,13 +734,16 @@
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         let eta = DELTA.powf(1.0 / self.enough() as f64).min(ETA);
         for &side in &sides {
-            let (earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
+            let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
+            if side == Side::Whole {
+                earlier = self.before;
+            }
             let t = earlier.count.min(trial.count);
             if t < FIRST_OUTCOMES || self.trial.dropped.contains(&true) {
                 continue;
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
-            let near = if side == Side::Quick { EPSILON } else { 0.0 };
+            let near = if matches!(side, Side::Quick | Side::Whole) { EPSILON } else { 0.0 };
             let beta = ((t.ln() + 1.0) / eta).ln();
             let arm = if trial.bound(beta, true) + near < earlier.bound(beta, false) {
                 Arm::Trial
@@ -731,6 +778,9 @@
             });
             self.trial = Trial { build, stage, since, payoffs, ..Trial::default() };
         }
+        if self.news.as_ref().is_none_or(|n| n.phase != news.phase) {
+            self.phase_from = self.now - news.age;
+        }
         if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
             self.pins.retain(|_, b| *b < news.build);
         }
