--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,8 @@
 const EPSILON: f64 = 0.1; // the paper's approximation factor, for pace alone
 const QUICK: f64 = 1.5; // usual answer times that still count as quick
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
-const CALM: f64 = 0.8; // of the servers seen, and of present traffic: less is no cause of worse service
+const CALM: f64 = 0.8; // of the fleet: servers that must run before worse service is held against a build
+const BUSIER: f64 = 0.6; // of present traffic: more than usual by this much explains worse service; retries do not
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
@@ -299,8 +300,12 @@
             };
             self.servers.insert(fresh.listed.server, fresh);
         }
-        let ready = self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready).count();
-        self.fleet = self.fleet.max(ready);
+        // The fleet's places: while a build comes in, both may run on one place for a while.
+        let mut of_build: BTreeMap<Build, usize> = BTreeMap::new();
+        for server in self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready) {
+            *of_build.entry(server.listed.build).or_default() += 1;
+        }
+        self.fleet = of_build.into_values().fold(self.fleet, usize::max);
     }
 
     fn draw(&mut self) -> f64 {
@@ -674,7 +679,7 @@
                 let keep = if self.before.count > MEMORY { 0.5 } else { 1.0 };
                 let one = Payoff { count: 1.0, sum: f64::from(in_time) };
                 self.before = one.with(&self.before, keep);
-                self.rate = self.taken.len() as f64;
+                self.rate += LEARN * LEARN * (self.taken.len() as f64 - self.rate);
             }
         }
         if paired && (warmth >= 1.0 || in_time || failed) && outcome != Outcome::Moot {
@@ -709,7 +714,7 @@
     fn calm(&self) -> bool {
         let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
         let ready = self.servers.values().filter(ready).count();
-        ready as f64 >= CALM * self.fleet as f64 && CALM * (self.taken.len() as f64) <= self.rate
+        ready as f64 >= CALM * self.fleet as f64 && BUSIER * (self.taken.len() as f64) <= self.rate
     }
 
     fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
