--- a/src/policy.rs
+++ b/src/policy.rs
@@ -155,6 +155,7 @@
     build: Build,
     stage: usize,
     since: Point,
+    witnessed: bool,
     payoffs: BTreeMap<(Side, Arm), BTreeMap<ServerIx, Payoff>>,
     dropped: [bool; 2],
     voters: [BTreeSet<PeerIx>; 2],
@@ -704,8 +705,8 @@
         let since = self.now - self.phase_from;
         match self.news.as_ref().map(|n| n.phase) {
             Some(Phase::Trial) => true,
-            Some(Phase::Released) => since < self.terms.rules.ramp * 2.0 + FALLBACK,
-            Some(_) => since < self.terms.rules.ramp,
+            Some(Phase::Released) => self.trial.witnessed && since < self.terms.rules.ramp * 2.0 + FALLBACK,
+            Some(_) => self.trial.witnessed && since < self.terms.rules.ramp,
             None => false,
         }
     }
@@ -786,6 +787,7 @@
         if self.news.as_ref().is_none_or(|n| n.phase != news.phase) {
             self.phase_from = self.now - news.age;
         }
+        self.trial.witnessed |= news.phase == Phase::Trial;
         if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
             self.pins.retain(|_, b| *b < news.build);
         }
