--- a/src/policy.rs
+++ b/src/policy.rs
@@ -779,9 +779,7 @@
             let (build, stage, since) = (news.build, news.stage, self.now - news.age);
             // Counts restart each stage; failures do not hang on load and stay with the build (departure E).
             let mut payoffs = std::mem::take(&mut self.trial.payoffs);
-            payoffs.retain(|(side, _), _| {
-                build == self.trial.build && !matches!(side, Side::InTime | Side::Quick)
-            });
+            payoffs.retain(|(side, _), _| build == self.trial.build && *side >= Side::Sound);
             self.trial = Trial { build, stage, since, payoffs, ..Trial::default() };
         }
         if self.news.as_ref().is_none_or(|n| n.phase != news.phase) {
