--- a/src/policy.rs
+++ b/src/policy.rs
@@ -192,6 +192,7 @@
     before: Payoff,
     rate: f64,
     phase_from: Point,
+    troubled: Point,
     txns: BTreeMap<TxnId, Txn>,
     changed: BTreeSet<TxnId>,
     due: BTreeSet<(Point, TxnId)>,
@@ -223,6 +224,7 @@
             before: Payoff::default(),
             rate: 0.0,
             phase_from: Point::default(),
+            troubled: Point::default(),
             txns: BTreeMap::new(),
             changed: BTreeSet::new(),
             due: BTreeSet::new(),
@@ -673,7 +675,7 @@
         let mut sides = Vec::new();
         if served || outcome == Outcome::TimedOut {
             if self.in_question() {
-                if self.calm() {
+                if self.now - self.troubled >= self.terms.rules.ramp {
                     self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
                 }
             } else {
@@ -713,7 +715,10 @@
 
     /// No known cause but the build for worse service: as many servers as ever, none dead, no more traffic.
     fn calm(&self) -> bool {
-        let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
+        let silent =
+            |s: &Server| s.owes.is_some_and(|since| self.now - since > self.shortest_sla() * LEAVE_OUT);
+        let dead = |s: &Server| self.now < s.dead_until || silent(s);
+        let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && !dead(s);
         let ready = self.servers.values().filter(ready).count();
         ready as f64 >= CALM * self.fleet as f64 && BUSIER * (self.taken.len() as f64) <= self.rate
     }
@@ -860,6 +865,11 @@
     // ---- periodic work and output ----
 
     fn wake(&mut self) {
+        if !self.calm() {
+            // What was seen just before is the trouble's, and so is what follows until all are warm again.
+            self.troubled = self.now;
+            self.trial.payoffs.remove(&(Side::Whole, Arm::Trial));
+        }
         if self.armed.is_some_and(|at| self.now >= at) {
             self.armed = None;
         }
