--- a/src/interface.rs
+++ b/src/interface.rs
@@ -25,14 +25,18 @@
 }
 
 /// Whether a txn may run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeat {
+    #[default]
     InquiryLike,
-    Referenced { group: Group, memory: Span },
+    Referenced {
+        group: Group,
+        memory: Span,
+    },
     OnceOnly,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ProductTerms {
     pub repeat: Repeat,
     pub sla: Span,
@@ -43,32 +47,36 @@
 }
 
 /// Who moves a stage on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Control {
+    #[default]
     Votes,
     Clock,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Discovery {
+    #[default]
     Pushed,
     OnRequest,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Counting {
+    #[default]
     Together,
     ByProduct,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Reports {
+    #[default]
     None,
     WithAnswers,
     WhenProbed,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReleaseTerms {
     pub control: Control,
     pub caps: Vec<f64>,
@@ -86,7 +94,7 @@
     pub complaint_share: f64,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RuleTerms {
     pub cold_from: f64,
     pub ramp: Span,
@@ -95,7 +103,7 @@
     pub ask_within: Span,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct LimitTerms {
     pub attempts: usize,
     pub second_copies: bool,
@@ -106,7 +114,7 @@
     pub connect: Span,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Terms {
     pub zone: ZoneIx,
     pub balancers: usize,
@@ -123,14 +131,15 @@
     pub warm_keys: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Lifecycle {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listed {
     pub server: ServerIx,
     pub build: Build,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,8 @@
 //! The decisions of a gateway that routes txns and votes on staged releases.
-//! `policy` decides; `interface` names what goes in and comes out; `time` keeps points and spans apart.
+//! `policy` decides; `interface` names what goes in and comes out; `time` keeps points and spans
+//! apart, and `recent` counts what happened lately.
 
 pub mod interface;
 pub mod policy;
+pub mod recent;
 pub mod time;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,11 +3,12 @@
 //! Events change a wanted state (attempts, answers, a vote, bits to peers, a timer); `emit` alone compares it to
 //! what is out already. The ordinary path and the votes follow docs/design.md; letters there mark departures.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use nanorand::{Rng, WyRand};
 
 use crate::interface::*;
+use crate::recent::Recent;
 use crate::time::{Point, Span};
 
 // The design page's starting values.
@@ -46,6 +47,7 @@
     mean: Span,
 }
 
+#[derive(Default)]
 struct Server {
     listed: Listed,
     started: Option<Point>,
@@ -63,7 +65,7 @@
     good: f64,
     strikes: i32,
     left_out: Point,
-    sends: VecDeque<Point>,
+    sends: Recent<()>,
     dither: f64,
 }
 
@@ -172,14 +174,16 @@
 
 type Vote = (Build, usize, Verdict);
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Watch {
+    #[default]
     Never,
     Asked(Point),
     Standing,
     Failed(Point),
 }
 
+#[derive(Default)]
 pub struct Gateway {
     terms: Terms,
     rows: Vec<Row>,
@@ -198,9 +202,9 @@
     due: BTreeSet<(Point, TxnId)>,
     beat: Point,
     armed: Option<Point>,
-    taken: VecDeque<(Point, ProductIx)>,
-    served: VecDeque<Point>,
-    exposed: VecDeque<(Point, ProductIx, Build)>,
+    taken: Recent<ProductIx>,
+    served: Recent<()>,
+    exposed: Recent<(ProductIx, Build)>,
     pins: BTreeMap<Key, Build>,
     pinned: f64,
     copies: f64,
@@ -214,35 +218,8 @@
 impl Gateway {
     pub fn new(terms: Terms, seed: u64) -> Gateway {
         let row = |p: &ProductTerms| Row { repeat: p.repeat, sla: p.sla, mean: p.sla / 4.0 };
-        Gateway {
-            rows: terms.products.iter().map(row).collect(),
-            now: Point::default(),
-            chance: WyRand::new_seed(seed),
-            servers: BTreeMap::new(),
-            fleet: 0,
-            usual: BTreeMap::new(),
-            before: Payoff::default(),
-            rate: 0.0,
-            phase_from: Point::default(),
-            troubled: Point::default(),
-            txns: BTreeMap::new(),
-            changed: BTreeSet::new(),
-            due: BTreeSet::new(),
-            beat: Point::default(),
-            armed: None,
-            taken: VecDeque::new(),
-            served: VecDeque::new(),
-            exposed: VecDeque::new(),
-            pins: BTreeMap::new(),
-            pinned: 0.0,
-            copies: 0.0,
-            news: None,
-            trial: Trial::default(),
-            vote: None,
-            cast: None,
-            watch: Watch::Never,
-            terms,
-        }
+        let rows = terms.products.iter().map(row).collect();
+        Gateway { rows, chance: WyRand::new_seed(seed), terms, ..Gateway::default() }
     }
 
     pub fn take(&mut self, now: Point, event: Event) -> Vec<Action> {
@@ -284,23 +261,9 @@
                 continue;
             }
             let out = self.servers.get(&line.server).map_or(0, |s| s.out);
-            let fresh = Server {
-                started,
-                out,
-                owes: None,
-                pace: 1.0,
-                limit: FIRST_LIMIT,
-                lag: 0.0,
-                ghosts: Vec::new(),
-                shut: self.now,
-                dead_until: self.now,
-                good: 1.0,
-                strikes: 0,
-                left_out: self.now,
-                sends: VecDeque::new(),
-                dither: self.draw(),
-                listed: line,
-            };
+            let dither = self.draw();
+            let fresh = Server { listed: line, started, out, dither, ..Server::default() };
+            let fresh = Server { pace: 1.0, limit: FIRST_LIMIT, good: 1.0, ..fresh };
             self.servers.insert(fresh.listed.server, fresh);
         }
         // The fleet's places: while a build comes in, both may run on one place for a while.
@@ -337,8 +300,7 @@
         let rules = &self.terms.rules;
         let fair = self.served.len() as f64 / self.fleet.max(1) as f64 * rules.fall.over(self.lookback());
         let most = COLD_PART * rules.fall_multiple * warmth * fair + server.dither;
-        let from = self.now - rules.fall;
-        (server.sends.iter().filter(|s| **s > from).count() as f64) < most.floor()
+        server.sends.count(self.now - rules.fall, |_| true) < most.floor()
     }
 
     fn lookback(&self) -> Span {
@@ -379,13 +341,9 @@
             return false;
         }
         let counts = |p: ProductIx| told.counting == Counting::Together || p == product;
-        let edge = self.now - told.window;
-        let sent = self
-            .exposed
-            .iter()
-            .filter(|(at, p, b)| *b == build && counts(*p) && *at >= edge - self.terms.tick);
-        let taken = self.taken.iter().filter(|(at, p)| counts(*p) && *at > edge + self.terms.tick);
-        sent.count() as f64 + 1.0 <= told.free + cap * taken.count() as f64
+        let (edge, tick) = (self.now - told.window, self.terms.tick);
+        let sent = self.exposed.count(edge - tick - tick, |(p, b)| *b == build && counts(*p));
+        sent + 1.0 <= told.free + cap * self.taken.count(edge + tick, |p| counts(*p))
     }
 
     fn pin(&self, txn: &Txn) -> Build {
@@ -412,7 +370,7 @@
     // ---- txns ----
 
     fn txn(&mut self, id: TxnId, product: ProductIx, key: Option<Key>, left: Span) {
-        self.taken.push_back((self.now, product));
+        self.taken.push(self.now, product);
         let (taken, expiry) = (self.now, self.now + left);
         let attempts = Vec::new();
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
@@ -518,9 +476,9 @@
         let build = to.listed.build;
         to.out += 1;
         to.owes = to.owes.or(Some(self.now));
-        to.sends.push_back(self.now);
+        to.sends.push(self.now, ());
         if self.on_trial(build) {
-            self.exposed.push_back((self.now, product, build));
+            self.exposed.push(self.now, (product, build));
         }
         let standing = Standing::Wanted;
         let attempt = Attempt { server, build, sent: self.now, standing };
@@ -578,7 +536,7 @@
         let row = &mut self.rows[product];
         let served = outcome == Outcome::Served;
         if served {
-            self.served.push_back(self.now);
+            self.served.push(self.now, ());
         }
         if served && !on_trial {
             if let Some(server) = self.servers.get(&ix) {
@@ -880,23 +838,15 @@
             }
             self.place(id);
         }
-        let edge = self.now - self.lookback();
-        while self.taken.front().is_some_and(|t| t.0 < edge) {
-            self.taken.pop_front();
-        }
-        while self.served.front().is_some_and(|s| *s < edge) {
-            self.served.pop_front();
-        }
-        while self.exposed.front().is_some_and(|t| t.0 < edge) {
-            self.exposed.pop_front();
-        }
+        let edge = self.now - self.lookback() - self.terms.tick;
+        self.taken.forget(edge);
+        self.served.forget(edge);
+        self.exposed.forget(edge);
         let edge = self.now - self.terms.rules.fall;
         let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
         for server in self.servers.values_mut() {
             server.ghosts.retain(|g| self.now - *g < longest);
-            while server.sends.front().is_some_and(|s| *s < edge) {
-                server.sends.pop_front();
-            }
+            server.sends.forget(edge);
         }
         self.judge();
     }
--- /dev/null
+++ b/src/recent.rs
@@ -0,0 +1,39 @@
+//! What happened lately, oldest first, each with its point in time.
+
+use std::collections::VecDeque;
+
+use crate::time::Point;
+
+#[derive(Clone, Debug)]
+pub struct Recent<T>(VecDeque<(Point, T)>);
+
+impl<T> Default for Recent<T> {
+    fn default() -> Self {
+        Recent(VecDeque::new())
+    }
+}
+
+impl<T> Recent<T> {
+    pub fn push(&mut self, at: Point, what: T) {
+        self.0.push_back((at, what));
+    }
+
+    pub fn forget(&mut self, before: Point) {
+        while self.0.front().is_some_and(|(at, _)| *at < before) {
+            self.0.pop_front();
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// How many of those after `from` are of the kind asked for.
+    pub fn count(&self, from: Point, of_kind: impl Fn(&T) -> bool) -> f64 {
+        self.0.iter().filter(|(at, what)| *at > from && of_kind(what)).count() as f64
+    }
+}
