--- a/src/policy.rs
+++ b/src/policy.rs
@@ -112,13 +112,15 @@
 }
 
 /// What a payoff looks at: the page's answer within the SLA time, an answer no slower than the earlier build's
-/// usually are on that model, or that nothing, or none of one product, was failed.
+/// usually are on that model, all service against the time before, no failure, no complaint, or no failure of
+/// one product.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Side {
     InTime,
     Quick,
     Whole,
     Sound,
+    Right,
     SoundAt(ProductIx),
 }
 
@@ -235,7 +237,8 @@
             Event::Stage(news) => self.stage(news),
             Event::Mail { from, text } => self.mail(from, &text),
             Event::Wake => self.wake(),
-            Event::Probed { .. } | Event::Tally { .. } | Event::Complaint { .. } => {}
+            Event::Complaint { server, .. } => self.complaint(server),
+            Event::Probed { .. } | Event::Tally { .. } => {}
         }
         self.emit()
     }
@@ -650,6 +653,9 @@
             let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
             sides.push((Side::Quick, took <= usual * QUICK / warmth));
         }
+        if served && self.terms.release.complaint_share > 0.0 {
+            sides.push((Side::Right, true));
+        }
         if served || failed {
             sides.push((Side::Sound, served));
             sides.push((Side::SoundAt(product), served));
@@ -660,6 +666,17 @@
         self.eliminate();
     }
 
+    /// Guards against wrong answers, which look like any other until a client complains: the answer that paid
+    /// pays no more (departure F). A single complaint, which may be mistaken, does not reach the bound.
+    fn complaint(&mut self, ix: ServerIx) {
+        let Some(build) = self.servers.get(&ix).map(|s| s.listed.build) else { return };
+        if self.news.is_some() && build <= self.trial.build {
+            let arm = if build == self.trial.build { Arm::Trial } else { Arm::Earlier };
+            self.pay(Side::Right, arm, ix, -1.0, 0.0);
+            self.eliminate();
+        }
+    }
+
     /// Whether a new build is about, or was released so lately that its load has just come.
     fn in_question(&self) -> bool {
         let since = self.now - self.phase_from;
@@ -694,7 +711,7 @@
         let Some(by_server) = self.trial.payoffs.get(&(side, arm)) else { return Payoff::default() };
         let all = by_server.values().fold(Payoff::default(), |a, p| a.with(p, 1.0));
         let worst = by_server.values().min_by(|a, b| a.mean().total_cmp(&b.mean()));
-        worst.filter(|_| by_server.len() > 1).map_or(all, |w| all.with(w, -1.0))
+        worst.filter(|_| by_server.len() > 1 && side != Side::Right).map_or(all, |w| all.with(w, -1.0))
     }
 
     /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A), with the error
