--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,7 +18,7 @@
 const EPSILON: f64 = 0.1; // the paper's approximation factor, for pace alone
 const QUICK: f64 = 1.5; // usual answer times that still count as quick
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
-const CALM: f64 = 0.8; // of the fleet: servers that must run before worse service is held against a build
+const CALM: f64 = 0.9; // of the fleet: warm servers that must run before worse service is held against a build
 const BUSIER: f64 = 0.6; // of present traffic: more than usual by this much explains worse service; retries do not
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
@@ -636,7 +636,7 @@
         let mut sides = Vec::new();
         if served || outcome == Outcome::TimedOut {
             if self.in_question() {
-                if self.now - self.troubled >= self.terms.rules.ramp {
+                if self.now - self.troubled >= self.terms.rules.ramp * 2.0 {
                     self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
                 }
             } else {
@@ -682,20 +682,21 @@
         let since = self.now - self.phase_from;
         match self.news.as_ref().map(|n| n.phase) {
             Some(Phase::Trial) => true,
-            Some(Phase::Released) => self.trial.witnessed && since < self.terms.rules.ramp * 2.0 + FALLBACK,
+            Some(Phase::Released) => self.trial.witnessed && since < self.terms.rules.ramp * 3.0 + FALLBACK,
             Some(_) => self.trial.witnessed && since < self.terms.rules.ramp,
             None => false,
         }
     }
 
-    /// No known cause but the build for worse service: as many servers as ever, none dead, no more traffic.
+    /// No known cause but the build for worse service: as many servers as ever, warm, none dead, and
+    /// no more traffic.
     fn calm(&self) -> bool {
         let silent =
             |s: &Server| s.owes.is_some_and(|since| self.now - since > self.shortest_sla() * LEAVE_OUT);
         let dead = |s: &Server| self.now < s.dead_until || silent(s);
         let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && !dead(s);
-        let ready = self.servers.values().filter(ready).count();
-        ready as f64 >= CALM * self.fleet as f64 && BUSIER * (self.taken.len() as f64) <= self.rate
+        let warm: f64 = self.servers.values().filter(ready).map(|s| self.warmth(s)).sum();
+        warm >= CALM * self.fleet as f64 && BUSIER * (self.taken.len() as f64) <= self.rate
     }
 
     fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
