--- a/src/policy.rs
+++ b/src/policy.rs
@@ -592,6 +592,7 @@
                     server.strikes += 1;
                     if outcome == Outcome::ConnectFailed {
                         server.dead_until = server.left_out + shortest;
+                        server.shut = self.now + shortest * LEAVE_OUT;
                     }
                     server.good = (1.0 + FAILING) / 2.0;
                 } else if served && server.good > 1.0 - LEARN {
