--- a/src/policy.rs
+++ b/src/policy.rs
@@ -120,6 +120,7 @@
     InTime,
     Quick,
     Whole,
+    Brisk,
     Sound,
     Right,
     SoundAt(ProductIx),
@@ -196,7 +197,7 @@
     fleet: usize,
     /// The earlier build's answer times by model, against the product's mean.
     usual: BTreeMap<usize, f64>,
-    before: Payoff,
+    before: BTreeMap<Side, Payoff>,
     rate: f64,
     phase_from: Point,
     troubled: Point,
@@ -536,13 +537,13 @@
         let recalled = outcome == Outcome::Recalled;
         attempt.standing = Standing::Closed { may_have_run: !proven };
         let (build, sent, product, key) = (attempt.build, attempt.sent, txn.product, txn.key);
-        let on_trial = self.on_trial(build);
+        let usual_times = !self.on_trial(build) && !self.in_question();
         let row = &mut self.rows[product];
         let served = outcome == Outcome::Served;
         if served {
             self.served.push(self.now, ());
         }
-        if served && !on_trial {
+        if served && usual_times {
             if let Some(server) = self.servers.get(&ix) {
                 let usual = self.usual.entry(server.listed.model).or_insert(1.0);
                 *usual += LEARN * LEARN * (took.over(row.mean) - *usual);
@@ -636,15 +637,20 @@
         let ready = |s: &Server| s.listed.lifecycle == Lifecycle::Ready && s.listed.build < self.trial.build;
         let paired = self.servers.values().any(ready);
         let mut sides = Vec::new();
+        let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
+        let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
             if self.in_question() {
                 if self.now - self.troubled >= self.terms.rules.ramp * 2.0 {
                     self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
+                    self.pay(Side::Brisk, Arm::Trial, 0, f64::from(quick), 1.0);
                 }
             } else {
-                let keep = if self.before.count > MEMORY { 0.5 } else { 1.0 };
-                let one = Payoff { count: 1.0, sum: f64::from(in_time) };
-                self.before = one.with(&self.before, keep);
+                for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
+                    let before = self.before.entry(side).or_default();
+                    let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
+                    *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
+                }
                 self.rate += LEARN * LEARN * (self.taken.len() as f64 - self.rate);
             }
         }
@@ -652,8 +658,7 @@
             sides.push((Side::InTime, in_time));
         }
         if paired && served {
-            let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
-            sides.push((Side::Quick, took <= usual * QUICK / warmth));
+            sides.push((Side::Quick, quick));
         }
         if served && self.terms.release.complaint_share > 0.0 {
             sides.push((Side::Right, true));
@@ -724,15 +729,15 @@
         let eta = DELTA.powf(1.0 / self.enough() as f64).min(ETA);
         for &side in &sides {
             let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
-            if side == Side::Whole {
-                earlier = self.before;
+            if let Some(before) = self.before.get(&side) {
+                earlier = *before;
             }
             let t = earlier.count.min(trial.count);
             if t < FIRST_OUTCOMES || self.trial.dropped.contains(&true) {
                 continue;
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
-            let near = if matches!(side, Side::Quick | Side::Whole) { EPSILON } else { 0.0 };
+            let near = if side < Side::Sound && side != Side::InTime { EPSILON } else { 0.0 };
             let beta = ((t.ln() + 1.0) / eta).ln();
             let arm = if trial.bound(beta, true) + near < earlier.bound(beta, false) {
                 Arm::Trial
@@ -846,7 +851,7 @@
         if !self.calm() {
             // What was seen just before is the trouble's, and so is what follows until all are warm again.
             self.troubled = self.now;
-            self.trial.payoffs.remove(&(Side::Whole, Arm::Trial));
+            self.trial.payoffs.retain(|(side, _), _| !matches!(side, Side::Whole | Side::Brisk));
         }
         if self.armed.is_some_and(|at| self.now >= at) {
             self.armed = None;
