--- a/src/policy.rs
+++ b/src/policy.rs
@@ -380,7 +380,8 @@
         let attempts = Vec::new();
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
         self.copies = (self.copies + COPIES).min(COPIES / LEARN / LEARN);
-        let pinned = self.pin(&self.txns[&id]) > 0;
+        let pin = self.pin(&self.txns[&id]);
+        let pinned = pin > 0 && self.on_trial(pin);
         self.pinned += LEARN * LEARN * (f64::from(pinned) - self.pinned);
         self.place(id);
     }
@@ -602,8 +603,10 @@
                 }
             }
         }
+        // Guards a key that the newest build has answered, on trial or released, from any earlier one.
         if served && self.terms.release.one_way {
-            if let Some(key) = key.filter(|_| self.on_trial(build)) {
+            let newest = self.news.as_ref().is_none_or(|n| build >= n.build);
+            if let Some(key) = key.filter(|_| newest) {
                 self.pins.insert(key, build);
             }
         }
