--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,6 +20,7 @@
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
 const CALM: f64 = 0.9; // of the fleet: warm servers that must run before worse service is held against a build
 const BUSIER: f64 = 0.6; // of present traffic: more than usual by this much explains worse service; retries do not
+const DOUBT: f64 = 3.0; // fallback waits while a trial drop is counted, or machines of the stage are missing
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
@@ -845,7 +846,9 @@
         let newest = ours.iter().filter_map(|s| s.started).max().unwrap_or(self.trial.since);
         let all = ours.len() as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
         let since = newest.max(self.trial.since);
-        self.now - since >= FALLBACK && (all || self.now - since >= FALLBACK * 3.0)
+        // With a drop counted, something is half decided: the wait is longer (departure H).
+        let doubt = !self.trial.voters[Arm::Trial as usize].is_empty();
+        self.now - since >= FALLBACK * if doubt || !all { DOUBT } else { 1.0 }
     }
 
     // ---- periodic work and output ----
