--- a/src/policy.rs
+++ b/src/policy.rs
@@ -658,7 +658,7 @@
                 self.rate += LEARN * LEARN * (self.taken.len() as f64 - self.rate);
             }
         }
-        if paired && (warmth >= 1.0 || in_time || failed) && outcome != Outcome::Moot {
+        if paired && warmth >= 1.0 && outcome != Outcome::Moot {
             sides.push((Side::InTime, in_time));
         }
         if paired && served {
@@ -737,7 +737,7 @@
                 earlier = *before;
             }
             let t = earlier.count.min(trial.count);
-            if t < FIRST_OUTCOMES || self.trial.dropped.contains(&true) {
+            if t < FIRST_OUTCOMES || self.trial.dropped[Arm::Trial as usize] {
                 continue;
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
@@ -750,7 +750,8 @@
             } else {
                 continue;
             };
-            self.trial.dropped[arm as usize] = true;
+            // A drop of the trial build outweighs one of the earlier build: they look at different sides.
+            self.trial.dropped = [arm == Arm::Earlier, arm == Arm::Trial];
             self.trial.voters[arm as usize].insert(self.terms.ordinal);
         }
     }
