--- a/src/policy.rs
+++ b/src/policy.rs
@@ -163,6 +163,7 @@
     stage: usize,
     since: Point,
     witnessed: bool,
+    leaning: bool,
     payoffs: BTreeMap<(Side, Arm), BTreeMap<ServerIx, Payoff>>,
     dropped: [bool; 2],
     voters: [BTreeSet<PeerIx>; 2],
@@ -731,6 +732,7 @@
     fn eliminate(&mut self) {
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         let eta = DELTA.powf(1.0 / self.enough() as f64).min(ETA);
+        let mut leaning = false;
         for &side in &sides {
             let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
             if let Some(before) = self.before.get(&side) {
@@ -742,7 +744,10 @@
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = if side < Side::Sound && side != Side::InTime { EPSILON } else { 0.0 };
-            let beta = ((t.ln() + 1.0) / eta).ln();
+            let beta = |eta: f64| ((t.ln() + 1.0) / eta).ln();
+            let loose = beta(ETA);
+            leaning |= trial.bound(loose, true) + near < earlier.bound(loose, false);
+            let beta = beta(eta);
             let arm = if trial.bound(beta, true) + near < earlier.bound(beta, false) {
                 Arm::Trial
             } else if side == Side::InTime && earlier.bound(beta, true) < trial.bound(beta, false) {
@@ -754,6 +759,7 @@
             self.trial.dropped = [arm == Arm::Earlier, arm == Arm::Trial];
             self.trial.voters[arm as usize].insert(self.terms.ordinal);
         }
+        self.trial.leaning = leaning;
     }
 
     fn stage(&mut self, news: StageNews) {
@@ -847,8 +853,9 @@
         let newest = ours.iter().filter_map(|s| s.started).max().unwrap_or(self.trial.since);
         let all = ours.len() as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
         let since = newest.max(self.trial.since);
-        // With a drop counted, something is half decided: the wait is longer (departure H).
-        let doubt = !self.trial.voters[Arm::Trial as usize].is_empty();
+        // With a drop counted, or our own at the page's loose eta, something is half decided: the wait is longer
+        // (departure H).
+        let doubt = self.trial.leaning || !self.trial.voters[Arm::Trial as usize].is_empty();
         self.now - since >= FALLBACK * if doubt || !all { DOUBT } else { 1.0 }
     }
 
