--- a/src/policy.rs
+++ b/src/policy.rs
@@ -656,7 +656,8 @@
                     let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
                     *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
                 }
-                self.rate += LEARN * LEARN * (self.taken.len() as f64 - self.rate);
+                let seen = self.before.get(&Side::Whole).map_or(1.0, |b| b.count);
+                self.rate += (self.taken.len() as f64 - self.rate) / seen.min(MEMORY / 4.0);
             }
         }
         if paired && warmth >= 1.0 && outcome != Outcome::Moot {
