--- a/src/policy.rs
+++ b/src/policy.rs
@@ -840,11 +840,18 @@
             }
             return;
         }
-        if drops(Arm::Earlier) >= enough || self.waited_out() {
+        if drops(Arm::Earlier) >= enough && !self.doubt() || self.waited_out() {
             self.vote = Some((build, stage, Verdict::On));
         }
     }
 
+    /// With a trial drop counted, or our own at the page's loose eta, something is half decided: on votes wait, and
+    /// one that stands is taken away (departure H). Guards against harm while complaints and failures are few;
+    /// harms a good build by the longer wait.
+    fn doubt(&self) -> bool {
+        self.trial.leaning || !self.trial.voters[Arm::Trial as usize].is_empty()
+    }
+
     /// Whether the fallback wait after the start of the stage's newest machine is over.
     fn waited_out(&self) -> bool {
         let of_build =
@@ -854,10 +861,7 @@
         let newest = ours.iter().filter_map(|s| s.started).max().unwrap_or(self.trial.since);
         let all = ours.len() as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
         let since = newest.max(self.trial.since);
-        // With a drop counted, or our own at the page's loose eta, something is half decided: the wait is longer
-        // (departure H).
-        let doubt = self.trial.leaning || !self.trial.voters[Arm::Trial as usize].is_empty();
-        self.now - since >= FALLBACK * if doubt || !all { DOUBT } else { 1.0 }
+        self.now - since >= FALLBACK * if self.doubt() || !all { DOUBT } else { 1.0 }
     }
 
     // ---- periodic work and output ----
@@ -947,8 +951,12 @@
             Span::secs(self.terms.balancers as f64 / told.votes_a_second.max(1.0)).max(told.vote_wait / 8.0);
         let wanted = match (self.vote, self.cast) {
             (Some(vote), _) => vote,
-            // A hold that is over is taken away; other votes lapse with their stage.
-            (None, Some(((build, stage, Verdict::Hold), _, _))) => (build, stage, Verdict::Withdraw),
+            // What is no longer meant for this stage is taken away; votes for other stages lapse by themselves.
+            (None, Some(((build, stage, how), _, _)))
+                if how != Verdict::Back && (build, stage) == (self.trial.build, self.trial.stage) =>
+            {
+                (build, stage, Verdict::Withdraw)
+            }
             _ => return,
         };
         if let Some((cast, at, ballot)) = self.cast.filter(|c| c.0 == wanted) {
