--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,7 +20,6 @@
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
 const CALM: f64 = 0.9; // of the fleet: warm servers that must run before worse service is held against a build
 const BUSIER: f64 = 0.6; // of present traffic: more than usual by this much explains worse service; retries do not
-const DOUBT: f64 = 3.0; // fallback waits while a trial drop is counted, or machines of the stage are missing
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
@@ -163,7 +162,6 @@
     stage: usize,
     since: Point,
     witnessed: bool,
-    leaning: bool,
     payoffs: BTreeMap<(Side, Arm), BTreeMap<ServerIx, Payoff>>,
     dropped: [bool; 2],
     voters: [BTreeSet<PeerIx>; 2],
@@ -733,7 +731,6 @@
     fn eliminate(&mut self) {
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         let eta = DELTA.powf(1.0 / self.enough() as f64).min(ETA);
-        let mut leaning = false;
         for &side in &sides {
             let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
             if let Some(before) = self.before.get(&side) {
@@ -745,10 +742,7 @@
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = if side < Side::Sound && side != Side::InTime { EPSILON } else { 0.0 };
-            let beta = |eta: f64| ((t.ln() + 1.0) / eta).ln();
-            let loose = beta(ETA);
-            leaning |= trial.bound(loose, true) + near < earlier.bound(loose, false);
-            let beta = beta(eta);
+            let beta = ((t.ln() + 1.0) / eta).ln();
             let arm = if trial.bound(beta, true) + near < earlier.bound(beta, false) {
                 Arm::Trial
             } else if side == Side::InTime && earlier.bound(beta, true) < trial.bound(beta, false) {
@@ -760,7 +754,6 @@
             self.trial.dropped = [arm == Arm::Earlier, arm == Arm::Trial];
             self.trial.voters[arm as usize].insert(self.terms.ordinal);
         }
-        self.trial.leaning = leaning;
     }
 
     fn stage(&mut self, news: StageNews) {
@@ -840,18 +833,11 @@
             }
             return;
         }
-        if drops(Arm::Earlier) >= enough && !self.doubt() || self.waited_out() {
+        if drops(Arm::Earlier) >= enough || self.waited_out() {
             self.vote = Some((build, stage, Verdict::On));
         }
     }
 
-    /// With a trial drop counted, or our own at the page's loose eta, something is half decided: on votes wait, and
-    /// one that stands is taken away (departure H). Guards against harm while complaints and failures are few;
-    /// harms a good build by the longer wait.
-    fn doubt(&self) -> bool {
-        self.trial.leaning || !self.trial.voters[Arm::Trial as usize].is_empty()
-    }
-
     /// Whether the fallback wait after the start of the stage's newest machine is over.
     fn waited_out(&self) -> bool {
         let of_build =
@@ -861,7 +847,7 @@
         let newest = ours.iter().filter_map(|s| s.started).max().unwrap_or(self.trial.since);
         let all = ours.len() as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
         let since = newest.max(self.trial.since);
-        self.now - since >= FALLBACK * if self.doubt() || !all { DOUBT } else { 1.0 }
+        self.now - since >= FALLBACK * if all { 1.0 } else { 3.0 }
     }
 
     // ---- periodic work and output ----
@@ -951,12 +937,8 @@
             Span::secs(self.terms.balancers as f64 / told.votes_a_second.max(1.0)).max(told.vote_wait / 8.0);
         let wanted = match (self.vote, self.cast) {
             (Some(vote), _) => vote,
-            // What is no longer meant for this stage is taken away; votes for other stages lapse by themselves.
-            (None, Some(((build, stage, how), _, _)))
-                if how != Verdict::Back && (build, stage) == (self.trial.build, self.trial.stage) =>
-            {
-                (build, stage, Verdict::Withdraw)
-            }
+            // A hold that is over is taken away; other votes lapse with their stage.
+            (None, Some(((build, stage, Verdict::Hold), _, _))) => (build, stage, Verdict::Withdraw),
             _ => return,
         };
         if let Some((cast, at, ballot)) = self.cast.filter(|c| c.0 == wanted) {
