--- a/src/policy.rs
+++ b/src/policy.rs
@@ -312,9 +312,13 @@
         self.terms.release.window + self.terms.tick
     }
 
+    /// A failing server is left out, but for one of a build whose drop is not settled: else a build that fails
+    /// everything would give too few outcomes to be dropped, and the fallback would move it on.
     fn healthy(&self, server: &Server) -> bool {
         let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
-        self.now >= server.left_out && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
+        let judged = self.on_trial(server.listed.build) && !self.trial.dropped[Arm::Trial as usize];
+        (judged || self.now >= server.left_out)
+            && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
     }
 
     fn busy(&self, ix: ServerIx) -> f64 {
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,442 @@
+//! Decisions as short traces, without the bench.
+
+mod desk;
+
+use desk::*;
+use expect_test::{expect, Expect};
+use harrierdock::interface::*;
+use harrierdock::time::Span;
+
+fn check(desk: &Desk, expected: Expect) {
+    expected.assert_eq(&desk.trace);
+}
+
+const FINE: fn(ServerIx) -> (Outcome, i64) = |_| (Outcome::Served, 50);
+
+// ---- the five rules ----
+
+#[test]
+fn a_txn_gets_one_final_answer_at_once_when_given_up_on() {
+    let mut desk = Desk::with(terms(), &[1], Phase::Released);
+    let (ask, lodge) = (desk.txn(ASK, None), desk.txn(LODGE, None));
+    let left = desk.txn(ASK, None);
+    desk.until(200);
+    desk.tell(Event::Left { id: TxnId(left) });
+    desk.close(left, 0, Outcome::Recalled, 200);
+    desk.until(1500);
+    desk.close(ask, 0, Outcome::TimedOut, 1500);
+    desk.close(lodge, 0, Outcome::TimedOut, 1500);
+    desk.until(4000);
+    check(
+        &desk,
+        expect![[r#"
+        0: submit #1 to 0
+        0: submit #2 to 0
+        0: submit #3 to 0
+        200: recall #3 attempt 0
+        1500: decline #1, back in 400 ms
+        1500: void #2
+    "#]],
+    );
+}
+
+#[test]
+fn a_wait_for_a_server_ends_with_the_client() {
+    let mut desk = Desk::with(terms(), &[1], Phase::Released);
+    let ask = desk.txn(ASK, None);
+    desk.until(1495);
+    desk.close(ask, 0, Outcome::Full, 1495);
+    desk.until(3000);
+    check(
+        &desk,
+        expect![[r#"
+        0: submit #1 to 0
+        1500: decline #1, back in 400 ms
+    "#]],
+    );
+}
+
+#[test]
+fn repeats_keep_to_the_product_its_group_and_its_memory() {
+    let mut desk = Desk::with(terms(), &[1, 1, 1, 1], Phase::Released);
+    let lodge = desk.txn(LODGE, None);
+    desk.close(lodge, 0, Outcome::Errored, 20); // may have run: no more
+    let lodge = desk.txn(LODGE, None);
+    desk.close(lodge, 0, Outcome::ConnectFailed, 20); // never ran: another server
+    let note = desk.txn(NOTE, None);
+    desk.close(note, 0, Outcome::Errored, 20); // the same zone only
+    let late = desk.txn(NOTE, None);
+    desk.until(998);
+    desk.close(late, 0, Outcome::Errored, 998); // its repeats are not remembered for longer
+    let zones: Vec<_> = desk.sent.iter().filter(|s| s.0 == note).map(|s| s.1 % 2).collect();
+    assert!(zones.len() >= 2 && zones.iter().all(|z| *z == zones[0]), "{zones:?}");
+    let ends: String =
+        desk.trace.lines().filter(|l| !l.contains("submit")).map(|l| format!("{l}\n")).collect();
+    expect![[r#"
+        180: void #1
+        998: void #4
+    "#]]
+    .assert_eq(&ends);
+}
+
+#[test]
+fn draining_and_gone_servers_get_nothing_and_a_list_is_asked_for() {
+    let mut desk =
+        Desk::with(Terms { discovery: Discovery::OnRequest, ..terms() }, &[1, 1, 1], Phase::Released);
+    let draining = Listed { lifecycle: Lifecycle::Draining, ..server(0, 1) };
+    desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![draining] });
+    desk.tell(Event::Roster { scope: Scope::Whole, lines: vec![server(1, 1)] });
+    let used = desk.traffic(20, 20, FINE);
+    desk.tell(Event::Roster { scope: Scope::Failed, lines: vec![] });
+    desk.until(3000);
+    let lines = format!("used 1: {}\n{}", share(&used, 1), desk.decisions());
+    expect![[r#"
+        used 1: 20 of 20
+        0: Listen
+        1400: Listen
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn a_cold_server_is_warmed_by_its_share_even_in_a_jam_of_retries() {
+    let mut desk = Desk::with(terms(), &[1, 1, 1, 1], Phase::Released);
+    desk.traffic(100, 20, FINE);
+    let cold = Listed { age: Some(Span::ZERO), ..server(0, 1) };
+    desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![cold] });
+    let down = |s| if s == 0 { (Outcome::Served, 50) } else { (Outcome::ConnectFailed, 1) };
+    let used = desk.traffic(200, 5, down);
+    expect!["6 of 11"].assert_eq(&share(&used, 0));
+}
+
+#[test]
+fn exposure_keeps_to_the_window_by_build_and_by_product() {
+    let mut by_product = terms();
+    by_product.release.counting = Counting::ByProduct;
+    let mut lines = String::new();
+    for (name, told) in [("together", terms()), ("by product", by_product)] {
+        for (case, stage, phase, cap) in [
+            ("cap 0.2", 0, Phase::Trial, 0.2),
+            ("cap 0", 0, Phase::GoingBack, 0.0),
+            ("withdrawn", 1, Phase::Withdrawn, 0.0),
+        ] {
+            let mut desk = Desk::with(told.clone(), &[1, 1, 2, 2, 2], Phase::Trial);
+            desk.stage(2, stage, phase, cap);
+            let used = desk.traffic(95, 20, FINE);
+            lines += &format!("{name}, {case}: {}\n", used.iter().filter(|s| **s >= 2).count());
+        }
+        let mut desk = Desk::with(told, &[1, 1, 2, 2, 2], Phase::Trial);
+        desk.stage(1, 1, Phase::Released, 1.0);
+        let used = desk.traffic(95, 20, FINE);
+        lines += &format!("{name}, unannounced: {}\n", used.iter().filter(|s| **s >= 2).count());
+    }
+    expect![[r#"
+        together, cap 0.2: 20
+        together, cap 0: 0
+        together, withdrawn: 0
+        together, unannounced: 20
+        by product, cap 0.2: 20
+        by product, cap 0: 0
+        by product, withdrawn: 0
+        by product, unannounced: 20
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn guarded_stages_take_inquiries_only_and_answered_keys_stay() {
+    let mut told = terms();
+    told.release.guarded_stages = 1;
+    told.release.one_way = true;
+    let mut desk = Desk::with(told, &[1, 2], Phase::Trial);
+    assert_eq!(share(&desk.traffic(30, 20, FINE), 1), "0 of 30");
+    let mut pinned = None;
+    for key in 1..40 {
+        let txn = desk.txn(ASK, Some(key));
+        let to = desk.sent.last().map(|s| s.1);
+        desk.close(txn, 0, Outcome::Served, 30);
+        pinned = pinned.or((to == Some(1)).then_some(key));
+    }
+    desk.trace.clear();
+    desk.until(1000);
+    desk.txn(ASK, pinned);
+    desk.stage(2, 0, Phase::Released, 1.0);
+    desk.txn(ASK, pinned);
+    desk.stage(2, 0, Phase::GoingBack, 0.0);
+    desk.txn(ASK, pinned);
+    check(
+        &desk,
+        expect![[r#"
+        1000: submit #70 to 1
+        1000: submit #71 to 1
+        1000: submit #72 to 0
+    "#]],
+    );
+}
+
+// ---- elimination, drops and votes ----
+
+/// A trial of build 2 on one of four servers, where every n-th answer of the trial build fails.
+fn trial(balancers: usize, control: Control, outcomes: usize, fails: impl Fn(usize) -> bool) -> Desk {
+    let mut told = terms();
+    told.balancers = balancers;
+    told.release.control = control;
+    told.release.free = 1000.0;
+    let mut desk = Desk::with(told, &[1, 2], Phase::Trial);
+    let seen = std::cell::Cell::new(0);
+    while seen.get() < outcomes {
+        desk.traffic(1, 10, |s| {
+            seen.set(seen.get() + usize::from(s == 1));
+            if s == 1 && fails(seen.get()) {
+                (Outcome::Errored, 5)
+            } else {
+                (Outcome::Served, 50)
+            }
+        });
+    }
+    desk
+}
+
+#[test]
+fn a_drop_needs_twenty_outcomes_and_the_gap() {
+    let mut lines = String::new();
+    for (case, outcomes, every) in
+        [("19, all fail", 19, 1), ("20, all fail", 20, 1), ("24, each 12th", 24, 12), ("24, each 3rd", 24, 3)]
+    {
+        let desk = trial(1, Control::Votes, outcomes, |n| n % every == 0);
+        lines += &format!("{case}: {}", desk.decisions().lines().next().unwrap_or("nothing"));
+        lines.push('\n');
+    }
+    expect![[r#"
+        19, all fail: nothing
+        20, all fail: nothing
+        24, each 12th: nothing
+        24, each 3rd: nothing
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn distinct_senders_are_counted_and_a_stage_starts_anew() {
+    let mut desk = trial(6, Control::Votes, 0, |_| false);
+    let mail = |desk: &mut Desk, from, text: &str| desk.tell(Event::Mail { from, text: text.into() });
+    mail(&mut desk, 1, "2.0.t");
+    mail(&mut desk, 1, "2.0.t"); // the same sender again
+    mail(&mut desk, 2, "2.1.t"); // another stage
+    mail(&mut desk, 9, "2.0.t"); // no such balancer
+    mail(&mut desk, 3, "hello");
+    mail(&mut desk, 4, "2.0.t");
+    desk.trace.push_str("two of three\n");
+    desk.stage(2, 1, Phase::Trial, 1.0);
+    mail(&mut desk, 5, "2.1.t");
+    desk.trace.push_str("one of three\n");
+    mail(&mut desk, 1, "2.1.t");
+    mail(&mut desk, 4, "2.1.t");
+    expect![[r#"
+        two of three
+        one of three
+        0: vote Back on 2 stage 1
+    "#]]
+    .assert_eq(&desk.decisions());
+}
+
+#[test]
+fn a_back_vote_is_told_again_renewed_and_resent() {
+    let mut desk = trial(2, Control::Votes, 20, |_| true);
+    for word in [Word::Full, Word::TimedOut, Word::Errored, Word::Valid] {
+        desk.word(2, 0, Phase::Trial, 1.0, word, true);
+        let next = desk.sent.len() as i64 * 10 + 400;
+        desk.until(next);
+        desk.trace.push_str(&format!("after {word:?}\n"));
+    }
+    desk.until(4000);
+    desk.stage(2, 0, Phase::Released, 1.0);
+    desk.until(6000);
+    desk.stage(2, 0, Phase::Withdrawn, 0.0);
+    desk.until(8000);
+    expect![[r#"
+        400: tell 2.0.t
+        410: vote Back on 2 stage 0
+        after Full
+        800: vote Back on 2 stage 0
+        after TimedOut
+        after Errored
+        after Valid
+        1400: tell 2.0.t
+        2400: tell 2.0.t
+        2800: vote Back on 2 stage 0
+        3400: tell 2.0.t
+        3650: vote Back on 2 stage 0
+        4400: tell 2.0.t
+        4500: vote Back on 2 stage 0
+        5350: vote Back on 2 stage 0
+        5400: tell 2.0.t
+        6400: tell 2.0.t
+        7400: tell 2.0.t
+    "#]]
+    .assert_eq(&desk.decisions());
+}
+
+#[test]
+fn earlier_drops_and_the_fallback_move_on() {
+    let mut desk = trial(4, Control::Votes, 0, |_| false);
+    desk.until(1000);
+    for from in [1, 2] {
+        desk.tell(Event::Mail { from, text: "2.0.e".into() });
+    }
+    desk.stage(2, 1, Phase::Trial, 1.0);
+    desk.until(5500);
+    expect![[r#"
+        1000: vote On on 2 stage 0
+        4000: vote On on 2 stage 1
+        4850: vote On on 2 stage 1
+    "#]]
+    .assert_eq(&desk.decisions());
+}
+
+#[test]
+fn under_the_clock_half_the_drops_hold_for_three_seconds() {
+    let mut desk = trial(8, Control::Clock, 0, |_| false);
+    desk.until(1000);
+    for from in [1, 2] {
+        desk.tell(Event::Mail { from, text: "2.0.t".into() });
+    }
+    desk.word(2, 0, Phase::Trial, 1.0, Word::Valid, true);
+    desk.until(9000);
+    expect![[r#"
+        1000: vote Hold on 2 stage 0
+        3000: vote Hold on 2 stage 0
+        3850: vote Hold on 2 stage 0
+        4000: vote Withdraw on 2 stage 0
+    "#]]
+    .assert_eq(&desk.decisions());
+}
+
+// ---- failures found ----
+
+#[test]
+fn complaints_send_a_wrong_build_back_and_one_does_not() {
+    let mut told = terms();
+    told.release.complaint_share = 0.15;
+    let mut desk = Desk::with(told, &[1, 2], Phase::Trial);
+    desk.traffic(200, 10, FINE);
+    for n in 0..12 {
+        desk.tell(Event::Complaint { server: 1, product: ASK, age: ms(500) });
+        desk.trace.push_str(&format!("complaint {n}\n"));
+        if desk.trace.contains("Back") {
+            break;
+        }
+    }
+    let from = desk.trace.find("complaint 0").unwrap_or(0);
+    expect![[r#"
+        complaint 0
+        complaint 1
+        complaint 2
+        complaint 3
+        complaint 4
+        complaint 5
+        complaint 6
+        complaint 7
+        complaint 8
+        complaint 9
+        complaint 10
+        complaint 11
+    "#]]
+    .assert_eq(&desk.trace[from..]);
+}
+
+#[test]
+fn quick_errors_at_one_of_several_servers_are_not_held_against_the_build() {
+    let mut told = terms();
+    told.release.free = 1000.0;
+    let mut desk = Desk::with(told, &[1, 1, 2, 2, 2], Phase::Trial);
+    desk.traffic(240, 10, |s| if s == 3 { (Outcome::Errored, 5) } else { (Outcome::Served, 50) });
+    expect![[""]].assert_eq(&desk.decisions());
+}
+
+#[test]
+fn worse_service_goes_back_when_calm_and_not_while_machines_are_cold() {
+    let mut lines = String::new();
+    for (case, age) in [("warm", None), ("cold", Some(Span::ZERO))] {
+        let mut told = terms();
+        told.release.free = 1000.0;
+        let mut desk = Desk::with(told, &[1, 1], Phase::Released);
+        desk.until(20_000);
+        desk.traffic(1500, 10, FINE);
+        let fresh = [2, 3].map(|ix| Listed { age, ..server(ix, 2) });
+        desk.tell(Event::Roster { scope: Scope::Whole, lines: fresh.to_vec() });
+        desk.stage(2, 1, Phase::Trial, 1.0);
+        desk.traffic(150, 10, |_| (Outcome::Served, 700));
+        lines += &format!(
+            "{case}: {}\n",
+            desk.decisions().lines().find(|l| l.contains("vote")).unwrap_or("nothing")
+        );
+    }
+    expect![[r#"
+        warm: 35250: vote Back on 2 stage 1
+        cold: nothing
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn dead_full_and_failing_servers_rest() {
+    let mut lines = String::new();
+    for bad in [Outcome::ConnectFailed, Outcome::Full, Outcome::Errored, Outcome::Served] {
+        let mut desk = Desk::with(terms(), &[1, 1, 1], Phase::Released);
+        let used = desk.traffic(120, 5, |s| if s == 0 { (bad, 2) } else { (Outcome::Served, 50) });
+        lines += &format!("{bad:?}: {}\n", share(&used, 0));
+    }
+    expect![[r#"
+        ConnectFailed: 1 of 121
+        Full: 3 of 123
+        Errored: 3 of 120
+        Served: 30 of 120
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn work_that_a_time_out_leaves_behind_fills_a_server() {
+    let mut desk = Desk::with(terms(), &[1], Phase::Released);
+    let mut open = Vec::new();
+    for _ in 0..12 {
+        open.push(desk.txn(LODGE, None));
+    }
+    desk.until(1500);
+    for txn in open {
+        if desk.sent.iter().any(|s| s.0 == txn) {
+            desk.close(txn, 0, Outcome::TimedOut, 1500);
+        }
+    }
+    desk.trace.clear();
+    desk.txn(ASK, None);
+    desk.until(1900);
+    check(
+        &desk,
+        expect![[r#"
+        1540: submit #13 to 0
+    "#]],
+    );
+}
+
+#[test]
+fn second_copies_are_few() {
+    let mut desk = Desk::with(terms(), &[1, 1, 1, 1, 1, 1, 1, 1], Phase::Released);
+    for n in 0..40 {
+        desk.until(n * 20);
+        desk.txn(ASK, None);
+    }
+    desk.until(1400);
+    expect!["42 submissions of 40 txns"].assert_eq(&format!("{} submissions of 40 txns", desk.sent.len()));
+}
+
+#[test]
+fn same_events_give_same_actions() {
+    let run = || {
+        let mut desk = trial(3, Control::Votes, 30, |n| n % 4 == 0);
+        desk.until(9000);
+        desk.trace
+    };
+    assert_eq!(run(), run());
+}
