--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,7 +20,7 @@
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
 const CALM: f64 = 0.9; // of the fleet: warm servers that must run before worse service is held against a build
 const BUSIER: f64 = 0.6; // of present traffic: more than usual by this much explains worse service; retries do not
-const ASIDE: usize = 4; // one server in this many is set aside in judging its build
+const ASIDE: usize = 5; // one server in this many is set aside in judging its build
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
@@ -721,14 +721,14 @@
         seen.sum += sum;
     }
 
-    /// An arm's payoffs without those of the quarter of its servers that lost most, if it has others: guards
+    /// An arm's payoffs without those of the fifth of its servers that lost most, if it has others: guards
     /// against quick errors, neighbours or pauses at some servers that would be held against their build
     /// (departure D). A bad build shows on most of its servers. Harms by waiting for more of them to show it.
     fn payoff(&self, side: Side, arm: Arm) -> Payoff {
         let Some(by_server) = self.trial.payoffs.get(&(side, arm)) else { return Payoff::default() };
         let mut seen: Vec<&Payoff> = by_server.values().collect();
         seen.sort_by(|a, b| (b.count - b.sum).total_cmp(&(a.count - a.sum)));
-        let aside = if seen.len() > 1 && side != Side::Right { seen.len().div_ceil(ASIDE) } else { 0 };
+        let aside = if seen.len() > 1 && side != Side::Right { (seen.len() / ASIDE).max(1) } else { 0 };
         seen[aside..].iter().fold(Payoff::default(), |all, p| all.with(p, 1.0))
     }
 
