--- a/src/policy.rs
+++ b/src/policy.rs
@@ -290,8 +290,12 @@
 
     /// The part of its capacity that a server has by now, at the least.
     fn warmth(&self, server: &Server) -> f64 {
+        self.warmth_at(server, self.now)
+    }
+
+    fn warmth_at(&self, server: &Server, at: Point) -> f64 {
         let Some(started) = server.started else { return 1.0 };
-        let (from, age) = (self.terms.rules.cold_from, self.now - started);
+        let (from, age) = (self.terms.rules.cold_from, at - started);
         (from + (1.0 - from) * age.over(self.terms.rules.ramp)).min(1.0)
     }
 
@@ -640,7 +644,9 @@
         }
         let arm = if build == self.trial.build { Arm::Trial } else { Arm::Earlier };
         let (served, failed) = (outcome == Outcome::Served, outcome == Outcome::Errored);
-        let (warmth, model, mean) = (self.warmth(server), server.listed.model, self.rows[product].mean);
+        // An answer is as cold as its server was when it was asked.
+        let warmth = self.warmth_at(server, self.now - took);
+        let (model, mean) = (server.listed.model, self.rows[product].mean);
         let in_time = served && took <= self.rows[product].sla;
         let ready = |s: &Server| s.listed.lifecycle == Lifecycle::Ready && s.listed.build < self.trial.build;
         let paired = self.servers.values().any(ready);
