--- a/src/policy.rs
+++ b/src/policy.rs
@@ -54,8 +54,6 @@
     listed: Listed,
     started: Option<Point>,
     out: usize,
-    /// What it last said it holds, of all gateways.
-    inflight: f64,
     /// The first send since the server was last heard of.
     owes: Option<Point>,
     pace: f64,
@@ -236,16 +234,14 @@
             Event::Txn { id, product, key, left, .. } => self.txn(id, product, key, left),
             Event::Left { id } => self.finish(id, Answer::Given),
             Event::Streaming { id, .. } => self.finish(id, Answer::Streaming),
-            Event::Closed { id, attempt, server, outcome, took, ended, load } => {
-                self.report(server, load);
+            Event::Closed { id, attempt, server, outcome, took, ended, .. } => {
                 self.closed(id, attempt, server, outcome, took, ended)
             }
             Event::Stage(news) => self.stage(news),
             Event::Mail { from, text } => self.mail(from, &text),
             Event::Wake => self.wake(),
             Event::Complaint { server, .. } => self.complaint(server),
-            Event::Probed { server, load, .. } => self.report(server, load),
-            Event::Tally { .. } => {}
+            Event::Probed { .. } | Event::Tally { .. } => {}
         }
         self.emit()
     }
@@ -330,15 +326,9 @@
             && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
     }
 
-    fn report(&mut self, ix: ServerIx, load: Load) {
-        if let (Some(server), Some(inflight)) = (self.servers.get_mut(&ix), load.inflight) {
-            server.inflight = inflight;
-        }
-    }
-
     fn busy(&self, ix: ServerIx) -> f64 {
         let server = &self.servers[&ix];
-        (server.inflight.max(server.out as f64) + 1.0) * server.pace / self.warmth(server)
+        (server.out + 1) as f64 * server.pace / self.warmth(server)
     }
 
     // ---- builds on trial ----
