--- a/src/policy.rs
+++ b/src/policy.rs
@@ -718,8 +718,7 @@
         let dead = |s: &Server| self.now < s.dead_until || silent(s);
         let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && !dead(s);
         let warm: f64 = self.servers.values().filter(ready).map(|s| self.warmth(s)).sum();
-        warm >= CALM * self.fleet as f64
-            && (self.rate == 0.0 || BUSIER * (self.taken.len() as f64) <= self.rate)
+        warm >= CALM * self.fleet as f64 && BUSIER * (self.taken.len() as f64) <= self.rate
     }
 
     fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
@@ -748,10 +747,6 @@
             let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
             if let Some(before) = self.before.get(&side) {
                 earlier = *before;
-            } else if side == Side::Whole {
-                // Guards against a jam that a gateway restarted during the trial has no time before to tell by: it
-                // takes for granted the least that the test needs, all of it in time.
-                earlier = Payoff { count: FIRST_OUTCOMES, sum: FIRST_OUTCOMES };
             }
             let t = earlier.count.min(trial.count);
             if t < FIRST_OUTCOMES || self.trial.dropped[Arm::Trial as usize] {
