--- a/src/policy.rs
+++ b/src/policy.rs
@@ -142,17 +142,26 @@
         Payoff { count: self.count + other.count * times, sum: self.sum + other.sum * times }
     }
 
-    /// The furthest mean, above or below, that the payoffs seen leave possible at the exploration rate `beta`.
-    fn bound(&self, beta: f64, above: bool) -> f64 {
+    /// How hard the payoffs seen strain against a true mean of `q`: their count times the KL divergence.
+    fn strain(&self, q: f64) -> f64 {
         let part = |p: f64, q: f64| if p > 0.0 { p * (p / q.max(f64::EPSILON)).ln() } else { 0.0 };
         let mean = self.mean().clamp(0.0, 1.0);
-        let (mut near, mut far) = (mean, f64::from(above));
+        self.count * (part(mean, q) + part(1.0 - mean, 1.0 - q))
+    }
+
+    /// How many factors of eta the KL-Racing test stands below a better arm by, `near` allowed: 0 is no drop.
+    fn drops_below(&self, better: &Payoff, near: f64) -> usize {
+        let t = self.count.min(better.count);
+        let (mut low, mut high) = (self.mean(), better.mean() - near);
+        if t < FIRST_OUTCOMES || low >= high {
+            return 0;
+        }
         for _ in 0..BISECTIONS {
-            let q = (near + far) / 2.0;
-            let divergence = part(mean, q) + part(1.0 - mean, 1.0 - q);
-            *(if self.count * divergence <= beta { &mut near } else { &mut far }) = q;
+            let q = (low + high) / 2.0;
+            *(if self.strain(q) < better.strain(q + near) { &mut low } else { &mut high }) = q;
         }
-        near
+        let eta = (t.ln() + 1.0) * (-self.strain(low)).exp();
+        (eta.ln() / ETA.ln()).max(0.0) as usize
     }
 }
 
@@ -164,8 +173,7 @@
     since: Point,
     witnessed: bool,
     payoffs: BTreeMap<(Side, Arm), BTreeMap<ServerIx, Payoff>>,
-    dropped: [bool; 2],
-    voters: [BTreeSet<PeerIx>; 2],
+    drops: [BTreeMap<PeerIx, usize>; 2],
     told: Option<Point>,
     held_from: Option<Point>,
 }
@@ -321,7 +329,7 @@
     /// everything would give too few outcomes to be dropped, and the fallback would move it on.
     fn healthy(&self, server: &Server) -> bool {
         let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
-        let judged = self.on_trial(server.listed.build) && !self.trial.dropped[Arm::Trial as usize];
+        let judged = self.on_trial(server.listed.build) && !self.dropped(Arm::Trial, 1.0);
         (judged || self.now >= server.left_out)
             && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
     }
@@ -738,36 +746,39 @@
         seen[aside..].iter().fold(Payoff::default(), |all, p| all.with(p, 1.0))
     }
 
-    /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A), with the error
-    /// that M voters of the balancers there are need to reach delta together (departure B).
+    /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A). A drop counts as
+    /// many times as the factors of eta that it holds at (departure B), and is held for the stage.
     fn eliminate(&mut self) {
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
-        let eta = DELTA.powf(1.0 / self.enough() as f64).min(ETA);
-        for &side in &sides {
+        for side in sides {
             let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
             if let Some(before) = self.before.get(&side) {
                 earlier = *before;
             }
-            let t = earlier.count.min(trial.count);
-            if t < FIRST_OUTCOMES || self.trial.dropped[Arm::Trial as usize] {
-                continue;
-            }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = if side < Side::Sound && side != Side::InTime { EPSILON } else { 0.0 };
-            let beta = ((t.ln() + 1.0) / eta).ln();
-            let arm = if trial.bound(beta, true) + near < earlier.bound(beta, false) {
-                Arm::Trial
-            } else if side == Side::InTime && earlier.bound(beta, true) < trial.bound(beta, false) {
-                Arm::Earlier
-            } else {
-                continue;
-            };
-            // A drop of the trial build outweighs one of the earlier build: they look at different sides.
-            self.trial.dropped = [arm == Arm::Earlier, arm == Arm::Trial];
-            self.trial.voters[arm as usize].insert(self.terms.ordinal);
+            self.count(Arm::Trial, self.terms.ordinal, trial.drops_below(&earlier, near));
+            if side == Side::InTime {
+                self.count(Arm::Earlier, self.terms.ordinal, earlier.drops_below(&trial, near));
+            }
         }
     }
 
+    fn count(&mut self, arm: Arm, from: PeerIx, drops: usize) {
+        if drops > 0 && from < self.terms.balancers {
+            let held = self.trial.drops[arm as usize].entry(from).or_default();
+            *held = drops.max(*held);
+        }
+    }
+
+    /// Whether the drops of an arm make up part of M, from as many balancers as half of them, two at the most.
+    fn dropped(&self, arm: Arm, part: f64) -> bool {
+        let drops = &self.trial.drops[arm as usize];
+        let enough = (DELTA.ln() / ETA.ln()).floor();
+        let senders = (self.terms.balancers / 2).clamp(1, 2);
+        drops.len() >= senders && drops.values().sum::<usize>() as f64 >= enough * part
+    }
+
     fn stage(&mut self, news: StageNews) {
         if news.answers_vote {
             if let Some((_, _, ballot)) = &mut self.cast {
@@ -800,24 +811,20 @@
 
     fn mail(&mut self, from: PeerIx, text: &str) {
         let mut parts = text.split('.');
-        let (build, stage, arm) = (parts.next(), parts.next(), parts.next());
-        let here = build.and_then(|b| b.parse().ok()) == Some(self.trial.build)
-            && stage.and_then(|s| s.parse().ok()) == Some(self.trial.stage);
-        if here && from < self.terms.balancers && self.news.is_some() {
-            match arm {
-                Some("t") => self.trial.voters[Arm::Trial as usize].insert(from),
-                Some("e") => self.trial.voters[Arm::Earlier as usize].insert(from),
-                _ => return,
-            };
+        let mut number = || parts.next().and_then(|n| n.parse::<usize>().ok());
+        let (build, stage, drops) = (number(), number(), number());
+        let here = build == Some(self.trial.build as usize) && stage == Some(self.trial.stage);
+        let arm = match parts.next() {
+            Some("t") => Arm::Trial,
+            Some("e") => Arm::Earlier,
+            _ => return,
+        };
+        if here && self.news.is_some() {
+            self.count(arm, from, drops.unwrap_or(0));
             self.judge();
         }
     }
 
-    fn enough(&self) -> usize {
-        let least = (DELTA.ln() / ETA.ln()).floor() as usize;
-        least.min(self.terms.balancers / 2).max(1)
-    }
-
     /// What to vote now: M trial drops back, M earlier drops on; hold at half under the clock; else on after the
     /// fallback wait where votes move the rollout.
     fn judge(&mut self) {
@@ -826,9 +833,8 @@
         if !matches!(news.phase, Phase::Trial | Phase::Released) {
             return;
         }
-        let drops = |arm: Arm| self.trial.voters[arm as usize].len();
-        let (build, stage, enough) = (news.build, news.stage, self.enough());
-        if drops(Arm::Trial) >= enough {
+        let (build, stage) = (news.build, news.stage);
+        if self.dropped(Arm::Trial, 1.0) {
             self.vote = Some((build, stage, Verdict::Back));
             return;
         }
@@ -836,7 +842,7 @@
             return;
         }
         if self.terms.release.control == Control::Clock {
-            let half = 2 * drops(Arm::Trial) >= enough && drops(Arm::Trial) > 0;
+            let half = self.dropped(Arm::Trial, 0.5);
             let from = *self.trial.held_from.get_or_insert(self.now);
             if half && self.now - from < LONGEST_HOLD {
                 self.vote = Some((build, stage, Verdict::Hold));
@@ -845,7 +851,7 @@
             }
             return;
         }
-        if drops(Arm::Earlier) >= enough || self.waited_out() {
+        if self.dropped(Arm::Earlier, 1.0) || self.waited_out() {
             self.vote = Some((build, stage, Verdict::On));
         }
     }
@@ -975,9 +981,10 @@
             return;
         }
         for (arm, name) in [(Arm::Trial, "t"), (Arm::Earlier, "e")] {
-            if self.trial.dropped[arm as usize] {
+            if let Some(drops) = self.trial.drops[arm as usize].get(&self.terms.ordinal) {
                 self.trial.told = Some(self.now);
-                out.push(Action::Tell { text: format!("{}.{}.{name}", self.trial.build, self.trial.stage) });
+                let (build, stage) = (self.trial.build, self.trial.stage);
+                out.push(Action::Tell { text: format!("{build}.{stage}.{drops}.{name}") });
             }
         }
     }
