--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,7 +15,7 @@
 const ETA: f64 = 0.9;
 const DELTA: f64 = 0.05;
 const FIRST_OUTCOMES: f64 = 20.0;
-const EPSILON: f64 = 0.1; // the paper's approximation factor, for pace alone
+const EPSILON: f64 = 0.15; // the paper's approximation factor, for pace alone
 const QUICK: f64 = 1.5; // usual answer times that still count as quick
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
 const CALM: f64 = 0.9; // of the fleet: warm servers that must run before worse service is held against a build
