--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,7 +21,6 @@
 const CALM: f64 = 0.9; // of the fleet: warm servers that must run before worse service is held against a build
 const BUSIER: f64 = 0.6; // of present traffic: more than usual by this much explains worse service; retries do not
 const ASIDE: usize = 5; // one server in this many is set aside in judging its build
-const JAM: f64 = 0.5; // share of answers in time under which the fallback waits
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
@@ -211,7 +210,6 @@
     rate: f64,
     phase_from: Point,
     troubled: Point,
-    service: f64,
     txns: BTreeMap<TxnId, Txn>,
     changed: BTreeSet<TxnId>,
     due: BTreeSet<(Point, TxnId)>,
@@ -664,7 +662,6 @@
         let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
-            self.service += LEARN * 0.5 * (f64::from(in_time) - self.service);
             if self.in_question() {
                 if self.now - self.troubled >= self.terms.rules.ramp * 2.0 {
                     self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
@@ -868,10 +865,7 @@
         let newest = ours.iter().filter_map(|s| s.started).max().unwrap_or(self.trial.since);
         let all = ours.len() as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
         let since = newest.max(self.trial.since);
-        // Guards against moving on by the clock through a jam, which takes more warm machines away. Harms a good
-        // build by the longer wait.
-        let jammed = self.service < JAM;
-        self.now - since >= FALLBACK * if all && !jammed { 1.0 } else { 3.0 }
+        self.now - since >= FALLBACK * if all { 1.0 } else { 3.0 }
     }
 
     // ---- periodic work and output ----
