--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,7 +36,7 @@
 const LEARN: f64 = 0.1; // weight of a new answer in running means
 const FAILING: f64 = 0.6; // share of good answers below which a server is left out
 const LAG: f64 = 0.4; // of the SLA time: a mean answer time past this is a queue worth shrinking
-const FIRST_LIMIT: f64 = 8.0; // submissions a server may hold before it has shown what it bears
+const FIRST_LIMIT: f64 = 3.0; // submissions a server may hold before it has shown what it bears
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
 const COPIES: f64 = 0.05; // second copies a txn taken
@@ -596,7 +596,7 @@
                 server.lag += 2.0 * LEARN * (lag - server.lag);
                 if server.lag > LAG {
                     server.limit *= 1.0 - LEARN * (server.lag / LAG - 1.0).min(1.0);
-                } else if (server.out + 2) as f64 > server.limit / 2.0 {
+                } else if (server.out + 2) as f64 > server.limit {
                     server.limit += 1.0 / server.limit;
                 }
             } else if matches!(outcome, Outcome::TimedOut | Outcome::Full | Outcome::Reset) {
