--- a/src/policy.rs
+++ b/src/policy.rs
@@ -121,9 +121,9 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Side {
     InTime,
-    Quick,
     Whole,
     Brisk,
+    Quick,
     Sound,
     Right,
     SoundAt(ProductIx),
@@ -797,9 +797,9 @@
         }
         if (news.build, news.stage) != (self.trial.build, self.trial.stage) {
             let (build, stage, since) = (news.build, news.stage, self.now - news.age);
-            // Counts restart each stage; failures do not hang on load and stay with the build (departure E).
+            // Counts restart each stage; failures, and pace beside the earlier build, stay with the build (E).
             let mut payoffs = std::mem::take(&mut self.trial.payoffs);
-            payoffs.retain(|(side, _), _| build == self.trial.build && *side >= Side::Sound);
+            payoffs.retain(|(side, _), _| build == self.trial.build && *side >= Side::Quick);
             self.trial = Trial { build, stage, since, payoffs, ..Trial::default() };
         }
         if self.news.as_ref().is_none_or(|n| n.phase != news.phase) {
