--- a/src/policy.rs
+++ b/src/policy.rs
@@ -528,7 +528,11 @@
 
     fn give_up(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get(&id) else { return };
+        let unsent = txn.attempts.is_empty();
         let answer = if self.may_decline(txn) { Answer::Decline } else { Answer::Void };
+        if unsent {
+            self.whole(false, false);
+        }
         self.finish(id, answer);
     }
 
@@ -668,20 +672,7 @@
         let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
-            if self.in_question() {
-                if self.now - self.troubled >= self.terms.rules.ramp * 2.0 {
-                    self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
-                    self.pay(Side::Brisk, Arm::Trial, 0, f64::from(quick), 1.0);
-                }
-            } else {
-                for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
-                    let before = self.before.entry(side).or_default();
-                    let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
-                    *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
-                }
-                let seen = self.before.get(&Side::Whole).map_or(1.0, |b| b.count);
-                self.rate += (self.taken.len() as f64 - self.rate) / seen.min(MEMORY / 4.0);
-            }
+            self.whole(in_time, quick);
         }
         if paired && warmth >= 1.0 && outcome != Outcome::Moot {
             sides.push((Side::InTime, in_time));
@@ -702,6 +693,21 @@
         self.eliminate();
     }
 
+    /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam.
+    fn whole(&mut self, in_time: bool, quick: bool) {
+        for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
+            if !self.in_question() {
+                let before = self.before.entry(side).or_default();
+                let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
+                *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
+                let seen = before.count.min(MEMORY / 4.0);
+                self.rate += (self.taken.len() as f64 - self.rate) / seen;
+            } else if self.now - self.troubled >= self.terms.rules.ramp * 2.0 {
+                self.pay(side, Arm::Trial, 0, f64::from(good), 1.0);
+            }
+        }
+    }
+
     /// Guards against wrong answers, which look like any other until a client complains: the answer that paid
     /// pays no more (departure F). A single complaint, which may be mistaken, does not reach the bound.
     fn complaint(&mut self, ix: ServerIx) {
