--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,8 +56,6 @@
     out: usize,
     /// The first send since the server was last heard of.
     owes: Option<Point>,
-    /// Time-outs in a row without a word from it.
-    mute: usize,
     pace: f64,
     /// How many submissions it may hold of ours, and the mean answer time in SLA times that steers this.
     limit: f64,
@@ -578,11 +576,7 @@
         let shortest = self.shortest_sla();
         if let Some(server) = self.servers.get_mut(&ix) {
             server.out = server.out.saturating_sub(1);
-            if outcome == Outcome::TimedOut {
-                server.mute += 1;
-            }
             if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Recalled) {
-                server.mute = 0;
                 server.owes = (server.out > 0).then_some(self.now);
             } else if server.out == 0 {
                 server.owes = None;
@@ -733,9 +727,8 @@
     /// No known cause but the build for worse service: as many servers as ever, warm, none dead, and
     /// no more traffic.
     fn calm(&self) -> bool {
-        let dead = |s: &Server| self.now < s.dead_until || s.mute > 1;
-        let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && !dead(s);
-        let warm: f64 = self.servers.values().filter(ready).map(|s| self.warmth(s)).sum();
+        let alive = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
+        let warm: f64 = self.servers.values().filter(alive).map(|s| self.warmth(s)).sum();
         warm >= CALM * self.fleet as f64 && BUSIER * (self.taken.len() as f64) <= self.rate
     }
 
