--- a/src/policy.rs
+++ b/src/policy.rs
@@ -759,7 +759,11 @@
                 earlier = *before;
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
-            let near = if side < Side::Sound && side != Side::InTime { EPSILON } else { 0.0 };
+            let near = match side {
+                Side::Whole | Side::Brisk => 1.5 * EPSILON, // no arm beside it to share what else goes on
+                Side::Quick => EPSILON,
+                _ => 0.0,
+            };
             self.count(Arm::Trial, self.terms.ordinal, trial.drops_below(&earlier, near));
             if side == Side::InTime {
                 self.count(Arm::Earlier, self.terms.ordinal, earlier.drops_below(&trial, near));
