--- a/src/policy.rs
+++ b/src/policy.rs
@@ -759,11 +759,7 @@
                 earlier = *before;
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
-            let near = match side {
-                Side::Whole | Side::Brisk => 1.5 * EPSILON, // no arm beside it to share what else goes on
-                Side::Quick => EPSILON,
-                _ => 0.0,
-            };
+            let near = if side < Side::Sound && side != Side::InTime { EPSILON } else { 0.0 };
             self.count(Arm::Trial, self.terms.ordinal, trial.drops_below(&earlier, near));
             if side == Side::InTime {
                 self.count(Arm::Earlier, self.terms.ordinal, earlier.drops_below(&trial, near));
@@ -778,11 +774,11 @@
         }
     }
 
-    /// Whether the drops of an arm make up part of M, from as many balancers as half of them, two at the most.
+    /// Whether the drops of an arm make up part of M, from half the balancers, at least one.
     fn dropped(&self, arm: Arm, part: f64) -> bool {
         let drops = &self.trial.drops[arm as usize];
         let enough = (DELTA.ln() / ETA.ln()).floor();
-        let senders = (self.terms.balancers / 2).clamp(1, 2);
+        let senders = (self.terms.balancers / 2).max(1);
         drops.len() >= senders && drops.values().sum::<usize>() as f64 >= enough * part
     }
 
