--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,7 +35,7 @@
 const COLD_PART: f64 = 0.5; // of the work that topples a cold server: what all gateways may send together
 const LEARN: f64 = 0.1; // weight of a new answer in running means
 const FAILING: f64 = 0.6; // share of good answers below which a server is left out
-const LAG: f64 = 0.4; // of the SLA time: a mean answer time past this is a queue worth shrinking
+const LAG: f64 = 0.3; // of the SLA time: a mean answer time past this is a queue worth shrinking
 const FIRST_LIMIT: f64 = 3.0; // submissions a server may hold before it has shown what it bears
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
@@ -120,7 +120,6 @@
 enum Side {
     InTime,
     Whole,
-    Brisk,
     Quick,
     Sound,
     Right,
@@ -206,7 +205,7 @@
     fleet: usize,
     /// The earlier build's answer times by model, against the product's mean.
     usual: BTreeMap<usize, f64>,
-    before: BTreeMap<Side, Payoff>,
+    before: Payoff,
     rate: f64,
     phase_from: Point,
     troubled: Point,
@@ -435,14 +434,18 @@
             || !txn.attempts.iter().any(ran)
     }
 
+    /// The part of the ready servers that run builds of a kind.
+    fn share(&self, of: impl Fn(Build) -> bool) -> f64 {
+        let ready = self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready);
+        let (all, some) = ready.fold((0, 0), |n, s| (n.0 + 1, n.1 + usize::from(of(s.listed.build))));
+        some as f64 / all.max(1) as f64
+    }
+
     /// Finds a server for a submission: the build by its share of ready servers, then two choices inside it.
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
-        let ready = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready;
-        let all = self.servers.values().filter(ready).count() as f64;
-        let new =
-            self.servers.values().filter(ready).filter(|s| self.on_trial(s.listed.build)).count() as f64;
         // Keys that stay with the trial build are part of its share.
-        let share = ((new / all.max(1.0) - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
+        let share =
+            ((self.share(|b| self.on_trial(b)) - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
         let trial_first = self.draw() < share && self.txns[&id].attempts.is_empty();
         let txn = &self.txns[&id];
         let open = self.servers.iter().filter(|(_, s)| self.open_to(s, txn));
@@ -529,7 +532,7 @@
         let unsent = txn.attempts.is_empty();
         let answer = if self.may_decline(txn) { Answer::Decline } else { Answer::Void };
         if unsent {
-            self.whole(false, false);
+            self.whole(false);
         }
         self.finish(id, answer);
     }
@@ -666,7 +669,7 @@
         let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
-            self.whole(in_time, quick);
+            self.whole(in_time);
         }
         if paired && warmth >= 1.0 && outcome != Outcome::Moot {
             sides.push((Side::InTime, in_time));
@@ -687,18 +690,18 @@
         self.eliminate();
     }
 
-    /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam.
-    fn whole(&mut self, in_time: bool, quick: bool) {
-        for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
-            if !self.in_question() {
-                let before = self.before.entry(side).or_default();
-                let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
-                *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
-                let seen = before.count.min(MEMORY / 4.0);
-                self.rate += (self.taken.len() as f64 - self.rate) / seen;
-            } else if self.now - self.troubled >= self.terms.rules.ramp * 2.0 {
-                self.pay(side, Arm::Trial, 0, f64::from(good), 1.0);
-            }
+    /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam. It
+    /// says something of a build that runs on enough of the fleet to lower it.
+    fn whole(&mut self, in_time: bool) {
+        if !self.in_question() {
+            let keep = if self.before.count > MEMORY { 0.5 } else { 1.0 };
+            self.before = Payoff { count: 1.0, sum: f64::from(in_time) }.with(&self.before, keep);
+            let seen = self.before.count.min(MEMORY / 4.0);
+            self.rate += (self.taken.len() as f64 - self.rate) / seen;
+        } else if self.now - self.troubled >= self.terms.rules.ramp * 2.0
+            && self.share(|b| b >= self.trial.build) >= EPSILON
+        {
+            self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
         }
     }
 
@@ -755,11 +758,15 @@
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         for side in sides {
             let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
-            if let Some(before) = self.before.get(&side) {
-                earlier = *before;
+            if side == Side::Whole {
+                earlier = self.before;
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
-            let near = if side < Side::Sound && side != Side::InTime { EPSILON } else { 0.0 };
+            let near = match side {
+                Side::Whole => 1.5 * EPSILON, // no arm beside it to share what else goes on
+                Side::Quick => EPSILON,
+                _ => 0.0,
+            };
             self.count(Arm::Trial, self.terms.ordinal, trial.drops_below(&earlier, near));
             if side == Side::InTime {
                 self.count(Arm::Earlier, self.terms.ordinal, earlier.drops_below(&trial, near));
@@ -877,7 +884,7 @@
         if !self.calm() {
             // What was seen just before is the trouble's, and so is what follows until all are warm again.
             self.troubled = self.now;
-            self.trial.payoffs.retain(|(side, _), _| !matches!(side, Side::Whole | Side::Brisk));
+            self.trial.payoffs.remove(&(Side::Whole, Arm::Trial));
         }
         if self.armed.is_some_and(|at| self.now >= at) {
             self.armed = None;
