--- a/src/policy.rs
+++ b/src/policy.rs
@@ -120,6 +120,7 @@
 enum Side {
     InTime,
     Whole,
+    Brisk,
     Quick,
     Sound,
     Right,
@@ -205,7 +206,7 @@
     fleet: usize,
     /// The earlier build's answer times by model, against the product's mean.
     usual: BTreeMap<usize, f64>,
-    before: Payoff,
+    before: BTreeMap<Side, Payoff>,
     rate: f64,
     phase_from: Point,
     troubled: Point,
@@ -274,7 +275,7 @@
                 continue;
             }
             let out = self.servers.get(&line.server).map_or(0, |s| s.out);
-            let dither = self.draw();
+            let dither = self.chance.generate::<f64>();
             let fresh = Server { listed: line, started, out, dither, ..Server::default() };
             let fresh = Server { pace: 1.0, limit: FIRST_LIMIT, good: 1.0, ..fresh };
             self.servers.insert(fresh.listed.server, fresh);
@@ -287,10 +288,6 @@
         self.fleet = of_build.into_values().fold(self.fleet, usize::max);
     }
 
-    fn draw(&mut self) -> f64 {
-        self.chance.generate::<f64>()
-    }
-
     fn shortest_sla(&self) -> Span {
         self.rows.iter().map(|r| r.sla).min().unwrap_or(Span(1_000_000))
     }
@@ -446,7 +443,7 @@
         // Keys that stay with the trial build are part of its share.
         let share =
             ((self.share(|b| self.on_trial(b)) - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
-        let trial_first = self.draw() < share && self.txns[&id].attempts.is_empty();
+        let trial_first = self.chance.generate::<f64>() < share && self.txns[&id].attempts.is_empty();
         let txn = &self.txns[&id];
         let open = self.servers.iter().filter(|(_, s)| self.open_to(s, txn));
         let open: Vec<_> =
@@ -532,7 +529,7 @@
         let unsent = txn.attempts.is_empty();
         let answer = if self.may_decline(txn) { Answer::Decline } else { Answer::Void };
         if unsent {
-            self.whole(false);
+            self.whole(false, false);
         }
         self.finish(id, answer);
     }
@@ -669,7 +666,7 @@
         let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
-            self.whole(in_time);
+            self.whole(in_time, quick);
         }
         if paired && warmth >= 1.0 && outcome != Outcome::Moot {
             sides.push((Side::InTime, in_time));
@@ -692,16 +689,19 @@
 
     /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam. It
     /// says something of a build that runs on enough of the fleet to lower it.
-    fn whole(&mut self, in_time: bool) {
-        if !self.in_question() {
-            let keep = if self.before.count > MEMORY { 0.5 } else { 1.0 };
-            self.before = Payoff { count: 1.0, sum: f64::from(in_time) }.with(&self.before, keep);
-            let seen = self.before.count.min(MEMORY / 4.0);
-            self.rate += (self.taken.len() as f64 - self.rate) / seen;
-        } else if self.now - self.troubled >= self.terms.rules.ramp * 2.0
-            && self.share(|b| b >= self.trial.build) >= EPSILON
-        {
-            self.pay(Side::Whole, Arm::Trial, 0, f64::from(in_time), 1.0);
+    fn whole(&mut self, in_time: bool, quick: bool) {
+        let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0
+            && self.share(|b| b >= self.trial.build) >= EPSILON;
+        for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
+            if !self.in_question() {
+                let before = self.before.entry(side).or_default();
+                let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
+                *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
+                let seen = before.count.min(MEMORY / 4.0);
+                self.rate += (self.taken.len() as f64 - self.rate) / seen;
+            } else if counts {
+                self.pay(side, Arm::Trial, 0, f64::from(good), 1.0);
+            }
         }
     }
 
@@ -758,12 +758,12 @@
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         for side in sides {
             let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
-            if side == Side::Whole {
-                earlier = self.before;
+            if let Some(before) = self.before.get(&side) {
+                earlier = *before;
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = match side {
-                Side::Whole => 1.5 * EPSILON, // no arm beside it to share what else goes on
+                Side::Whole | Side::Brisk => 1.5 * EPSILON, // no arm beside it to share what else goes on
                 Side::Quick => EPSILON,
                 _ => 0.0,
             };
@@ -884,7 +884,7 @@
         if !self.calm() {
             // What was seen just before is the trouble's, and so is what follows until all are warm again.
             self.troubled = self.now;
-            self.trial.payoffs.remove(&(Side::Whole, Arm::Trial));
+            self.trial.payoffs.retain(|(side, _), _| !matches!(side, Side::Whole | Side::Brisk));
         }
         if self.armed.is_some_and(|at| self.now >= at) {
             self.armed = None;
