--- a/src/policy.rs
+++ b/src/policy.rs
@@ -87,6 +87,16 @@
     standing: Standing,
 }
 
+impl Attempt {
+    fn closed(&self) -> bool {
+        matches!(self.standing, Standing::Closed { .. })
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.standing != Standing::Closed { may_have_run: false }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Answer {
     Owed,
@@ -401,15 +411,13 @@
 
     /// Guards rule 2: whether this txn may go to this server after the submissions it has had.
     fn may_repeat_at(&self, server: &Server, txn: &Txn) -> bool {
-        let ran = |a: &&Attempt| a.standing != Standing::Closed { may_have_run: false };
-        let out = |a: &Attempt| !matches!(a.standing, Standing::Closed { .. });
-        let mut maybe = txn.attempts.iter().filter(ran).peekable();
-        if txn.attempts.iter().any(out) && !self.terms.limits.second_copies {
+        let mut maybe = txn.attempts.iter().filter(|a| a.may_have_run());
+        if !self.terms.limits.second_copies && txn.attempts.iter().any(|a| !a.closed()) {
             return false;
         }
         match self.rows[txn.product].repeat {
             Repeat::InquiryLike => true,
-            Repeat::OnceOnly => maybe.peek().is_none(),
+            Repeat::OnceOnly => maybe.next().is_none(),
             Repeat::Referenced { group, memory } => maybe.all(|a| {
                 let first = self.servers.get(&a.server).map(|s| (s.listed.zone, s.listed.cell));
                 let here = (server.listed.zone, server.listed.cell);
@@ -424,11 +432,10 @@
     }
 
     fn may_decline(&self, txn: &Txn) -> bool {
-        let ran = |a: &Attempt| a.standing != Standing::Closed { may_have_run: false };
         let repeat = self.rows[txn.product].repeat;
         repeat == Repeat::InquiryLike
             || matches!(repeat, Repeat::Referenced { group: Group::All, .. })
-            || !txn.attempts.iter().any(ran)
+            || !txn.attempts.iter().any(Attempt::may_have_run)
     }
 
     /// The part of the ready servers that run builds of a kind.
@@ -445,29 +452,21 @@
             ((self.share(|b| self.on_trial(b)) - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
         let trial_first = self.chance.generate::<f64>() < share && self.txns[&id].attempts.is_empty();
         let txn = &self.txns[&id];
-        let open = self.servers.iter().filter(|(_, s)| self.open_to(s, txn));
-        let open: Vec<_> =
-            open.map(|(ix, s)| (*ix, self.on_trial(s.listed.build), self.healthy(s))).collect();
-        let tried = |ix: ServerIx| txn.attempts.iter().any(|a| a.server == ix);
-        let mut among: Vec<ServerIx> = Vec::new();
-        for (fresh, well, trial) in [
-            (true, true, trial_first),
-            (true, true, !trial_first),
-            (true, false, trial_first),
-            (false, true, false),
-        ] {
-            let fits = |(ix, on_trial, healthy): &&(ServerIx, bool, bool)| {
-                *on_trial == trial && (*healthy || !well) && !(fresh && tried(*ix))
-            };
-            among = open.iter().filter(fits).map(|o| o.0).collect();
-            if !among.is_empty() {
-                break;
+        let tier = |ix: ServerIx, server: &Server| {
+            let wanted = self.on_trial(server.listed.build) == trial_first;
+            let tried = txn.attempts.iter().any(|a| a.server == ix);
+            match (self.healthy(server), tried) {
+                (true, false) => usize::from(!wanted),
+                (false, false) if wanted => 2,
+                (true, true) => 3,
+                _ => 4,
             }
-        }
-        if among.is_empty() {
-            among = open.iter().map(|o| o.0).collect();
-        }
-        let a = *among.get(self.chance.generate_range(0..among.len().max(1)))?;
+        };
+        let open = self.servers.iter().filter(|(_, s)| self.open_to(s, txn));
+        let open: Vec<_> = open.map(|(ix, s)| (tier(*ix, s), *ix)).collect();
+        let best = open.iter().map(|o| o.0).min()?;
+        let among: Vec<ServerIx> = open.into_iter().filter(|o| o.0 == best).map(|o| o.1).collect();
+        let a = among[self.chance.generate_range(0..among.len())];
         let b = among[self.chance.generate_range(0..among.len())];
         Some(if self.busy(b) < self.busy(a) { b } else { a })
     }
@@ -477,7 +476,7 @@
         if txn.answer != Answer::Owed {
             return;
         }
-        let outstanding = txn.attempts.iter().any(|a| !matches!(a.standing, Standing::Closed { .. }));
+        let outstanding = txn.attempts.iter().any(|a| !a.closed());
         let (product, taken, expiry) = (txn.product, txn.taken, txn.expiry);
         let mut more = txn.attempts.len() < self.terms.limits.attempts && expiry > self.now;
         if outstanding {
@@ -503,8 +502,7 @@
         if self.on_trial(build) {
             self.exposed.push(self.now, (product, build));
         }
-        let standing = Standing::Wanted;
-        let attempt = Attempt { server, build, sent: self.now, standing };
+        let attempt = Attempt { server, build, sent: self.now, standing: Standing::Wanted };
         self.changed.insert(id);
         if let Some(txn) = self.txns.get_mut(&id) {
             txn.attempts.push(attempt);
@@ -927,20 +925,16 @@
                     _ => {}
                 }
             }
-            match txn.answer {
-                Answer::Decline => {
-                    let retry_after = self.terms.limits.retry_after;
-                    out.push(Action::Decline { id, retry_after });
-                    txn.answer = Answer::Given;
-                }
-                Answer::Void => {
-                    out.push(Action::Void { id });
-                    txn.answer = Answer::Given;
-                }
-                _ => {}
+            let answer = match txn.answer {
+                Answer::Decline => Some(Action::Decline { id, retry_after: self.terms.limits.retry_after }),
+                Answer::Void => Some(Action::Void { id }),
+                _ => None,
+            };
+            if let Some(answer) = answer {
+                out.push(answer);
+                txn.answer = Answer::Given;
             }
-            let closed = |a: &Attempt| matches!(a.standing, Standing::Closed { .. });
-            if txn.answer == Answer::Given && txn.attempts.iter().all(closed) {
+            if txn.answer == Answer::Given && txn.attempts.iter().all(Attempt::closed) {
                 self.txns.remove(&id);
             }
         }
