--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,7 +29,7 @@
 // Ratios to told or learned figures.
 const BEAT: f64 = 0.1; // of the shortest SLA time: the periodic timer
 const HOLD: f64 = 0.04; // of the SLA time: how soon a txn without a server is looked at again
-const PATIENCE: f64 = 0.2; // of the SLA time: how long a txn may wait for a server, as it needs the rest there
+const PATIENCE: f64 = 0.1; // of the SLA time: how long a txn may wait for a server, as it needs the rest there
 const HEDGE: f64 = 0.5; // of the SLA time: when a repeatable txn gets a second copy
 const SILENCE: f64 = 4.0; // mean answer times without a word from a server that owes one
 const COLD_PART: f64 = 0.5; // of the work that topples a cold server: what all gateways may send together
