--- a/crates/drill/src/terms.rs
+++ b/crates/drill/src/terms.rs
@@ -29,6 +29,8 @@
     #[serde(default)]
     safety: Safety,
     #[serde(default)]
+    clients: Clients,
+    #[serde(default)]
     prices: Prices,
     #[serde(default)]
     tick: i64,
@@ -65,6 +67,12 @@
     via: String,
 }
 
+#[derive(Deserialize, Default)]
+struct Clients {
+    #[serde(default)]
+    marks_retry: bool,
+}
+
 #[derive(Deserialize, Default)]
 struct Prices {
     #[serde(default)]
@@ -206,6 +214,7 @@
         },
         cross_zone_price: o.prices.cross_zone,
         warm_keys: f.warm_keys,
+        marks_repeats: o.clients.marks_retry,
     };
     Ok((terms, names))
 }
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -180,6 +180,7 @@
                 cost: field(row, 3).as_i64().map(Span),
                 product: product(names, row, 5)?,
                 left: Span(int(row, 6)?),
+                again: flag(row, 4)?,
                 key: if field(row, 7).is_null() { None } else { Some(Key(hex(row, 7)?)) },
                 tenant: field(row, 9).as_str().and_then(|t| names.tenants.get_index_of(t)),
             },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -129,6 +129,7 @@
     pub limits: LimitTerms,
     pub cross_zone_price: f64,
     pub warm_keys: bool,
+    pub marks_repeats: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -225,6 +226,8 @@
         product: ProductIx,
         tenant: Option<TenantIx>,
         key: Option<Key>,
+        /// A client's repeat, where clients mark them.
+        again: bool,
         left: Span,
         cost: Option<Span>,
     },
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -226,6 +226,8 @@
     beat: Point,
     armed: Option<Point>,
     taken: Recent<ProductIx>,
+    fresh: Recent<()>,
+    unserved: f64,
     served: Recent<()>,
     exposed: Recent<(ProductIx, Build)>,
     pins: BTreeMap<Key, Build>,
@@ -249,7 +251,7 @@
         self.now = now;
         match event {
             Event::Roster { scope, lines } => self.roster(scope, lines),
-            Event::Txn { id, product, key, left, .. } => self.txn(id, product, key, left),
+            Event::Txn { id, product, key, left, again, .. } => self.txn(id, product, key, left, again),
             Event::Left { id } => self.finish(id, Answer::Given),
             Event::Streaming { id, .. } => self.finish(id, Answer::Streaming),
             Event::Closed { id, attempt, server, outcome, took, ended, .. } => {
@@ -322,15 +324,12 @@
             return true;
         }
         let rules = &self.terms.rules;
-        let fair = self.served.len() as f64 / self.fleet.max(1) as f64 * rules.fall.over(self.lookback());
+        let fair =
+            self.served.len() as f64 / self.fleet.max(1) as f64 * rules.fall.over(self.terms.release.window);
         let most = COLD_PART * rules.fall_multiple * warmth * fair + server.dither;
         server.sends.count(self.now - rules.fall, |_| true) < most.floor()
     }
 
-    fn lookback(&self) -> Span {
-        self.terms.release.window + self.terms.tick
-    }
-
     /// A failing server is left out, but for one of a build whose drop is not settled: else a build that fails
     /// everything would give too few outcomes to be dropped, and the fallback would move it on.
     fn healthy(&self, server: &Server) -> bool {
@@ -354,10 +353,6 @@
         }
     }
 
-    fn stage_of(&self, build: Build) -> usize {
-        self.news.as_ref().filter(|n| n.build == build).map_or(0, |n| n.stage)
-    }
-
     /// Guards the exposure cap: one more submission must fit the window that ends now, and a tick beside it.
     fn within_cap(&self, build: Build, product: ProductIx) -> bool {
         let told = &self.terms.release;
@@ -383,7 +378,8 @@
         let on_trial = self.on_trial(build);
         let row = &self.rows[txn.product];
         let guarded = on_trial
-            && self.stage_of(build) < self.terms.release.guarded_stages
+            && self.news.as_ref().filter(|n| n.build == build).map_or(0, |n| n.stage)
+                < self.terms.release.guarded_stages
             && row.repeat != Repeat::InquiryLike;
         server.listed.lifecycle == Lifecycle::Ready
             && build >= self.pin(txn)
@@ -397,15 +393,20 @@
 
     // ---- txns ----
 
-    fn txn(&mut self, id: TxnId, product: ProductIx, key: Option<Key>, left: Span) {
+    fn txn(&mut self, id: TxnId, product: ProductIx, key: Option<Key>, left: Span, again: bool) {
         self.taken.push(self.now, product);
+        // Guards against taking retries for more traffic: unmarked, each txn not served comes back once.
+        let again = if self.terms.marks_repeats { again } else { self.unserved >= 1.0 };
+        if !again {
+            self.fresh.push(self.now, ());
+        }
+        self.unserved = (self.unserved - 1.0).max(0.0);
         let (taken, expiry) = (self.now, self.now + left);
         let attempts = Vec::new();
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
         self.copies = (self.copies + COPIES).min(COPIES / LEARN / LEARN);
         let pin = self.pin(&self.txns[&id]);
-        let pinned = pin > 0 && self.on_trial(pin);
-        self.pinned += LEARN * LEARN * (f64::from(pinned) - self.pinned);
+        self.pinned += LEARN * LEARN * (f64::from(pin > 0 && self.on_trial(pin)) - self.pinned);
         self.place(id);
     }
 
@@ -457,9 +458,7 @@
             let tried = txn.attempts.iter().any(|a| a.server == ix);
             match (self.healthy(server), tried) {
                 (true, false) => usize::from(!wanted),
-                (false, false) if wanted => 2,
-                (true, true) => 3,
-                _ => 4,
+                (well, again) => 2 + 2 * usize::from(again || !wanted) - usize::from(well),
             }
         };
         let open = self.servers.iter().filter(|(_, s)| self.open_to(s, txn));
@@ -535,9 +534,11 @@
     /// The txn needs nothing more: what is still out is called back, and nothing is due.
     fn finish(&mut self, id: TxnId, answer: Answer) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
-        if matches!(txn.answer, Answer::Given) {
+        if txn.answer == Answer::Given {
             return;
         }
+        let served = |a: &Attempt| a.standing == Standing::Closed { may_have_run: true };
+        self.unserved += f64::from(answer != Answer::Given || !txn.attempts.iter().any(served));
         txn.answer = answer;
         if let Some(at) = txn.due.take() {
             self.due.remove(&(at, id));
@@ -696,7 +697,7 @@
                 let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
                 *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
                 let seen = before.count.min(MEMORY / 4.0);
-                self.rate += (self.taken.len() as f64 - self.rate) / seen;
+                self.rate += (self.fresh.len() as f64 - self.rate) / seen;
             } else if counts {
                 self.pay(side, Arm::Trial, 0, f64::from(good), 1.0);
             }
@@ -730,7 +731,7 @@
     fn calm(&self) -> bool {
         let alive = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
         let warm: f64 = self.servers.values().filter(alive).map(|s| self.warmth(s)).sum();
-        warm >= CALM * self.fleet as f64 && BUSIER * (self.taken.len() as f64) <= self.rate
+        warm >= CALM * self.fleet as f64 && BUSIER * (self.fresh.len() as f64) <= self.rate
     }
 
     fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
@@ -789,11 +790,9 @@
 
     fn stage(&mut self, news: StageNews) {
         if news.answers_vote {
+            let answered = matches!(news.word, Word::Valid | Word::Moot);
             if let Some((_, _, ballot)) = &mut self.cast {
-                *ballot = match news.word {
-                    Word::Valid | Word::Moot => Ballot::Stands,
-                    Word::Full | Word::Errored | Word::TimedOut => Ballot::Refused,
-                };
+                *ballot = if answered { Ballot::Stands } else { Ballot::Refused };
             }
         }
         if news.word != Word::Valid {
@@ -837,10 +836,8 @@
     /// fallback wait where votes move the rollout.
     fn judge(&mut self) {
         self.vote = None;
-        let Some(news) = &self.news else { return };
-        if !matches!(news.phase, Phase::Trial | Phase::Released) {
-            return;
-        }
+        let on = |n: &&StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
+        let Some(news) = self.news.as_ref().filter(on) else { return };
         let (build, stage) = (news.build, news.stage);
         if self.dropped(Arm::Trial, 1.0) {
             self.vote = Some((build, stage, Verdict::Back));
@@ -894,9 +891,10 @@
             }
             self.place(id);
         }
-        let edge = self.now - self.lookback() - self.terms.tick;
+        let edge = self.now - self.terms.release.window - self.terms.tick;
         self.taken.forget(edge);
         self.served.forget(edge);
+        self.fresh.forget(edge);
         self.exposed.forget(edge);
         let edge = self.now - self.terms.rules.fall;
         let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
@@ -984,10 +982,10 @@
         if !self.terms.limits.tell || self.terms.balancers < 2 || recently {
             return;
         }
+        let (build, stage) = (self.trial.build, self.trial.stage);
         for (arm, name) in [(Arm::Trial, "t"), (Arm::Earlier, "e")] {
             if let Some(drops) = self.trial.drops[arm as usize].get(&self.terms.ordinal) {
                 self.trial.told = Some(self.now);
-                let (build, stage) = (self.trial.build, self.trial.stage);
                 out.push(Action::Tell { text: format!("{build}.{stage}.{drops}.{name}") });
             }
         }
@@ -995,10 +993,12 @@
 
     fn emit_watch(&mut self, out: &mut Vec<Action>) {
         let within = self.terms.rules.ask_within;
+        if self.terms.discovery == Discovery::Pushed {
+            return;
+        }
         let ask = match self.watch {
-            _ if self.terms.discovery == Discovery::Pushed => false,
             Watch::Never => true,
-            Watch::Standing => false,
+            Watch::Standing => return,
             Watch::Asked(at) => self.now - at >= within / 2.0,
             Watch::Failed(at) => self.now - at >= within / 8.0,
         };
