--- a/src/policy.rs
+++ b/src/policy.rs
@@ -780,12 +780,14 @@
         }
     }
 
-    /// Whether the drops of an arm make up part of M, from half the balancers, at least one.
+    /// Whether the drops of an arm make up part of M, from half the balancers, at least one. Guards against one
+    /// gateway in trouble of its own, however sure: where there are more, it makes up half of M at the most.
     fn dropped(&self, arm: Arm, part: f64) -> bool {
         let drops = &self.trial.drops[arm as usize];
         let enough = (DELTA.ln() / ETA.ln()).floor();
         let senders = (self.terms.balancers / 2).max(1);
-        drops.len() >= senders && drops.values().sum::<usize>() as f64 >= enough * part
+        let most = enough / senders.min(2) as f64;
+        drops.len() >= senders && drops.values().map(|d| most.min(*d as f64)).sum::<f64>() >= enough * part
     }
 
     fn stage(&mut self, news: StageNews) {
