--- a/src/policy.rs
+++ b/src/policy.rs
@@ -689,10 +689,10 @@
     /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam. It
     /// says something of a build that runs on enough of the fleet to lower it.
     fn whole(&mut self, in_time: bool, quick: bool) {
-        let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0
-            && self.share(|b| b >= self.trial.build) >= EPSILON;
+        let untouched = !self.in_question() || self.share(|b| b >= self.trial.build) < EPSILON;
+        let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0;
         for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
-            if !self.in_question() {
+            if untouched {
                 let before = self.before.entry(side).or_default();
                 let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
                 *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
