--- a/src/policy.rs
+++ b/src/policy.rs
@@ -689,9 +689,8 @@
     /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam. It
     /// says something of a build that runs on enough of the fleet to lower it.
     fn whole(&mut self, in_time: bool, quick: bool) {
-        let share = self.share(|b| b >= self.trial.build);
-        let untouched = !self.in_question() || share <= 0.0;
-        let counts = share >= EPSILON && self.now - self.troubled >= self.terms.rules.ramp * 2.0;
+        let untouched = !self.in_question() || self.share(|b| b >= self.trial.build) < EPSILON;
+        let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0;
         for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
             if untouched {
                 let before = self.before.entry(side).or_default();
