--- a/src/policy.rs
+++ b/src/policy.rs
@@ -762,7 +762,7 @@
             }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = match side {
-                Side::Whole | Side::Brisk => 4.0 / 3.0 * EPSILON, // no arm beside it to share what else goes on
+                Side::Whole | Side::Brisk => 1.5 * EPSILON, // no arm beside it to share what else goes on
                 Side::Quick => EPSILON,
                 _ => 0.0,
             };
