--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,7 +1,7 @@
-//! The decisions of one gateway. `Gateway::new(terms, seed)` makes an instance; `take(now, event)` tells it one
-//! event and gives back the actions it wants, in order. What goes in and out is named in `interface.rs`.
-//! Events change a wanted state (attempts, answers, a vote, bits to peers, a timer); `emit` alone compares it to
-//! what is out already. The ordinary path and the votes follow docs/design.md; letters there mark departures.
+//! The decisions of one gateway. `Gateway::new(terms, seed)` makes an instance; `take(now, event)` tells it
+//! one event and gives back the actions it wants, in order. What goes in and out is named in `interface.rs`.
+//! Events change a wanted state (attempts, answers, a vote, drops told, a timer); `emit` alone compares it
+//! to what is out already. The ordinary path and the votes follow docs/design.md; letters there mark departures.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,11 +15,11 @@
 const ETA: f64 = 0.9;
 const DELTA: f64 = 0.05;
 const FIRST_OUTCOMES: f64 = 20.0;
-const EPSILON: f64 = 0.15; // the paper's approximation factor, for pace alone
+const EPSILON: f64 = 0.15; // the paper's approximation factor, for pace and for the time before
 const QUICK: f64 = 1.5; // usual answer times that still count as quick
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
-const CALM: f64 = 0.9; // of the fleet: warm servers that must run before worse service is held against a build
-const BUSIER: f64 = 0.7; // of present traffic: more than usual by this much explains worse service; retries do not
+const CALM: f64 = 0.9; // of the fleet: must be warm before worse service is held against a build
+const BUSIER: f64 = 0.7; // of present traffic: when the usual is less, that explains worse service
 const ASIDE: usize = 5; // one server in this many is set aside in judging its build
 const BISECTIONS: usize = 24;
 const RETELL: Span = Span(1_000_000);
@@ -29,7 +29,7 @@
 // Ratios to told or learned figures.
 const BEAT: f64 = 0.1; // of the shortest SLA time: the periodic timer
 const HOLD: f64 = 0.04; // of the SLA time: how soon a txn without a server is looked at again
-const PATIENCE: f64 = 0.1; // of the SLA time: how long a txn may wait for a server, as it needs the rest there
+const PATIENCE: f64 = 0.1; // of the SLA time: how long a txn may wait for a server
 const HEDGE: f64 = 0.5; // of the SLA time: when a repeatable txn gets a second copy
 const SILENCE: f64 = 4.0; // mean answer times without a word from a server that owes one
 const COLD_PART: f64 = 0.5; // of the work that topples a cold server: what all gateways may send together
@@ -123,9 +123,8 @@
     Trial = 1,
 }
 
-/// What a payoff looks at: the page's answer within the SLA time, an answer no slower than the earlier build's
-/// usually are on that model, all service against the time before, no failure, no complaint, or no failure of
-/// one product.
+/// What a payoff looks at: the page's answer within the SLA time; all service and its pace against the time
+/// before; pace beside the earlier build; no failure, no complaint, no failure of one product.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Side {
     InTime,
@@ -317,7 +316,7 @@
 
     /// Guards against pushing a cold server over: our share of what may go there within the stated time is
     /// what an average server answers us, times the part of that multiple that all gateways may use. Answers
-    /// are counted, not txns taken: client retries multiply those in a jam, but no server answers more than it can.
+    /// are counted, not txns taken: client retries multiply those, but no server answers more than it can.
     fn may_warm(&self, server: &Server) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
@@ -330,8 +329,8 @@
         server.sends.count(self.now - rules.fall, |_| true) < most.floor()
     }
 
-    /// A failing server is left out, but for one of a build whose drop is not settled: else a build that fails
-    /// everything would give too few outcomes to be dropped, and the fallback would move it on.
+    /// A failing server is left out, but for one of a build whose drop is not settled (departure G): a build
+    /// that fails everything would else give too few outcomes to be dropped, and the fallback move it on.
     fn healthy(&self, server: &Server) -> bool {
         let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
         let judged = self.on_trial(server.listed.build) && !self.dropped(Arm::Trial, 1.0);
@@ -583,8 +582,8 @@
             if served || outcome == Outcome::TimedOut {
                 server.pace += LEARN * (pace - server.pace);
             }
-            // Guards against work that a time-out or a recall does not stop: it counts as held until the server
-            // has answered something sent later, or the longest expiry has passed.
+            // Guards against work that a time-out or a recall does not stop: it counts as held until the
+            // server has answered something sent later, or the longest expiry has passed.
             if matches!(outcome, Outcome::TimedOut | Outcome::Recalled) {
                 server.ghosts.push(sent);
             } else if served {
@@ -592,9 +591,9 @@
             } else if outcome == Outcome::Full {
                 server.shut = self.now + self.rows[product].sla * SHUT;
             }
-            // Guards against jams, whatever fills the servers (overload, a slow build, a neighbour): what we keep
-            // out at a server shrinks as its answers take longer, and grows while they are quick. Harms where
-            // answers are slow by nature, near the SLA time.
+            // Guards against jams, whatever fills the servers (overload, a slow build, a neighbour): what we
+            // keep out at a server shrinks as its answers take longer, and grows while they are quick and it is
+            // reached. Harms where answers are slow by nature, near the SLA time.
             if served {
                 server.lag += 2.0 * LEARN * (lag - server.lag);
                 if server.lag > LAG {
@@ -646,8 +645,8 @@
 
     // ---- the elimination test and the votes ----
 
-    /// One outcome of an arm, seen from one side. An answer says most while a server is warm: a cold one is slow
-    /// whatever its build (departure C), but what it fails it would fail warm.
+    /// One outcome of an arm, seen from each side. A cold server is slow whatever its build (departure C), but
+    /// what it fails it would fail warm.
     fn learn(&mut self, ix: ServerIx, build: Build, product: ProductIx, outcome: Outcome, took: Span) {
         let Some(server) = self.servers.get(&ix).filter(|_| self.news.is_some()) else { return };
         if build > self.trial.build {
@@ -686,8 +685,8 @@
         self.eliminate();
     }
 
-    /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam. It
-    /// says something of a build that runs on enough of the fleet to lower it.
+    /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam.
+    /// It says something of a build that runs on enough of the fleet to lower it; till then it is the time before.
     fn whole(&mut self, in_time: bool, quick: bool) {
         let untouched = !self.in_question() || self.share(|b| b >= self.trial.build) < EPSILON;
         let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0;
@@ -751,8 +750,8 @@
         seen[aside..].iter().fold(Payoff::default(), |all, p| all.with(p, 1.0))
     }
 
-    /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A). A drop counts as
-    /// many times as the factors of eta that it holds at (departure B), and is held for the stage.
+    /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A). A drop counts
+    /// once for each factor of eta that it holds at (departure B), and is held for the stage.
     fn eliminate(&mut self) {
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         for side in sides {
@@ -780,8 +779,8 @@
         }
     }
 
-    /// Whether the drops of an arm make up part of M, from half the balancers, at least one. Guards against one
-    /// gateway in trouble of its own, however sure: where there are more, it makes up half of M at the most.
+    /// Whether the drops of an arm make up part of M, from half the balancers, at least one. Guards against
+    /// one gateway in trouble of its own, however sure: where four vote, it makes up half of M at the most.
     fn dropped(&self, arm: Arm, part: f64) -> bool {
         let drops = &self.trial.drops[arm as usize];
         let enough = (DELTA.ln() / ETA.ln()).floor();
@@ -802,7 +801,7 @@
         }
         if (news.build, news.stage) != (self.trial.build, self.trial.stage) {
             let (build, stage, since) = (news.build, news.stage, self.now - news.age);
-            // Counts restart each stage; failures, and pace beside the earlier build, stay with the build (E).
+            // Counts restart each stage; failures, and pace beside the earlier build, stay with it (E).
             let mut payoffs = std::mem::take(&mut self.trial.payoffs);
             payoffs.retain(|(side, _), _| build == self.trial.build && *side >= Side::Quick);
             self.trial = Trial { build, stage, since, payoffs, ..Trial::default() };
@@ -834,8 +833,8 @@
         }
     }
 
-    /// What to vote now: M trial drops back, M earlier drops on; hold at half under the clock; else on after the
-    /// fallback wait where votes move the rollout.
+    /// What to vote now: M trial drops back, M earlier drops on; hold at half under the clock; else on after
+    /// the fallback wait where votes move the rollout.
     fn judge(&mut self) {
         self.vote = None;
         let on = |n: &&StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
