--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,7 +1,7 @@
 //! The decisions of one gateway. `Gateway::new(terms, seed)` makes an instance; `take(now, event)` tells it
 //! one event and gives back the actions it wants, in order. What goes in and out is named in `interface.rs`.
 //! Events change a wanted state (attempts, answers, a vote, drops told, a timer); `emit` alone compares it
-//! to what is out already. The ordinary path and the votes follow docs/design.md; letters there mark departures.
+//! to what is out already. The ordinary path and the votes follow docs/design.md, which letters departures.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -591,9 +591,9 @@
             } else if outcome == Outcome::Full {
                 server.shut = self.now + self.rows[product].sla * SHUT;
             }
-            // Guards against jams, whatever fills the servers (overload, a slow build, a neighbour): what we
-            // keep out at a server shrinks as its answers take longer, and grows while they are quick and it is
-            // reached. Harms where answers are slow by nature, near the SLA time.
+            // Guards against jams, whatever fills the servers (overload, a slow build, a neighbour): what is
+            // kept out at a server shrinks as its answers take longer, and grows while they are quick and
+            // it is reached. Harms where answers are slow by nature, near the SLA time.
             if served {
                 server.lag += 2.0 * LEARN * (lag - server.lag);
                 if server.lag > LAG {
@@ -645,8 +645,8 @@
 
     // ---- the elimination test and the votes ----
 
-    /// One outcome of an arm, seen from each side. A cold server is slow whatever its build (departure C), but
-    /// what it fails it would fail warm.
+    /// One outcome of an arm, seen from each side. A cold server is slow whatever its build (departure C),
+    /// but what it fails it would fail warm.
     fn learn(&mut self, ix: ServerIx, build: Build, product: ProductIx, outcome: Outcome, took: Span) {
         let Some(server) = self.servers.get(&ix).filter(|_| self.news.is_some()) else { return };
         if build > self.trial.build {
@@ -686,7 +686,7 @@
     }
 
     /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam.
-    /// It says something of a build that runs on enough of the fleet to lower it; till then it is the time before.
+    /// It says something of a build that runs on enough of the fleet to lower it; till then it is the past.
     fn whole(&mut self, in_time: bool, quick: bool) {
         let untouched = !self.in_question() || self.share(|b| b >= self.trial.build) < EPSILON;
         let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0;
@@ -750,8 +750,8 @@
         seen[aside..].iter().fold(Payoff::default(), |all, p| all.with(p, 1.0))
     }
 
-    /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A). A drop counts
-    /// once for each factor of eta that it holds at (departure B), and is held for the stage.
+    /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A). A drop
+    /// counts once for each factor of eta that it holds at (departure B), and is held for the stage.
     fn eliminate(&mut self) {
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         for side in sides {
