--- a/src/policy.rs
+++ b/src/policy.rs
@@ -799,7 +799,8 @@
         if news.word != Word::Valid {
             return;
         }
-        if (news.build, news.stage) != (self.trial.build, self.trial.stage) {
+        // Guards against stale news, which binds the cap but takes no stage back.
+        if (news.build, news.stage) > (self.trial.build, self.trial.stage) {
             let (build, stage, since) = (news.build, news.stage, self.now - news.age);
             // Counts restart each stage; failures, and pace beside the earlier build, stay with it (E).
             let mut payoffs = std::mem::take(&mut self.trial.payoffs);
@@ -839,7 +840,7 @@
         self.vote = None;
         let on = |n: &&StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
         let Some(news) = self.news.as_ref().filter(on) else { return };
-        let (build, stage) = (news.build, news.stage);
+        let (build, stage) = (self.trial.build, self.trial.stage);
         if self.dropped(Arm::Trial, 1.0) {
             self.vote = Some((build, stage, Verdict::Back));
             return;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -234,6 +234,7 @@
     desk.trace.push_str("three senders, 16 of 28\n");
     mail(&mut desk, 1, "2.1.12.t");
     desk.trace.push_str("27 of 28, as one counts 14 at the most\n");
+    desk.stage(2, 0, Phase::Trial, 0.2); // stale news
     mail(&mut desk, 1, "2.1.13.t");
     expect![[r#"
         two senders of three
