--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use harrierdock::interface::*;
+use harrierdock::mail;
 use harrierdock::policy::Gateway;
 use harrierdock::time::{Point, Span};
 use serde_json::{json, Value};
@@ -76,6 +77,12 @@
     names.products.get_index_of(name).ok_or_else(|| format!("unknown class '{name}'"))
 }
 
+/// FNV-1a of a server's id, folded to 16 bits.
+fn mark(id: &str) -> u16 {
+    let hash = id.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    (hash ^ (hash >> 16)) as u16
+}
+
 fn listed(line: &Value, names: &mut Names, now: i64) -> Told<Listed> {
     let row = line.as_array().ok_or("a list line is not an array")?;
     let since = field(row, 7).as_i64().unwrap_or(0);
@@ -93,6 +100,7 @@
         },
         weight: field(row, 6).as_f64().unwrap_or(1.0),
         age: (since > 0).then(|| Span((now - since).max(0))),
+        mark: mark(text(row, 1)?),
     })
 }
 
@@ -213,7 +221,11 @@
                 age: Span(int(row, 3)?),
                 server: known(names, row, 4)?,
             },
-            "MAIL" => Event::Mail { from: count(row, 2)?, text: text(row, 3)?.to_string() },
+            "MAIL" => {
+                let (from, said) = (count(row, 2)?, text(row, 3)?);
+                let Some(message) = mail::read(said) else { return Ok(()) };
+                Event::Mail { from, message }
+            }
             "WAKEUP" => Event::Wake,
             _ => return Err("unknown event".into()),
         };
@@ -243,7 +255,8 @@
             };
             json!(["BALLOT", who, build, stage, how])
         }
-        Action::Tell { text } => json!(["TELL", who, "all", text]),
+        Action::Tell { to: Some(peer), message } => json!(["TELL", who, peer, mail::write(&message)]),
+        Action::Tell { to: None, message } => json!(["TELL", who, "all", mail::write(&message)]),
         Action::Probe { server: to } => json!(["ASK_LOAD", who, server(to)]),
         Action::Listen => json!(["LISTEN", who, true]),
         Action::Wake { after } => json!(["SET_ALARM", who, ALARM, after.0]),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -151,6 +151,8 @@
     pub lifecycle: Lifecycle,
     /// How long ago it started; none if long ago.
     pub age: Option<Span>,
+    /// The same at every gateway: how peers name a server to each other.
+    pub mark: u16,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -215,6 +217,37 @@
     pub age: Span,
 }
 
+/// The two builds compared in a stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Arm {
+    Earlier = 0,
+    Trial = 1,
+}
+
+/// What became of a submission, or of a txn that got none, or what a client said of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Ended(Outcome),
+    Unsent,
+    Complaint,
+}
+
+/// One such fate as gateways tell it to each other; the time is in the product's SLA times.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hearsay {
+    pub mark: u16,
+    pub build: Build,
+    pub product: ProductIx,
+    pub fate: Fate,
+    pub lag: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    Drop { build: Build, stage: usize, drops: usize, arm: Arm },
+    Fates { taken: usize, fates: Vec<Hearsay> },
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     Roster {
@@ -267,7 +300,7 @@
     },
     Mail {
         from: PeerIx,
-        text: String,
+        message: Message,
     },
     Wake,
 }
@@ -279,7 +312,7 @@
     Decline { id: TxnId, retry_after: Option<Span> },
     Void { id: TxnId },
     Vote { build: Build, stage: usize, verdict: Verdict },
-    Tell { text: String },
+    Tell { to: Option<PeerIx>, message: Message },
     Probe { server: ServerIx },
     Listen,
     Wake { after: Span },
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,7 +8,9 @@
 use nanorand::{Rng, WyRand};
 
 use crate::interface::*;
+use crate::mail::MOST_FATES;
 use crate::recent::Recent;
+use crate::state::*;
 use crate::time::{Point, Span};
 
 // The design page's starting values.
@@ -22,6 +24,7 @@
 const BUSIER: f64 = 0.7; // of present traffic: when the usual is less, that explains worse service
 const ASIDE: usize = 5; // one server in this many is set aside in judging its build
 const BISECTIONS: usize = 24;
+const CIRCLES: usize = 8; // the most players a fleet of gateways makes up
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000);
 const LONGEST_HOLD: Span = Span(3_000_000);
@@ -40,6 +43,7 @@
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
 const COPIES: f64 = 0.05; // second copies a txn taken
+const SAMPLE: usize = 20; // servers of a build that a txn looks at, where it has more
 const LEAVE_OUT: f64 = 2.0; // of the shortest SLA time: the first time that a failing server is left out
 
 /// One row a product: what was told of it, and its mean answer time so far.
@@ -49,115 +53,7 @@
     mean: Span,
 }
 
-#[derive(Default)]
-struct Server {
-    listed: Listed,
-    started: Option<Point>,
-    out: usize,
-    /// The first send since the server was last heard of.
-    owes: Option<Point>,
-    pace: f64,
-    /// How many submissions it may hold of ours, and the mean answer time in SLA times that steers this.
-    limit: f64,
-    lag: f64,
-    /// When submissions were sent that we no longer wait for, though the server may still work on them.
-    ghosts: Vec<Point>,
-    shut: Point,
-    dead_until: Point,
-    good: f64,
-    strikes: i32,
-    left_out: Point,
-    sends: Recent<()>,
-    dither: f64,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Standing {
-    Wanted,
-    Out,
-    Unwanted,
-    Recalled,
-    Closed { may_have_run: bool },
-}
-
-struct Attempt {
-    server: ServerIx,
-    build: Build,
-    sent: Point,
-    standing: Standing,
-}
-
-impl Attempt {
-    fn closed(&self) -> bool {
-        matches!(self.standing, Standing::Closed { .. })
-    }
-
-    fn may_have_run(&self) -> bool {
-        self.standing != Standing::Closed { may_have_run: false }
-    }
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Answer {
-    Owed,
-    Streaming,
-    Decline,
-    Void,
-    Given,
-}
-
-struct Txn {
-    product: ProductIx,
-    key: Option<Key>,
-    taken: Point,
-    expiry: Point,
-    attempts: Vec<Attempt>,
-    answer: Answer,
-    due: Option<Point>,
-}
-
-/// The two builds compared in a stage.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Arm {
-    Earlier = 0,
-    Trial = 1,
-}
-
-/// What a payoff looks at: the page's answer within the SLA time; all service and its pace against the time
-/// before; pace beside the earlier build; no failure, no complaint, no failure of one product.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Side {
-    InTime,
-    Whole,
-    Brisk,
-    Quick,
-    Sound,
-    Right,
-    SoundAt(ProductIx),
-}
-
-#[derive(Clone, Copy, Default)]
-struct Payoff {
-    count: f64,
-    sum: f64,
-}
-
 impl Payoff {
-    fn mean(&self) -> f64 {
-        self.sum / self.count.max(1.0)
-    }
-
-    fn with(&self, other: &Payoff, times: f64) -> Payoff {
-        Payoff { count: self.count + other.count * times, sum: self.sum + other.sum * times }
-    }
-
-    /// How hard the payoffs seen strain against a true mean of `q`: their count times the KL divergence.
-    fn strain(&self, q: f64) -> f64 {
-        let part = |p: f64, q: f64| if p > 0.0 { p * (p / q.max(f64::EPSILON)).ln() } else { 0.0 };
-        let mean = self.mean().clamp(0.0, 1.0);
-        self.count * (part(mean, q) + part(1.0 - mean, 1.0 - q))
-    }
-
     /// How many factors of eta the KL-Racing test stands below a better arm by, `near` allowed: 0 is no drop.
     fn drops_below(&self, better: &Payoff, near: f64) -> usize {
         let t = self.count.min(better.count);
@@ -174,37 +70,6 @@
     }
 }
 
-/// What one stage of a rollout has shown so far.
-#[derive(Default)]
-struct Trial {
-    build: Build,
-    stage: usize,
-    since: Point,
-    witnessed: bool,
-    payoffs: BTreeMap<(Side, Arm), BTreeMap<ServerIx, Payoff>>,
-    drops: [BTreeMap<PeerIx, usize>; 2],
-    told: Option<Point>,
-    held_from: Option<Point>,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Ballot {
-    Asked,
-    Stands,
-    Refused,
-}
-
-type Vote = (Build, usize, Verdict);
-
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Watch {
-    #[default]
-    Never,
-    Asked(Point),
-    Standing,
-    Failed(Point),
-}
-
 #[derive(Default)]
 pub struct Gateway {
     terms: Terms,
@@ -212,7 +77,12 @@
     now: Point,
     chance: WyRand,
     servers: BTreeMap<ServerIx, Server>,
+    marks: BTreeMap<u16, ServerIx>,
     fleet: usize,
+    /// The ready servers whose build is not on trial, and those whose build is.
+    arms: [Vec<ServerIx>; 2],
+    /// Of the build last told: its share of the ready servers, how many it has, its newest start.
+    runs: (f64, usize, Option<Point>),
     /// The earlier build's answer times by model, against the product's mean.
     usual: BTreeMap<usize, f64>,
     before: BTreeMap<Side, Payoff>,
@@ -228,6 +98,7 @@
     fresh: Recent<()>,
     unserved: f64,
     served: Recent<()>,
+    tried: Recent<()>,
     exposed: Recent<(ProductIx, Build)>,
     pins: BTreeMap<Key, Build>,
     pinned: f64,
@@ -237,6 +108,11 @@
     vote: Option<Vote>,
     cast: Option<(Vote, Point, Ballot)>,
     watch: Watch,
+    /// What the circle's speaker has not been told yet: fates, and txns taken.
+    untold: Vec<Hearsay>,
+    taken_untold: usize,
+    passed_on: Point,
+    unjudged: bool,
 }
 
 impl Gateway {
@@ -257,9 +133,13 @@
                 self.closed(id, attempt, server, outcome, took, ended)
             }
             Event::Stage(news) => self.stage(news),
-            Event::Mail { from, text } => self.mail(from, &text),
+            Event::Mail { from, message } => self.mail(from, message),
             Event::Wake => self.wake(),
-            Event::Complaint { server, .. } => self.complaint(server),
+            Event::Complaint { server, product, .. } => {
+                let Some(listed) = self.servers.get(&server).map(|s| &s.listed) else { return self.emit() };
+                let (mark, build) = (listed.mark, listed.build);
+                self.pass_on(Hearsay { mark, build, product, fate: Fate::Complaint, lag: 0.0 });
+            }
             Event::Probed { .. } | Event::Tally { .. } => {}
         }
         self.emit()
@@ -289,13 +169,29 @@
             let dither = self.chance.generate::<f64>();
             let fresh = Server { listed: line, started, out, dither, ..Server::default() };
             let fresh = Server { pace: 1.0, limit: FIRST_LIMIT, good: 1.0, ..fresh };
+            self.marks.insert(fresh.listed.mark, fresh.listed.server);
             self.servers.insert(fresh.listed.server, fresh);
         }
+        self.survey();
+    }
+
+    /// What of the list is needed for each txn or message, so that none of them walks it.
+    fn survey(&mut self) {
         // The fleet's places: while a build comes in, both may run on one place for a while.
         let mut of_build: BTreeMap<Build, usize> = BTreeMap::new();
-        for server in self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready) {
-            *of_build.entry(server.listed.build).or_default() += 1;
+        let (mut arms, mut newest) = ([Vec::new(), Vec::new()], None);
+        for (ix, server) in self.servers.iter().filter(|(_, s)| s.listed.lifecycle == Lifecycle::Ready) {
+            let build = server.listed.build;
+            *of_build.entry(build).or_default() += 1;
+            arms[usize::from(self.on_trial(build))].push(*ix);
+            if build == self.trial.build {
+                newest = newest.max(server.started);
+            }
         }
+        let ready = (arms[0].len() + arms[1].len()).max(1) as f64;
+        let on: usize = of_build.iter().filter(|(b, _)| **b >= self.trial.build).map(|b| b.1).sum();
+        self.runs = (on as f64 / ready, of_build.get(&self.trial.build).copied().unwrap_or(0), newest);
+        self.arms = arms;
         self.fleet = of_build.into_values().fold(self.fleet, usize::max);
     }
 
@@ -317,16 +213,22 @@
     /// Guards against pushing a cold server over: our share of what may go there within the stated time is
     /// what an average server answers us, times the part of that multiple that all gateways may use. Answers
     /// are counted, not txns taken: client retries multiply those, but no server answers more than it can.
-    fn may_warm(&self, server: &Server) -> bool {
+    /// A gateway whose share is less than one submission in that time takes its chance in place of a count:
+    /// its share, over what it would send there if its submissions were spread evenly over the rivals.
+    fn may_warm(&self, server: &Server, rivals: f64, chance: f64) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
             return true;
         }
         let rules = &self.terms.rules;
-        let fair =
-            self.served.len() as f64 / self.fleet.max(1) as f64 * rules.fall.over(self.terms.release.window);
-        let most = COLD_PART * rules.fall_multiple * warmth * fair + server.dither;
-        server.sends.count(self.now - rules.fall, |_| true) < most.floor()
+        let part = rules.fall.over(self.terms.release.window);
+        let most = COLD_PART * rules.fall_multiple * warmth * part * self.served.len() as f64;
+        let most = most / self.fleet.max(1) as f64;
+        let sent = server.sends.count(self.now - rules.fall, |_| true);
+        if most >= 1.0 {
+            return sent < (most + server.dither).floor();
+        }
+        sent < 1.0 && chance * (self.tried.len() as f64 + 1.0) * part < most * rivals
     }
 
     /// A failing server is left out, but for one of a build whose drop is not settled (departure G): a build
@@ -386,8 +288,6 @@
             && ((server.out + server.ghosts.len()) as f64) < server.limit
             && self.now >= server.shut
             && self.may_repeat_at(server, txn)
-            && self.may_warm(server)
-            && (!on_trial || self.within_cap(build, txn.product))
     }
 
     // ---- txns ----
@@ -398,6 +298,7 @@
         let again = if self.terms.marks_repeats { again } else { self.unserved >= 1.0 };
         if !again {
             self.fresh.push(self.now, ());
+            self.taken_untold += 1;
         }
         self.unserved = (self.unserved - 1.0).max(0.0);
         let (taken, expiry) = (self.now, self.now + left);
@@ -438,32 +339,48 @@
             || !txn.attempts.iter().any(Attempt::may_have_run)
     }
 
-    /// The part of the ready servers that run builds of a kind.
-    fn share(&self, of: impl Fn(Build) -> bool) -> f64 {
-        let ready = self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready);
-        let (all, some) = ready.fold((0, 0), |n, s| (n.0 + 1, n.1 + usize::from(of(s.listed.build))));
-        some as f64 / all.max(1) as f64
-    }
-
     /// Finds a server for a submission: the build by its share of ready servers, then two choices inside it.
+    /// Of a large fleet a sample stands for all, so that a txn costs the same in any.
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
         // Keys that stay with the trial build are part of its share.
-        let share =
-            ((self.share(|b| self.on_trial(b)) - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
+        let ready = (self.arms[0].len() + self.arms[1].len()).max(1) as f64;
+        let share = self.arms[1].len() as f64 / ready;
+        let share = ((share - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
         let trial_first = self.chance.generate::<f64>() < share && self.txns[&id].attempts.is_empty();
+        let (mut sample, chance) = (Vec::new(), &mut self.chance);
+        for arm in &self.arms {
+            let looks = arm.len().min(SAMPLE);
+            for n in 0..looks {
+                let at = if arm.len() > SAMPLE { chance.generate_range(0..arm.len()) } else { n };
+                sample.push((arm[at], arm.len() as f64 / looks as f64, chance.generate::<f64>()));
+            }
+        }
         let txn = &self.txns[&id];
-        let tier = |ix: ServerIx, server: &Server| {
-            let wanted = self.on_trial(server.listed.build) == trial_first;
+        let tier = |ix: ServerIx, server: &Server, on_trial: bool| {
             let tried = txn.attempts.iter().any(|a| a.server == ix);
             match (self.healthy(server), tried) {
-                (true, false) => usize::from(!wanted),
-                (well, again) => 2 + 2 * usize::from(again || !wanted) - usize::from(well),
+                (true, false) => usize::from(on_trial != trial_first),
+                (well, again) => 2 + 2 * usize::from(again || on_trial != trial_first) - usize::from(well),
             }
         };
-        let open = self.servers.iter().filter(|(_, s)| self.open_to(s, txn));
-        let open: Vec<_> = open.map(|(ix, s)| (tier(*ix, s), *ix)).collect();
-        let best = open.iter().map(|o| o.0).min()?;
-        let among: Vec<ServerIx> = open.into_iter().filter(|o| o.0 == best).map(|o| o.1).collect();
+        let mut within: Vec<(Build, bool)> = Vec::new();
+        let mut open: BTreeMap<usize, Vec<(ServerIx, f64, f64)>> = BTreeMap::new();
+        for (ix, stands_for, chance) in sample {
+            let server = &self.servers[&ix];
+            let (build, on_trial) = (server.listed.build, self.on_trial(server.listed.build));
+            if on_trial && !within.iter().any(|w| w.0 == build) {
+                within.push((build, self.within_cap(build, txn.product)));
+            }
+            if !within.contains(&(build, false)) && self.open_to(server, txn) {
+                open.entry(tier(ix, server, on_trial)).or_default().push((ix, stands_for, chance));
+            }
+        }
+        let among = open.values().map(|tier| {
+            let rivals = tier.iter().map(|o| o.1).sum();
+            let warm = tier.iter().filter(|o| self.may_warm(&self.servers[&o.0], rivals, o.2));
+            warm.map(|o| o.0).collect::<Vec<ServerIx>>()
+        });
+        let among = among.into_iter().find(|a| !a.is_empty())?;
         let a = among[self.chance.generate_range(0..among.len())];
         let b = among[self.chance.generate_range(0..among.len())];
         Some(if self.busy(b) < self.busy(a) { b } else { a })
@@ -497,6 +414,7 @@
         to.out += 1;
         to.owes = to.owes.or(Some(self.now));
         to.sends.push(self.now, ());
+        self.tried.push(self.now, ());
         if self.on_trial(build) {
             self.exposed.push(self.now, (product, build));
         }
@@ -525,7 +443,8 @@
         let unsent = txn.attempts.is_empty();
         let answer = if self.may_decline(txn) { Answer::Decline } else { Answer::Void };
         if unsent {
-            self.whole(false, false);
+            let told = Hearsay { mark: 0, build: 0, product: txn.product, fate: Fate::Unsent, lag: 0.0 };
+            self.pass_on(told);
         }
         self.finish(id, answer);
     }
@@ -557,19 +476,11 @@
         let recalled = outcome == Outcome::Recalled;
         attempt.standing = Standing::Closed { may_have_run: !proven };
         let (build, sent, product, key) = (attempt.build, attempt.sent, txn.product, txn.key);
-        let usual_times = !self.on_trial(build) && !self.in_question();
-        let row = &mut self.rows[product];
         let served = outcome == Outcome::Served;
         if served {
             self.served.push(self.now, ());
         }
-        if served && usual_times {
-            if let Some(server) = self.servers.get(&ix) {
-                let usual = self.usual.entry(server.listed.model).or_insert(1.0);
-                *usual += LEARN * LEARN * (took.over(row.mean) - *usual);
-            }
-            row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
-        }
+        let row = &self.rows[product];
         let (pace, lag) = (took.over(row.mean), took.over(row.sla));
         let shortest = self.shortest_sla();
         if let Some(server) = self.servers.get_mut(&ix) {
@@ -630,7 +541,8 @@
             }
         }
         if !recalled || took >= self.rows[product].sla {
-            self.learn(ix, build, product, outcome, took);
+            let mark = self.servers.get(&ix).map_or(0, |s| s.listed.mark);
+            self.pass_on(Hearsay { mark, build, product, fate: Fate::Ended(outcome), lag });
         }
         if ended || served {
             self.finish(id, Answer::Given);
@@ -645,21 +557,55 @@
 
     // ---- the elimination test and the votes ----
 
+    /// The circle whose test a gateway's outcomes go into, also the number of its speaker.
+    fn circle(&self, peer: PeerIx) -> PeerIx {
+        peer % if self.terms.limits.tell { CIRCLES.min(self.terms.balancers) } else { self.terms.balancers }
+    }
+
+    /// Guards against gateways that see too little to judge (departure H): the outcomes of a circle of them
+    /// go into one test, which its speaker runs; so the players of the page stay few, each with its own txns.
+    fn pass_on(&mut self, told: Hearsay) {
+        self.note(&told);
+        if self.circle(self.terms.ordinal) == self.terms.ordinal {
+            self.learn(told);
+        } else {
+            self.untold.push(told);
+        }
+    }
+
+    /// The usual answer times, by product and model, while no build is in question.
+    fn note(&mut self, told: &Hearsay) {
+        let usual_times = !self.on_trial(told.build) && !self.in_question();
+        let Some(row) = self.rows.get_mut(told.product) else { return };
+        if told.fate == Fate::Ended(Outcome::Served) && usual_times {
+            let took = row.sla * told.lag;
+            if let Some(server) = self.marks.get(&told.mark).and_then(|ix| self.servers.get(ix)) {
+                let usual = self.usual.entry(server.listed.model).or_insert(1.0);
+                *usual += LEARN * LEARN * (took.over(row.mean) - *usual);
+            }
+            row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
+        }
+    }
+
     /// One outcome of an arm, seen from each side. A cold server is slow whatever its build (departure C),
     /// but what it fails it would fail warm.
-    fn learn(&mut self, ix: ServerIx, build: Build, product: ProductIx, outcome: Outcome, took: Span) {
-        let Some(server) = self.servers.get(&ix).filter(|_| self.news.is_some()) else { return };
-        if build > self.trial.build {
-            return;
-        }
+    fn learn(&mut self, told: Hearsay) {
+        let Some(row) = self.rows.get(told.product) else { return };
+        let (build, product, took, mean) = (told.build, told.product, row.sla * told.lag, row.mean);
+        let outcome = match told.fate {
+            Fate::Ended(outcome) => outcome,
+            Fate::Unsent => return self.whole(false, false),
+            Fate::Complaint => return self.complaint(&told),
+        };
+        let Some(&ix) = self.marks.get(&told.mark).filter(|_| self.news.is_some()) else { return };
+        let Some(server) = self.servers.get(&ix).filter(|_| build <= self.trial.build) else { return };
         let arm = if build == self.trial.build { Arm::Trial } else { Arm::Earlier };
         let (served, failed) = (outcome == Outcome::Served, outcome == Outcome::Errored);
         // An answer is as cold as its server was when it was asked.
         let warmth = self.warmth_at(server, self.now - took);
-        let (model, mean) = (server.listed.model, self.rows[product].mean);
-        let in_time = served && took <= self.rows[product].sla;
-        let ready = |s: &Server| s.listed.lifecycle == Lifecycle::Ready && s.listed.build < self.trial.build;
-        let paired = self.servers.values().any(ready);
+        let model = server.listed.model;
+        let in_time = served && told.lag <= 1.0;
+        let paired = self.runs.0 < 1.0;
         let mut sides = Vec::new();
         let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
@@ -682,13 +628,12 @@
         for (side, good) in sides {
             self.pay(side, arm, ix, f64::from(good), 1.0);
         }
-        self.eliminate();
     }
 
     /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam.
     /// It says something of a build that runs on enough of the fleet to lower it; till then it is the past.
     fn whole(&mut self, in_time: bool, quick: bool) {
-        let untouched = !self.in_question() || self.share(|b| b >= self.trial.build) < EPSILON;
+        let untouched = !self.in_question() || self.runs.0 < EPSILON;
         let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0;
         for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
             if untouched {
@@ -705,12 +650,11 @@
 
     /// Guards against wrong answers, which look like any other until a client complains: the answer that paid
     /// pays no more (departure F). A single complaint, which may be mistaken, does not reach the bound.
-    fn complaint(&mut self, ix: ServerIx) {
-        let Some(build) = self.servers.get(&ix).map(|s| s.listed.build) else { return };
-        if self.news.is_some() && build <= self.trial.build {
-            let arm = if build == self.trial.build { Arm::Trial } else { Arm::Earlier };
+    fn complaint(&mut self, told: &Hearsay) {
+        let Some(&ix) = self.marks.get(&told.mark) else { return };
+        if self.news.is_some() && told.build <= self.trial.build {
+            let arm = if told.build == self.trial.build { Arm::Trial } else { Arm::Earlier };
             self.pay(Side::Right, arm, ix, -1.0, 0.0);
-            self.eliminate();
         }
     }
 
@@ -737,6 +681,7 @@
         let seen = self.trial.payoffs.entry((side, arm)).or_default().entry(ix).or_default();
         seen.count += count;
         seen.sum += sum;
+        self.unjudged = true;
     }
 
     /// An arm's payoffs without those of the fifth of its servers that lost most, if it has others: guards
@@ -773,7 +718,7 @@
     }
 
     fn count(&mut self, arm: Arm, from: PeerIx, drops: usize) {
-        if drops > 0 && from < self.terms.balancers {
+        if drops > 0 && from < self.terms.balancers && self.circle(from) == from {
             let held = self.trial.drops[arm as usize].entry(from).or_default();
             *held = drops.max(*held);
         }
@@ -784,7 +729,7 @@
     fn dropped(&self, arm: Arm, part: f64) -> bool {
         let drops = &self.trial.drops[arm as usize];
         let enough = (DELTA.ln() / ETA.ln()).floor();
-        let senders = (self.terms.balancers / 2).max(1);
+        let senders = (CIRCLES.min(self.terms.balancers) / 2).max(1);
         let most = enough / senders.min(2) as f64;
         drops.len() >= senders && drops.values().map(|d| most.min(*d as f64)).sum::<f64>() >= enough * part
     }
@@ -815,22 +760,37 @@
             self.pins.retain(|_, b| *b < news.build);
         }
         self.news = Some(news);
+        self.survey();
         self.judge();
     }
 
-    fn mail(&mut self, from: PeerIx, text: &str) {
-        let mut parts = text.split('.');
-        let mut number = || parts.next().and_then(|n| n.parse::<usize>().ok());
-        let (build, stage, drops) = (number(), number(), number());
-        let here = build == Some(self.trial.build as usize) && stage == Some(self.trial.stage);
-        let arm = match parts.next() {
-            Some("t") => Arm::Trial,
-            Some("e") => Arm::Earlier,
-            _ => return,
-        };
-        if here && self.news.is_some() {
-            self.count(arm, from, drops.unwrap_or(0));
-            self.judge();
+    fn mail(&mut self, from: PeerIx, message: Message) {
+        match message {
+            Message::Drop { build, stage, drops, arm } => {
+                if (build, stage) == (self.trial.build, self.trial.stage) && self.news.is_some() {
+                    self.count(arm, from, drops);
+                    self.judge();
+                }
+            }
+            Message::Fates { taken, fates } => {
+                (0..taken).for_each(|_| self.fresh.push(self.now, ()));
+                for told in fates {
+                    // Guards against a server id used again: the build told must be the one listed.
+                    let server = self.marks.get(&told.mark).and_then(|ix| self.servers.get_mut(ix));
+                    let listed = server.filter(|s| s.listed.build & 63 == told.build);
+                    let unsent = told.fate == Fate::Unsent;
+                    let Some(build) = listed.as_ref().map(|s| s.listed.build).or(unsent.then_some(0)) else {
+                        continue;
+                    };
+                    if let Some(server) = listed.filter(|_| told.fate == Fate::Ended(Outcome::ConnectFailed))
+                    {
+                        server.dead_until = self.now + RETELL * LEAVE_OUT;
+                    }
+                    let told = Hearsay { build, ..told };
+                    self.note(&told);
+                    self.learn(told);
+                }
+            }
         }
     }
 
@@ -865,12 +825,10 @@
 
     /// Whether the fallback wait after the start of the stage's newest machine is over.
     fn waited_out(&self) -> bool {
-        let of_build =
-            |s: &&Server| s.listed.build == self.trial.build && s.listed.lifecycle == Lifecycle::Ready;
-        let ours: Vec<&Server> = self.servers.values().filter(of_build).collect();
+        let (_, ours, newest) = self.runs;
         let step = self.terms.release.steps.get(self.trial.stage).copied().unwrap_or(1.0);
-        let newest = ours.iter().filter_map(|s| s.started).max().unwrap_or(self.trial.since);
-        let all = ours.len() as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
+        let newest = newest.unwrap_or(self.trial.since);
+        let all = ours as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
         let since = newest.max(self.trial.since);
         self.now - since >= FALLBACK * if all { 1.0 } else { 3.0 }
     }
@@ -878,7 +836,10 @@
     // ---- periodic work and output ----
 
     fn wake(&mut self) {
-        if !self.calm() {
+        if std::mem::take(&mut self.unjudged) {
+            self.eliminate();
+        }
+        if self.circle(self.terms.ordinal) == self.terms.ordinal && !self.calm() {
             // What was seen just before is the trouble's, and so is what follows until all are warm again.
             self.troubled = self.now;
             self.trial.payoffs.retain(|(side, _), _| !matches!(side, Side::Whole | Side::Brisk));
@@ -896,6 +857,7 @@
         let edge = self.now - self.terms.release.window - self.terms.tick;
         self.taken.forget(edge);
         self.served.forget(edge);
+        self.tried.forget(edge);
         self.fresh.forget(edge);
         self.exposed.forget(edge);
         let edge = self.now - self.terms.rules.fall;
@@ -980,15 +942,25 @@
     }
 
     fn emit_bits(&mut self, out: &mut Vec<Action>) {
+        let due = self.now - self.passed_on >= RETELL || self.untold.len() >= MOST_FATES;
+        if due && !self.untold.is_empty() {
+            let to = Some(self.circle(self.terms.ordinal));
+            for fates in std::mem::take(&mut self.untold).chunks(MOST_FATES) {
+                let taken = std::mem::take(&mut self.taken_untold);
+                out.push(Action::Tell { to, message: Message::Fates { taken, fates: fates.to_vec() } });
+            }
+            self.passed_on = self.now;
+        }
         let recently = self.trial.told.is_some_and(|at| self.now - at < RETELL);
         if !self.terms.limits.tell || self.terms.balancers < 2 || recently {
             return;
         }
         let (build, stage) = (self.trial.build, self.trial.stage);
-        for (arm, name) in [(Arm::Trial, "t"), (Arm::Earlier, "e")] {
+        for arm in [Arm::Trial, Arm::Earlier] {
             if let Some(drops) = self.trial.drops[arm as usize].get(&self.terms.ordinal) {
                 self.trial.told = Some(self.now);
-                out.push(Action::Tell { text: format!("{build}.{stage}.{drops}.{name}") });
+                let message = Message::Drop { build, stage, drops: *drops, arm };
+                out.push(Action::Tell { to: None, message });
             }
         }
     }
