--- a/src/policy.rs
+++ b/src/policy.rs
@@ -214,7 +214,7 @@
     /// what an average server answers us, times the part of that multiple that all gateways may use. Answers
     /// are counted, not txns taken: client retries multiply those, but no server answers more than it can.
     /// A gateway whose share is less than one submission in that time takes its chance in place of a count:
-    /// its share, over what it would send there if its submissions were spread evenly over the rivals.
+    /// its share, over what it would send there if its submissions were spread by weight over the rivals.
     fn may_warm(&self, server: &Server, rivals: f64, chance: f64) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
@@ -228,7 +228,7 @@
         if most >= 1.0 {
             return sent < (most + server.dither).floor();
         }
-        sent < 1.0 && chance * (self.tried.len() as f64 + 1.0) * part < most * rivals
+        sent < 1.0 && chance * (self.tried.len() as f64 + 1.0) * part * self.weight(server) < most * rivals
     }
 
     /// A failing server is left out, but for one of a build whose drop is not settled (departure G): a build
@@ -240,9 +240,18 @@
             && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
     }
 
-    fn busy(&self, ix: ServerIx) -> f64 {
-        let server = &self.servers[&ix];
-        (server.out + 1) as f64 * server.pace / self.warmth(server)
+    /// What part of the txns a server bears, beside one that is warm and of the usual pace.
+    fn weight(&self, server: &Server) -> f64 {
+        self.warmth(server) / server.pace.max(LEARN)
+    }
+
+    /// Of several servers one, with odds by weight. Guards against hundreds of gateways that hold nothing and
+    /// rank alike: the one that all think least busy would get twice what the others do.
+    fn any_of(&mut self, among: &[ServerIx]) -> ServerIx {
+        let weights: Vec<f64> = among.iter().map(|ix| self.weight(&self.servers[ix])).collect();
+        let mut left = self.chance.generate::<f64>() * weights.iter().sum::<f64>();
+        let at = weights.iter().position(|w| (left -= w, left < 0.0).1);
+        among[at.unwrap_or(among.len() - 1)]
     }
 
     // ---- builds on trial ----
@@ -342,19 +351,21 @@
     /// Finds a server for a submission: the build by its share of ready servers, then two choices inside it.
     /// Of a large fleet a sample stands for all, so that a txn costs the same in any.
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
-        // Keys that stay with the trial build are part of its share.
-        let ready = (self.arms[0].len() + self.arms[1].len()).max(1) as f64;
-        let share = self.arms[1].len() as f64 / ready;
-        let share = ((share - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
-        let trial_first = self.chance.generate::<f64>() < share && self.txns[&id].attempts.is_empty();
-        let (mut sample, chance) = (Vec::new(), &mut self.chance);
-        for arm in &self.arms {
+        let (mut sample, mut bears) = (Vec::new(), [0.0; 2]);
+        for (arm, bears) in self.arms.iter().zip(&mut bears) {
             let looks = arm.len().min(SAMPLE);
             for n in 0..looks {
-                let at = if arm.len() > SAMPLE { chance.generate_range(0..arm.len()) } else { n };
-                sample.push((arm[at], arm.len() as f64 / looks as f64, chance.generate::<f64>()));
+                let at = if arm.len() > SAMPLE { self.chance.generate_range(0..arm.len()) } else { n };
+                let stands_for = arm.len() as f64 / looks as f64;
+                *bears += stands_for * self.warmth(&self.servers[&arm[at]]);
+                sample.push((arm[at], stands_for, self.chance.generate::<f64>()));
             }
         }
+        // A cold server counts for as much as it bears, or the warm ones of its build would bear its part too.
+        // Keys that stay with the trial build are part of its share.
+        let share = bears[1] / (bears[0] + bears[1]).max(f64::EPSILON);
+        let share = ((share - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
+        let trial_first = self.chance.generate::<f64>() < share && self.txns[&id].attempts.is_empty();
         let txn = &self.txns[&id];
         let tier = |ix: ServerIx, server: &Server, on_trial: bool| {
             let tried = txn.attempts.iter().any(|a| a.server == ix);
@@ -375,15 +386,17 @@
                 open.entry(tier(ix, server, on_trial)).or_default().push((ix, stands_for, chance));
             }
         }
-        let among = open.values().map(|tier| {
-            let rivals = tier.iter().map(|o| o.1).sum();
-            let warm = tier.iter().filter(|o| self.may_warm(&self.servers[&o.0], rivals, o.2));
+        // Well servers of both arms share the first sends, so all of them are a cold one's rivals.
+        let among = open.iter().map(|(tier, of)| {
+            let beside = open.range(tier + 1..2.max(tier + 1)).flat_map(|o| o.1);
+            let rivals = of.iter().chain(beside).map(|o| o.1 * self.weight(&self.servers[&o.0])).sum();
+            let warm = of.iter().filter(|o| self.may_warm(&self.servers[&o.0], rivals, o.2));
             warm.map(|o| o.0).collect::<Vec<ServerIx>>()
         });
         let among = among.into_iter().find(|a| !a.is_empty())?;
-        let a = among[self.chance.generate_range(0..among.len())];
-        let b = among[self.chance.generate_range(0..among.len())];
-        Some(if self.busy(b) < self.busy(a) { b } else { a })
+        let (a, b) = (self.any_of(&among), self.any_of(&among));
+        let busy = |ix| self.servers[&ix].out as f64 / self.weight(&self.servers[&ix]);
+        Some(if busy(b) < busy(a) { b } else { a })
     }
 
     fn place(&mut self, id: TxnId) {
