--- a/src/policy.rs
+++ b/src/policy.rs
@@ -607,7 +607,7 @@
         let (build, product, took, mean) = (told.build, told.product, row.sla * told.lag, row.mean);
         let outcome = match told.fate {
             Fate::Ended(outcome) => outcome,
-            Fate::Unsent => return self.whole(false, false),
+            Fate::Unsent => return self.whole(product, false, false),
             Fate::Complaint => return self.complaint(&told),
         };
         let Some(&ix) = self.marks.get(&told.mark).filter(|_| self.news.is_some()) else { return };
@@ -623,7 +623,7 @@
         let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
-            self.whole(in_time, quick);
+            self.whole(product, in_time, quick);
         }
         if paired && warmth >= 1.0 && outcome != Outcome::Moot {
             sides.push((Side::InTime, in_time));
@@ -645,7 +645,8 @@
 
     /// All service, whatever the build: what was given up on unsent counts too, or shedding would hide a jam.
     /// It says something of a build that runs on enough of the fleet to lower it; till then it is the past.
-    fn whole(&mut self, in_time: bool, quick: bool) {
+    /// It is kept by product: what one product waits for at every server is set aside like a bad server.
+    fn whole(&mut self, product: ProductIx, in_time: bool, quick: bool) {
         let untouched = !self.in_question() || self.runs.0 < EPSILON;
         let counts = self.now - self.troubled >= self.terms.rules.ramp * 2.0;
         for (side, good) in [(Side::Whole, in_time), (Side::Brisk, quick)] {
@@ -656,7 +657,7 @@
                 let seen = before.count.min(MEMORY / 4.0);
                 self.rate += (self.fresh.len() as f64 - self.rate) / seen;
             } else if counts {
-                self.pay(side, Arm::Trial, 0, f64::from(good), 1.0);
+                self.pay(side, Arm::Trial, product, f64::from(good), 1.0);
             }
         }
     }
@@ -687,7 +688,8 @@
     fn calm(&self) -> bool {
         let alive = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
         let warm: f64 = self.servers.values().filter(alive).map(|s| self.warmth(s)).sum();
-        warm >= CALM * self.fleet as f64 && BUSIER * (self.fresh.len() as f64) <= self.rate
+        let fresh = self.fresh.len() as f64;
+        warm >= CALM * self.fleet as f64 && BUSIER * (fresh - fresh.sqrt()) <= self.rate
     }
 
     fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -363,6 +363,34 @@
     .assert_eq(&lines);
 }
 
+#[test]
+fn a_product_that_waits_at_every_server_is_not_held_against_the_build() {
+    let mut lines = String::new();
+    for (case, late) in [("one product", 1), ("all products", 3)] {
+        let mut told = terms();
+        (told.balancers, told.ordinal) = (400, 5);
+        let mut desk = Desk::with(told, &[1, 1, 1, 1, 1], Phase::Released);
+        let mut hear = |desk: &mut Desk, late: usize| {
+            let fate = Fate::Ended(Outcome::Served);
+            let lag = |product| if product < late { 1.5 } else { 0.2 };
+            let told = |product| Hearsay { mark: 0, build: 1, product, fate, lag: lag(product) };
+            let fates = [0, 1, 2].map(told).to_vec();
+            desk.mail(13, &mail::write(&Message::Fates { taken: 3, fates }));
+            desk.pass(40);
+        };
+        (0..300).for_each(|_| hear(&mut desk, 0));
+        desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![server(4, 2)] });
+        desk.stage(2, 0, Phase::Trial, 1.0);
+        (0..40).for_each(|_| hear(&mut desk, late));
+        lines += &format!("{case}: {}\n", desk.decisions().lines().next().unwrap_or("nothing"));
+    }
+    expect![[r#"
+        one product: nothing
+        all products: 12400: tell 2.0.214.t
+    "#]]
+    .assert_eq(&lines);
+}
+
 #[test]
 fn chance_drops_among_hundreds_do_not_add_up() {
     // Members that are no speakers drop nothing for others, however many; nor does one speaker alone.
