--- a/src/interface.rs
+++ b/src/interface.rs
@@ -244,8 +244,18 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message {
-    Drop { build: Build, stage: usize, drops: usize, arm: Arm },
-    Fates { taken: usize, fates: Vec<Hearsay> },
+    Drop {
+        build: Build,
+        stage: usize,
+        drops: usize,
+        arm: Arm,
+    },
+    Fates {
+        taken: usize,
+        fates: Vec<Hearsay>,
+    },
+    /// Servers by their marks, each with its answer times against the usual.
+    Paces(Vec<(u16, f64)>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,8 +8,8 @@
 use nanorand::{Rng, WyRand};
 
 use crate::interface::*;
-use crate::mail::MOST_FATES;
-use crate::recent::Recent;
+use crate::mail::{MOST_FATES, MOST_PACES};
+pub use crate::state::Gateway;
 use crate::state::*;
 use crate::time::{Point, Span};
 
@@ -46,13 +46,6 @@
 const SAMPLE: usize = 20; // servers of a build that a txn looks at, where it has more
 const LEAVE_OUT: f64 = 2.0; // of the shortest SLA time: the first time that a failing server is left out
 
-/// One row a product: what was told of it, and its mean answer time so far.
-struct Row {
-    repeat: Repeat,
-    sla: Span,
-    mean: Span,
-}
-
 impl Payoff {
     /// How many factors of eta the KL-Racing test stands below a better arm by, `near` allowed: 0 is no drop.
     fn drops_below(&self, better: &Payoff, near: f64) -> usize {
@@ -70,51 +63,6 @@
     }
 }
 
-#[derive(Default)]
-pub struct Gateway {
-    terms: Terms,
-    rows: Vec<Row>,
-    now: Point,
-    chance: WyRand,
-    servers: BTreeMap<ServerIx, Server>,
-    marks: BTreeMap<u16, ServerIx>,
-    fleet: usize,
-    /// The ready servers whose build is not on trial, and those whose build is.
-    arms: [Vec<ServerIx>; 2],
-    /// Of the build last told: its share of the ready servers, how many it has, its newest start.
-    runs: (f64, usize, Option<Point>),
-    /// The earlier build's answer times by model, against the product's mean.
-    usual: BTreeMap<usize, f64>,
-    before: BTreeMap<Side, Payoff>,
-    rate: f64,
-    phase_from: Point,
-    troubled: Point,
-    txns: BTreeMap<TxnId, Txn>,
-    changed: BTreeSet<TxnId>,
-    due: BTreeSet<(Point, TxnId)>,
-    beat: Point,
-    armed: Option<Point>,
-    taken: Recent<ProductIx>,
-    fresh: Recent<()>,
-    unserved: f64,
-    served: Recent<()>,
-    tried: Recent<()>,
-    exposed: Recent<(ProductIx, Build)>,
-    pins: BTreeMap<Key, Build>,
-    pinned: f64,
-    copies: f64,
-    news: Option<StageNews>,
-    trial: Trial,
-    vote: Option<Vote>,
-    cast: Option<(Vote, Point, Ballot)>,
-    watch: Watch,
-    /// What the circle's speaker has not been told yet: fates, and txns taken.
-    untold: Vec<Hearsay>,
-    taken_untold: usize,
-    passed_on: Point,
-    unjudged: bool,
-}
-
 impl Gateway {
     pub fn new(terms: Terms, seed: u64) -> Gateway {
         let row = |p: &ProductTerms| Row { repeat: p.repeat, sla: p.sla, mean: p.sla / 4.0 };
@@ -494,7 +442,7 @@
             self.served.push(self.now, ());
         }
         let row = &self.rows[product];
-        let (pace, lag) = (took.over(row.mean), took.over(row.sla));
+        let lag = took.over(row.sla);
         let shortest = self.shortest_sla();
         if let Some(server) = self.servers.get_mut(&ix) {
             server.out = server.out.saturating_sub(1);
@@ -503,9 +451,6 @@
             } else if server.out == 0 {
                 server.owes = None;
             }
-            if served || outcome == Outcome::TimedOut {
-                server.pace += LEARN * (pace - server.pace);
-            }
             // Guards against work that a time-out or a recall does not stop: it counts as held until the
             // server has answered something sent later, or the longest expiry has passed.
             if matches!(outcome, Outcome::TimedOut | Outcome::Recalled) {
@@ -586,16 +531,20 @@
         }
     }
 
-    /// The usual answer times, by product and model, while no build is in question.
+    /// Answer times: each server's pace beside the product's mean; and while no build is in question the usual
+    /// ones, by product and model.
     fn note(&mut self, told: &Hearsay) {
         let usual_times = !self.on_trial(told.build) && !self.in_question();
-        let Some(row) = self.rows.get_mut(told.product) else { return };
-        if told.fate == Fate::Ended(Outcome::Served) && usual_times {
-            let took = row.sla * told.lag;
-            if let Some(server) = self.marks.get(&told.mark).and_then(|ix| self.servers.get(ix)) {
-                let usual = self.usual.entry(server.listed.model).or_insert(1.0);
-                *usual += LEARN * LEARN * (took.over(row.mean) - *usual);
-            }
+        let served = told.fate == Fate::Ended(Outcome::Served);
+        let server = self.marks.get(&told.mark).and_then(|ix| self.servers.get_mut(ix));
+        let (Some(row), Some(server)) = (self.rows.get_mut(told.product), server) else { return };
+        let took = row.sla * told.lag;
+        if served || told.fate == Fate::Ended(Outcome::TimedOut) {
+            server.pace += LEARN * (took.over(row.mean) - server.pace);
+        }
+        if served && usual_times {
+            let usual = self.usual.entry(server.listed.model).or_insert(1.0);
+            *usual += LEARN * LEARN * (took.over(row.mean) - *usual);
             row.mean = row.mean + (took - row.mean) * (LEARN * LEARN);
         }
     }
@@ -787,6 +736,14 @@
                     self.judge();
                 }
             }
+            Message::Paces(paces) if from == self.circle(self.terms.ordinal) => {
+                self.servers.values_mut().for_each(|s| s.pace = s.pace.min(1.0));
+                for (mark, pace) in paces {
+                    let server = self.marks.get(&mark).and_then(|ix| self.servers.get_mut(ix));
+                    server.into_iter().for_each(|s| s.pace = pace);
+                }
+            }
+            Message::Paces(_) => {}
             Message::Fates { taken, fates } => {
                 (0..taken).for_each(|_| self.fresh.push(self.now, ()));
                 for told in fates {
@@ -917,6 +874,9 @@
         }
         self.emit_vote(&mut out);
         self.emit_bits(&mut out);
+        if self.circle(self.terms.ordinal) == self.terms.ordinal {
+            self.emit_paces(&mut out);
+        }
         self.emit_watch(&mut out);
         let beat = self.shortest_sla() * BEAT;
         if self.beat <= self.now {
@@ -956,6 +916,23 @@
         out.push(Action::Vote { build, stage, verdict });
     }
 
+    /// Guards against servers that slow down unseen, as each of many gateways meets one seldom (departure H):
+    /// the speaker tells its circle which are slow, and the odds by weight spare them. Tells the slowest only.
+    fn emit_paces(&mut self, out: &mut Vec<Action>) {
+        let own = self.terms.ordinal;
+        let circle = (own + 1..self.terms.balancers).filter(|p| self.circle(*p) == own);
+        if self.now - self.paces_told < RETELL * 2.0 || !self.terms.limits.tell {
+            return;
+        }
+        let ready = self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready);
+        let slow = ready.filter(|s| s.pace > 1.0 + EPSILON).map(|s| (s.listed.mark, s.pace));
+        let mut slow: Vec<(u16, f64)> = slow.collect();
+        slow.sort_by(|a, b| b.1.total_cmp(&a.1));
+        slow.truncate(MOST_PACES);
+        out.extend(circle.map(|p| Action::Tell { to: Some(p), message: Message::Paces(slow.clone()) }));
+        self.paces_told = self.now;
+    }
+
     fn emit_bits(&mut self, out: &mut Vec<Action>) {
         let due = self.now - self.passed_on >= RETELL || self.untold.len() >= MOST_FATES;
         if due && !self.untold.is_empty() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,12 @@
 //! What a gateway keeps of servers, txns and trials, as plain types; the decisions over them are in `policy`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+use nanorand::WyRand;
 
 use crate::interface::*;
 use crate::recent::Recent;
-use crate::time::Point;
+use crate::time::{Point, Span};
 
 #[derive(Default)]
 pub struct Server {
@@ -139,3 +141,57 @@
     Standing,
     Failed(Point),
 }
+
+/// One row a product: what was told of it, and its mean answer time so far.
+pub struct Row {
+    pub repeat: Repeat,
+    pub sla: Span,
+    pub mean: Span,
+}
+
+/// All that one instance keeps: one value, nothing shared.
+#[derive(Default)]
+pub struct Gateway {
+    pub terms: Terms,
+    pub rows: Vec<Row>,
+    pub now: Point,
+    pub chance: WyRand,
+    pub servers: BTreeMap<ServerIx, Server>,
+    pub marks: BTreeMap<u16, ServerIx>,
+    pub fleet: usize,
+    /// The ready servers whose build is not on trial, and those whose build is.
+    pub arms: [Vec<ServerIx>; 2],
+    /// Of the build last told: its share of the ready servers, how many it has, its newest start.
+    pub runs: (f64, usize, Option<Point>),
+    /// The earlier build's answer times by model, against the product's mean.
+    pub usual: BTreeMap<usize, f64>,
+    pub before: BTreeMap<Side, Payoff>,
+    pub rate: f64,
+    pub phase_from: Point,
+    pub troubled: Point,
+    pub txns: BTreeMap<TxnId, Txn>,
+    pub changed: BTreeSet<TxnId>,
+    pub due: BTreeSet<(Point, TxnId)>,
+    pub beat: Point,
+    pub armed: Option<Point>,
+    pub taken: Recent<ProductIx>,
+    pub fresh: Recent<()>,
+    pub unserved: f64,
+    pub served: Recent<()>,
+    pub tried: Recent<()>,
+    pub exposed: Recent<(ProductIx, Build)>,
+    pub pins: BTreeMap<Key, Build>,
+    pub pinned: f64,
+    pub copies: f64,
+    pub news: Option<StageNews>,
+    pub trial: Trial,
+    pub vote: Option<Vote>,
+    pub cast: Option<(Vote, Point, Ballot)>,
+    pub watch: Watch,
+    /// What the circle's speaker has not been told yet: fates, and txns taken.
+    pub untold: Vec<Hearsay>,
+    pub taken_untold: usize,
+    pub paces_told: Point,
+    pub passed_on: Point,
+    pub unjudged: bool,
+}
