--- a/src/interface.rs
+++ b/src/interface.rs
@@ -254,8 +254,11 @@
         taken: usize,
         fates: Vec<Hearsay>,
     },
-    /// Servers by their marks, each with its answer times against the usual.
-    Paces(Vec<(u16, f64)>),
+    /// The part of txns to give up on, and slow servers by their marks with their times against the usual.
+    Paces {
+        shed: f64,
+        paces: Vec<(u16, f64)>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -82,8 +82,9 @@
             fates.iter().for_each(|f| write_fate(f, &mut text));
             text
         }
-        Message::Paces(paces) => {
+        Message::Paces { shed, paces } => {
             let mut text = String::from("/");
+            write_digits((shed.clamp(0.0, 1.0) * 63.0) as u64, 1, &mut text);
             paces.iter().for_each(|p| write_pace(p, &mut text));
             text
         }
@@ -97,7 +98,10 @@
         return (fates.len() <= MOST_FATES).then_some(Message::Fates { taken: taken.parse().ok()?, fates });
     }
     if let Some(paces) = text.strip_prefix('/') {
-        return paces.as_bytes().chunks(4).map(read_pace).collect::<Option<Vec<_>>>().map(Message::Paces);
+        let (shed, paces) = paces.as_bytes().split_at_checked(1)?;
+        let shed = read_digits(shed, 1)? as f64 / 63.0;
+        let paces = paces.chunks(4).map(read_pace).collect::<Option<Vec<_>>>()?;
+        return Some(Message::Paces { shed, paces });
     }
     let mut parts = text.split('.');
     let (build, stage) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,8 @@
 const FAILING: f64 = 0.6; // share of good answers below which a server is left out
 const LAG: f64 = 0.25; // of the SLA time: a mean answer time past this is a queue worth shrinking
 const FIRST_LIMIT: f64 = 3.0; // submissions a server may hold before it has shown what it bears
+const CROWDED: f64 = 0.5; // of answers that take this part of the SLA time or more: from there on it is a jam
+const SHED_STEP: f64 = 0.05; // of the txns still let in, the most that is given up on beside at each beat
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
 const COPIES: f64 = 0.05; // second copies a txn taken
@@ -65,7 +67,7 @@
 
 impl Gateway {
     pub fn new(terms: Terms, seed: u64) -> Gateway {
-        let row = |p: &ProductTerms| Row { repeat: p.repeat, sla: p.sla, mean: p.sla / 4.0 };
+        let row = |p: &ProductTerms| Row { repeat: p.repeat, sla: p.sla, mean: p.sla / 4.0, late: 0.0 };
         let rows = terms.products.iter().map(row).collect();
         Gateway { rows, chance: WyRand::new_seed(seed), terms, ..Gateway::default() }
     }
@@ -264,6 +266,10 @@
         self.copies = (self.copies + COPIES).min(COPIES / LEARN / LEARN);
         let pin = self.pin(&self.txns[&id]);
         self.pinned += LEARN * LEARN * (f64::from(pin > 0 && self.on_trial(pin)) - self.pinned);
+        // Guards against a jam that no limit at a server holds off, as hundreds of gateways keep one out at each.
+        if self.chance.generate::<f64>() < self.shed {
+            return self.give_up(id);
+        }
         self.place(id);
     }
 
@@ -296,8 +302,8 @@
             || !txn.attempts.iter().any(Attempt::may_have_run)
     }
 
-    /// Finds a server for a submission: the build by its share of ready servers, then two choices inside it.
-    /// Of a large fleet a sample stands for all, so that a txn costs the same in any.
+    /// Finds a server: the build by its share of ready servers, then two choices inside it. Of a large fleet a
+    /// sample stands for all, so that a txn costs the same in any.
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
         let (mut sample, mut bears) = (Vec::new(), [0.0; 2]);
         for (arm, bears) in self.arms.iter().zip(&mut bears) {
@@ -541,6 +547,7 @@
         let took = row.sla * told.lag;
         if served || told.fate == Fate::Ended(Outcome::TimedOut) {
             server.pace += LEARN * (took.over(row.mean) - server.pace);
+            row.late += 2.0 * LEARN * LEARN * (f64::from(told.lag > CROWDED) - row.late);
         }
         if served && usual_times {
             let usual = self.usual.entry(server.listed.model).or_insert(1.0);
@@ -736,14 +743,15 @@
                     self.judge();
                 }
             }
-            Message::Paces(paces) if from == self.circle(self.terms.ordinal) => {
+            Message::Paces { shed, paces } if from == self.circle(self.terms.ordinal) => {
+                self.shed = shed.min(1.0 - LEARN);
                 self.servers.values_mut().for_each(|s| s.pace = s.pace.min(1.0));
                 for (mark, pace) in paces {
                     let server = self.marks.get(&mark).and_then(|ix| self.servers.get_mut(ix));
                     server.into_iter().for_each(|s| s.pace = pace);
                 }
             }
-            Message::Paces(_) => {}
+            Message::Paces { .. } => {}
             Message::Fates { taken, fates } => {
                 (0..taken).for_each(|_| self.fresh.push(self.now, ()));
                 for told in fates {
@@ -799,15 +807,30 @@
     fn waited_out(&self) -> bool {
         let (_, ours, newest) = self.runs;
         let step = self.terms.release.steps.get(self.trial.stage).copied().unwrap_or(1.0);
-        let newest = newest.unwrap_or(self.trial.since);
         let all = ours as f64 >= (step * self.fleet as f64).floor().max(1.0) * COLD_PART;
-        let since = newest.max(self.trial.since);
+        let since = newest.unwrap_or_default().max(self.trial.since);
         self.now - since >= FALLBACK * if all { 1.0 } else { 3.0 }
     }
 
     // ---- periodic work and output ----
 
+    /// Sheds while most answers take long, but for the slowest product's, which may wait for something of its
+    /// own. A member that hears no more lets all in again. The limits at servers do this for circles of one.
+    fn crowd(&mut self) {
+        let late = || self.rows.iter().map(|r| r.late);
+        let worst = if self.rows.len() > 1 { late().fold(0.0, f64::max) } else { 0.0 };
+        let late = (late().sum::<f64>() - worst) / (self.rows.len().max(2) - 1) as f64;
+        let speaks = self.circle(self.terms.ordinal) == self.terms.ordinal;
+        if speaks && late > CROWDED && self.terms.balancers > CIRCLES {
+            let more = SHED_STEP * (late / CROWDED - 1.0).min(1.0);
+            self.shed = (self.shed + (1.0 - self.shed) * more).min(1.0 - LEARN);
+        } else {
+            self.shed = (self.shed - SHED_STEP * if speaks { LEARN * 2.0 } else { LEARN / 2.0 }).max(0.0);
+        }
+    }
+
     fn wake(&mut self) {
+        self.crowd();
         if std::mem::take(&mut self.unjudged) {
             self.eliminate();
         }
@@ -874,9 +897,7 @@
         }
         self.emit_vote(&mut out);
         self.emit_bits(&mut out);
-        if self.circle(self.terms.ordinal) == self.terms.ordinal {
-            self.emit_paces(&mut out);
-        }
+        self.emit_paces(&mut out);
         self.emit_watch(&mut out);
         let beat = self.shortest_sla() * BEAT;
         if self.beat <= self.now {
@@ -917,19 +938,21 @@
     }
 
     /// Guards against servers that slow down unseen, as each of many gateways meets one seldom (departure H):
-    /// the speaker tells its circle which are slow, and the odds by weight spare them. Tells the slowest only.
+    /// the speaker tells its circle the slowest, and the odds by weight spare them.
     fn emit_paces(&mut self, out: &mut Vec<Action>) {
-        let own = self.terms.ordinal;
-        let circle = (own + 1..self.terms.balancers).filter(|p| self.circle(*p) == own);
-        if self.now - self.paces_told < RETELL * 2.0 || !self.terms.limits.tell {
+        let circle = (0..self.terms.balancers).filter(|p| *p != self.terms.ordinal);
+        let often = RETELL * if self.shed > 0.0 { 1.0 } else { 2.0 };
+        if self.now - self.paces_told < often || !self.terms.limits.tell {
             return;
         }
-        let ready = self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready);
-        let slow = ready.filter(|s| s.pace > 1.0 + EPSILON).map(|s| (s.listed.mark, s.pace));
-        let mut slow: Vec<(u16, f64)> = slow.collect();
+        let slow = self.servers.values().filter(|s| s.pace > 1.0 + EPSILON);
+        let ready = slow.filter(|s| s.listed.lifecycle == Lifecycle::Ready);
+        let mut slow: Vec<(u16, f64)> = ready.map(|s| (s.listed.mark, s.pace)).collect();
         slow.sort_by(|a, b| b.1.total_cmp(&a.1));
         slow.truncate(MOST_PACES);
-        out.extend(circle.map(|p| Action::Tell { to: Some(p), message: Message::Paces(slow.clone()) }));
+        let message = Message::Paces { shed: self.shed, paces: slow };
+        let circle = circle.filter(|p| self.circle(*p) == self.terms.ordinal);
+        out.extend(circle.map(|p| Action::Tell { to: Some(p), message: message.clone() }));
         self.paces_told = self.now;
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -147,6 +147,8 @@
     pub repeat: Repeat,
     pub sla: Span,
     pub mean: Span,
+    /// The part of its answers that took long lately.
+    pub late: f64,
 }
 
 /// All that one instance keeps: one value, nothing shared.
@@ -192,6 +194,8 @@
     pub untold: Vec<Hearsay>,
     pub taken_untold: usize,
     pub paces_told: Point,
+    /// The part of txns given up on at once, against a jam.
+    pub shed: f64,
     pub passed_on: Point,
     pub unjudged: bool,
 }
