--- a/src/policy.rs
+++ b/src/policy.rs
@@ -164,7 +164,7 @@
     /// what an average server answers us, times the part of that multiple that all gateways may use. Answers
     /// are counted, not txns taken: client retries multiply those, but no server answers more than it can.
     /// A gateway whose share is less than one submission in that time takes its chance in place of a count:
-    /// its share, over what it would send there if its submissions were spread by weight over the rivals.
+    /// its share, over what it would send there if each look for a server ended at one of its rivals by weight.
     fn may_warm(&self, server: &Server, rivals: f64, chance: f64) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
@@ -178,7 +178,7 @@
         if most >= 1.0 {
             return sent < (most + server.dither).floor();
         }
-        sent < 1.0 && chance * (self.tried.len() as f64 + 1.0) * part * self.weight(server) < most * rivals
+        sent < 1.0 && chance * (self.looks.len() as f64 + 1.0) * part * self.weight(server) < most * rivals
     }
 
     /// A failing server is left out, but for one of a build whose drop is not settled (departure G): a build
@@ -305,6 +305,7 @@
     /// Finds a server: the build by its share of ready servers, then two choices inside it. Of a large fleet a
     /// sample stands for all, so that a txn costs the same in any.
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
+        self.looks.push(self.now, ()); // one that finds nothing is a chance at a cold server too
         let (mut sample, mut bears) = (Vec::new(), [0.0; 2]);
         for (arm, bears) in self.arms.iter().zip(&mut bears) {
             let looks = arm.len().min(SAMPLE);
@@ -381,7 +382,6 @@
         to.out += 1;
         to.owes = to.owes.or(Some(self.now));
         to.sends.push(self.now, ());
-        self.tried.push(self.now, ());
         if self.on_trial(build) {
             self.exposed.push(self.now, (product, build));
         }
@@ -852,7 +852,7 @@
         let edge = self.now - self.terms.release.window - self.terms.tick;
         self.taken.forget(edge);
         self.served.forget(edge);
-        self.tried.forget(edge);
+        self.looks.forget(edge);
         self.fresh.forget(edge);
         self.exposed.forget(edge);
         let edge = self.now - self.terms.rules.fall;
--- a/src/state.rs
+++ b/src/state.rs
@@ -180,7 +180,7 @@
     pub fresh: Recent<()>,
     pub unserved: f64,
     pub served: Recent<()>,
-    pub tried: Recent<()>,
+    pub looks: Recent<()>,
     pub exposed: Recent<(ProductIx, Build)>,
     pub pins: BTreeMap<Key, Build>,
     pub pinned: f64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -110,6 +110,28 @@
     expect!["6 of 11"].assert_eq(&share(&used, 0));
 }
 
+#[test]
+fn many_quiet_gateways_in_a_jam_leave_a_cold_server_alone() {
+    let mut lines = String::new();
+    for (case, full) in [("all is well", Outcome::Served), ("the others are full", Outcome::Full)] {
+        let mut reached = 0;
+        for n in 0..100 {
+            let mut desk = Desk::with(terms(), &[1; 10], Phase::Released);
+            desk.traffic(8 + n % 7, 250, FINE);
+            let cold = Listed { age: Some(Span::ZERO), ..server(0, 1) };
+            desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![cold] });
+            let used = desk.traffic(4, 250, |s| if s == 0 { (Outcome::Served, 50) } else { (full, 1) });
+            reached += used.iter().filter(|s| **s == 0).count();
+        }
+        lines += &format!("{case}: {reached} of 400 went to a cold one of ten\n");
+    }
+    expect![[r#"
+        all is well: 44 of 400 went to a cold one of ten
+        the others are full: 29 of 400 went to a cold one of ten
+    "#]]
+    .assert_eq(&lines);
+}
+
 #[test]
 fn exposure_keeps_to_the_window_by_build_and_by_product() {
     let mut by_product = terms();
