--- a/src/interface.rs
+++ b/src/interface.rs
@@ -106,7 +106,6 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct LimitTerms {
     pub attempts: usize,
-    pub second_copies: bool,
     pub recall: bool,
     pub tell: bool,
     pub probe: bool,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,7 +33,6 @@
 const BEAT: f64 = 0.1; // of the shortest SLA time: the periodic timer
 const HOLD: f64 = 0.04; // of the SLA time: how soon a txn without a server is looked at again
 const PATIENCE: f64 = 0.1; // of the SLA time: how long a txn may wait for a server
-const HEDGE: f64 = 0.5; // of the SLA time: when a repeatable txn gets a second copy
 const SILENCE: f64 = 4.0; // mean answer times without a word from a server that owes one
 const COLD_PART: f64 = 0.5; // of the work that topples a cold server: what all gateways may send together
 const LEARN: f64 = 0.1; // weight of a new answer in running means
@@ -44,7 +43,6 @@
 const SHED_STEP: f64 = 0.05; // of the txns still let in, the most that is given up on beside at each beat
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
-const COPIES: f64 = 0.05; // second copies a txn taken
 const SAMPLE: usize = 20; // servers of a build that a txn looks at, where it has more
 const LEAVE_OUT: f64 = 2.0; // of the shortest SLA time: the first time that a failing server is left out
 
@@ -263,7 +261,6 @@
         let (taken, expiry) = (self.now, self.now + left);
         let attempts = Vec::new();
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
-        self.copies = (self.copies + COPIES).min(COPIES / LEARN / LEARN);
         let pin = self.pin(&self.txns[&id]);
         self.pinned += LEARN * LEARN * (f64::from(pin > 0 && self.on_trial(pin)) - self.pinned);
         // Guards against a jam that no limit at a server holds off, as hundreds of gateways keep one out at each.
@@ -276,9 +273,6 @@
     /// Guards rule 2: whether this txn may go to this server after the submissions it has had.
     fn may_repeat_at(&self, server: &Server, txn: &Txn) -> bool {
         let mut maybe = txn.attempts.iter().filter(|a| a.may_have_run());
-        if !self.terms.limits.second_copies && txn.attempts.iter().any(|a| !a.closed()) {
-            return false;
-        }
         match self.rows[txn.product].repeat {
             Repeat::InquiryLike => true,
             Repeat::OnceOnly => maybe.next().is_none(),
@@ -356,22 +350,14 @@
 
     fn place(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get(&id) else { return };
-        if txn.answer != Answer::Owed {
+        // No second copy while one runs: where work is not stopped it fills the servers that are slow already.
+        if txn.answer != Answer::Owed || txn.attempts.iter().any(|a| !a.closed()) {
             return;
         }
-        let outstanding = txn.attempts.iter().any(|a| !a.closed());
         let (product, taken, expiry) = (txn.product, txn.taken, txn.expiry);
-        let mut more = txn.attempts.len() < self.terms.limits.attempts && expiry > self.now;
-        if outstanding {
-            // Guards against second copies that feed a jam: they are a small part of the txns taken.
-            more &= self.copies >= 1.0;
-            self.copies -= f64::from(more);
-        }
+        let more = txn.attempts.len() < self.terms.limits.attempts && expiry > self.now;
         let sla = self.rows[product].sla;
         let Some(server) = more.then(|| self.choose(id)).flatten() else {
-            if outstanding {
-                return;
-            }
             if more && self.now + sla * HOLD < expiry.min(taken + sla * PATIENCE) {
                 return self.look_again(id, self.now + sla * HOLD);
             }
@@ -390,9 +376,6 @@
         if let Some(txn) = self.txns.get_mut(&id) {
             txn.attempts.push(attempt);
         }
-        if !outstanding && self.rows[product].repeat != Repeat::OnceOnly && self.terms.limits.second_copies {
-            self.look_again(id, self.now + sla * HEDGE);
-        }
     }
 
     fn look_again(&mut self, id: TxnId, at: Point) {
@@ -546,7 +529,7 @@
         let (Some(row), Some(server)) = (self.rows.get_mut(told.product), server) else { return };
         let took = row.sla * told.lag;
         if served || told.fate == Fate::Ended(Outcome::TimedOut) {
-            server.pace += LEARN * (took.over(row.mean) - server.pace);
+            server.pace += 3.0 * LEARN * (took.over(row.mean) - server.pace);
             row.late += 2.0 * LEARN * LEARN * (f64::from(told.lag > CROWDED) - row.late);
         }
         if served && usual_times {
--- a/src/state.rs
+++ b/src/state.rs
@@ -184,7 +184,6 @@
     pub exposed: Recent<(ProductIx, Build)>,
     pub pins: BTreeMap<Key, Build>,
     pub pinned: f64,
-    pub copies: f64,
     pub news: Option<StageNews>,
     pub trial: Trial,
     pub vote: Option<Vote>,
