--- a/crates/drill/src/terms.rs
+++ b/crates/drill/src/terms.rs
@@ -109,6 +109,7 @@
     retry_after: bool,
     max_retry_after: i64,
     connect_timeout: i64,
+    conn_idle: i64,
 }
 
 #[derive(Deserialize, Default)]
@@ -209,6 +210,7 @@
             probe: l.probes,
             retry_after: (l.retry_after).then_some(Span(l.max_retry_after)),
             connect: Span(l.connect_timeout),
+            idle: Span(l.conn_idle),
         },
         cross_zone_price: o.prices.cross_zone,
         warm_keys: f.warm_keys,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -111,6 +111,8 @@
     pub probe: bool,
     pub retry_after: Option<Span>,
     pub connect: Span,
+    /// How long a connection that is not used stays open.
+    pub idle: Span,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -136,6 +136,9 @@
                 newest = newest.max(server.started);
             }
         }
+        for arm in &mut arms {
+            arm.sort_by(|a, b| self.servers[a].dither.total_cmp(&self.servers[b].dither));
+        }
         let ready = (arms[0].len() + arms[1].len()).max(1) as f64;
         let on: usize = of_build.iter().filter(|(b, _)| **b >= self.trial.build).map(|b| b.1).sum();
         self.runs = (on as f64 / ready, of_build.get(&self.trial.build).copied().unwrap_or(0), newest);
@@ -301,10 +304,13 @@
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
         self.looks.push(self.now, ()); // one that finds nothing is a chance at a cold server too
         let (mut sample, mut bears) = (Vec::new(), [0.0; 2]);
+        // As many servers as it keeps connections to by its traffic, twice over: a new one costs time and work.
+        let part = self.terms.limits.idle.over(self.terms.release.window) / 2.0;
+        let kept = ((self.taken.len() as f64 * part) as usize).max(SAMPLE);
         for (arm, bears) in self.arms.iter().zip(&mut bears) {
-            let looks = arm.len().min(SAMPLE);
+            let (of, looks) = (arm.len().min(kept), arm.len().min(SAMPLE));
             for n in 0..looks {
-                let at = if arm.len() > SAMPLE { self.chance.generate_range(0..arm.len()) } else { n };
+                let at = if of > SAMPLE { self.chance.generate_range(0..of) } else { n };
                 let stands_for = arm.len() as f64 / looks as f64;
                 *bears += stands_for * self.warmth(&self.servers[&arm[at]]);
                 sample.push((arm[at], stands_for, self.chance.generate::<f64>()));
