--- a/src/policy.rs
+++ b/src/policy.rs
@@ -164,8 +164,8 @@
     /// Guards against pushing a cold server over: our share of what may go there within the stated time is
     /// what an average server answers us, times the part of that multiple that all gateways may use. Answers
     /// are counted, not txns taken: client retries multiply those, but no server answers more than it can.
-    /// A gateway whose share is less than one submission in that time takes its chance in place of a count:
-    /// its share, over what it would send there if each look for a server ended at one of its rivals by weight.
+    /// A gateway whose share is less than one submission in that time takes its chance in place of a count: its
+    /// share, over what it would send there if each look ended at one of the rivals by weight.
     fn may_warm(&self, server: &Server, rivals: f64, chance: f64) -> bool {
         let warmth = self.warmth(server);
         if warmth >= 1.0 {
@@ -198,11 +198,11 @@
 
     /// Of several servers one, with odds by weight. Guards against hundreds of gateways that hold nothing and
     /// rank alike: the one that all think least busy would get twice what the others do.
-    fn any_of(&mut self, among: &[ServerIx]) -> ServerIx {
+    fn any_of(&mut self, among: &[ServerIx]) -> Option<ServerIx> {
         let weights: Vec<f64> = among.iter().map(|ix| self.weight(&self.servers[ix])).collect();
         let mut left = self.chance.generate::<f64>() * weights.iter().sum::<f64>();
         let at = weights.iter().position(|w| (left -= w, left < 0.0).1);
-        among[at.unwrap_or(among.len() - 1)]
+        among.get(at.unwrap_or(0)).copied()
     }
 
     // ---- builds on trial ----
@@ -313,7 +313,7 @@
                 let at = if of > SAMPLE { self.chance.generate_range(0..of) } else { n };
                 let stands_for = arm.len() as f64 / looks as f64;
                 *bears += stands_for * self.warmth(&self.servers[&arm[at]]);
-                sample.push((arm[at], stands_for, self.chance.generate::<f64>()));
+                sample.push((arm[at], stands_for));
             }
         }
         // A cold server counts for as much as it bears, or the warm ones of its build would bear its part too.
@@ -330,26 +330,40 @@
             }
         };
         let mut within: Vec<(Build, bool)> = Vec::new();
-        let mut open: BTreeMap<usize, Vec<(ServerIx, f64, f64)>> = BTreeMap::new();
-        for (ix, stands_for, chance) in sample {
+        let mut open: BTreeMap<usize, Vec<(ServerIx, f64)>> = BTreeMap::new();
+        for (ix, stands_for) in sample {
             let server = &self.servers[&ix];
             let (build, on_trial) = (server.listed.build, self.on_trial(server.listed.build));
             if on_trial && !within.iter().any(|w| w.0 == build) {
                 within.push((build, self.within_cap(build, txn.product)));
             }
             if !within.contains(&(build, false)) && self.open_to(server, txn) {
-                open.entry(tier(ix, server, on_trial)).or_default().push((ix, stands_for, chance));
+                open.entry(tier(ix, server, on_trial)).or_default().push((ix, stands_for));
             }
         }
         // Well servers of both arms share the first sends, so all of them are a cold one's rivals.
-        let among = open.iter().map(|(tier, of)| {
+        let tiers = open.iter().map(|(tier, of)| {
             let beside = open.range(tier + 1..2.max(tier + 1)).flat_map(|o| o.1);
-            let rivals = of.iter().chain(beside).map(|o| o.1 * self.weight(&self.servers[&o.0])).sum();
-            let warm = of.iter().filter(|o| self.may_warm(&self.servers[&o.0], rivals, o.2));
-            warm.map(|o| o.0).collect::<Vec<ServerIx>>()
+            let rivals = of.iter().chain(beside).map(|o| o.1 * self.weight(&self.servers[&o.0])).sum::<f64>();
+            let may = of.iter().filter(|o| self.may_warm(&self.servers[&o.0], rivals, 0.0));
+            (rivals, may.map(|o| o.0).collect::<Vec<ServerIx>>())
         });
-        let among = among.into_iter().find(|a| !a.is_empty())?;
-        let (a, b) = (self.any_of(&among), self.any_of(&among));
+        for (rivals, mut among) in tiers.collect::<Vec<_>>() {
+            let Some(found) = self.pick(&among) else { continue };
+            let chance = self.chance.generate::<f64>();
+            if self.may_warm(&self.servers[&found], rivals, chance) {
+                return Some(found);
+            }
+            among.retain(|ix| self.warmth(&self.servers[ix]) >= 1.0); // a look has one chance at the cold
+            if let Some(found) = self.pick(&among) {
+                return Some(found);
+            }
+        }
+        None
+    }
+
+    fn pick(&mut self, among: &[ServerIx]) -> Option<ServerIx> {
+        let (a, b) = (self.any_of(among)?, self.any_of(among)?);
         let busy = |ix| self.servers[&ix].out as f64 / self.weight(&self.servers[&ix]);
         Some(if busy(b) < busy(a) { b } else { a })
     }
@@ -828,9 +842,7 @@
             self.troubled = self.now;
             self.trial.payoffs.retain(|(side, _), _| !matches!(side, Side::Whole | Side::Brisk));
         }
-        if self.armed.is_some_and(|at| self.now >= at) {
-            self.armed = None;
-        }
+        self.armed = self.armed.filter(|at| self.now < *at);
         while let Some(&(at, id)) = self.due.first().filter(|d| d.0 <= self.now) {
             self.due.remove(&(at, id));
             if let Some(txn) = self.txns.get_mut(&id) {
