--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,8 +26,7 @@
 const BISECTIONS: usize = 24;
 const CIRCLES: usize = 8; // the most players a fleet of gateways makes up
 const RETELL: Span = Span(1_000_000);
-const FALLBACK: Span = Span(3_000_000);
-const LONGEST_HOLD: Span = Span(3_000_000);
+const FALLBACK: Span = Span(3_000_000); // also the longest hold
 
 // Ratios to told or learned figures.
 const BEAT: f64 = 0.1; // of the shortest SLA time: the periodic timer
@@ -39,7 +38,8 @@
 const FAILING: f64 = 0.6; // share of good answers below which a server is left out
 const LAG: f64 = 0.25; // of the SLA time: a mean answer time past this is a queue worth shrinking
 const FIRST_LIMIT: f64 = 3.0; // submissions a server may hold before it has shown what it bears
-const CROWDED: f64 = 0.5; // of answers that take this part of the SLA time or more: from there on it is a jam
+const CROWDED: f64 = 0.5; // of the SLA time: an answer past this took long
+const JAM: f64 = 0.2; // of answers that took long, quick ones counted fourfold (so half of all): a jam
 const SHED_STEP: f64 = 0.05; // of the txns still let in, the most that is given up on beside at each beat
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
@@ -450,8 +450,7 @@
         if served {
             self.served.push(self.now, ());
         }
-        let row = &self.rows[product];
-        let lag = took.over(row.sla);
+        let lag = took.over(self.rows[product].sla);
         let shortest = self.shortest_sla();
         if let Some(server) = self.servers.get_mut(&ix) {
             server.out = server.out.saturating_sub(1);
@@ -529,15 +528,18 @@
         peer % if self.terms.limits.tell { CIRCLES.min(self.terms.balancers) } else { self.terms.balancers }
     }
 
+    fn speaks(&self) -> bool {
+        self.circle(self.terms.ordinal) == self.terms.ordinal
+    }
+
     /// Guards against gateways that see too little to judge (departure H): the outcomes of a circle of them
     /// go into one test, which its speaker runs; so the players of the page stay few, each with its own txns.
     fn pass_on(&mut self, told: Hearsay) {
         self.note(&told);
-        if self.circle(self.terms.ordinal) == self.terms.ordinal {
-            self.learn(told);
-        } else {
-            self.untold.push(told);
+        if self.speaks() {
+            return self.learn(told);
         }
+        self.untold.push(told);
     }
 
     /// Answer times: each server's pace beside the product's mean; and while no build is in question the usual
@@ -550,7 +552,9 @@
         let took = row.sla * told.lag;
         if served || told.fate == Fate::Ended(Outcome::TimedOut) {
             server.pace += 3.0 * LEARN * (took.over(row.mean) - server.pace);
-            row.late += 2.0 * LEARN * LEARN * (f64::from(told.lag > CROWDED) - row.late);
+            // A quick answer was asked just now, and says more of now than a late one.
+            let step = if told.lag > CROWDED { 2.0 * (1.0 - row.late) } else { -8.0 * row.late };
+            row.late += LEARN * LEARN * step;
         }
         if served && usual_times {
             let usual = self.usual.entry(server.listed.model).or_insert(1.0);
@@ -784,17 +788,14 @@
         let on = |n: &&StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
         let Some(news) = self.news.as_ref().filter(on) else { return };
         let (build, stage) = (self.trial.build, self.trial.stage);
-        if self.dropped(Arm::Trial, 1.0) {
-            self.vote = Some((build, stage, Verdict::Back));
-            return;
-        }
-        if news.phase == Phase::Released {
-            return;
+        let back = self.dropped(Arm::Trial, 1.0);
+        if back || news.phase == Phase::Released {
+            return self.vote = back.then_some((build, stage, Verdict::Back));
         }
         if self.terms.release.control == Control::Clock {
             let half = self.dropped(Arm::Trial, 0.5);
             let from = *self.trial.held_from.get_or_insert(self.now);
-            if half && self.now - from < LONGEST_HOLD {
+            if half && self.now - from < FALLBACK {
                 self.vote = Some((build, stage, Verdict::Hold));
             } else if !half {
                 self.trial.held_from = None;
@@ -817,18 +818,18 @@
 
     // ---- periodic work and output ----
 
-    /// Sheds while most answers take long, but for the slowest product's, which may wait for something of its
-    /// own. A member that hears no more lets all in again. The limits at servers do this for circles of one.
+    /// Sheds while most answers take long, the slowest product's aside, which may wait for something of its own.
+    /// A member that hears no more lets all in again. The limits at servers do this for circles of one.
     fn crowd(&mut self) {
         let late = || self.rows.iter().map(|r| r.late);
         let worst = if self.rows.len() > 1 { late().fold(0.0, f64::max) } else { 0.0 };
         let late = (late().sum::<f64>() - worst) / (self.rows.len().max(2) - 1) as f64;
-        let speaks = self.circle(self.terms.ordinal) == self.terms.ordinal;
-        if speaks && late > CROWDED && self.terms.balancers > CIRCLES {
-            let more = SHED_STEP * (late / CROWDED - 1.0).min(1.0);
+        let speaks = self.speaks();
+        if speaks && late > JAM && self.terms.balancers > CIRCLES {
+            let more = SHED_STEP * (late / JAM - 1.0).min(1.0);
             self.shed = (self.shed + (1.0 - self.shed) * more).min(1.0 - LEARN);
         } else {
-            self.shed = (self.shed - SHED_STEP * if speaks { LEARN * 2.0 } else { LEARN / 2.0 }).max(0.0);
+            self.shed = (self.shed - SHED_STEP * if speaks { LEARN * 4.0 } else { LEARN / 2.0 }).max(0.0);
         }
     }
 
@@ -837,7 +838,7 @@
         if std::mem::take(&mut self.unjudged) {
             self.eliminate();
         }
-        if self.circle(self.terms.ordinal) == self.terms.ordinal && !self.calm() {
+        if self.speaks() && !self.calm() {
             // What was seen just before is the trouble's, and so is what follows until all are warm again.
             self.troubled = self.now;
             self.trial.payoffs.retain(|(side, _), _| !matches!(side, Side::Whole | Side::Brisk));
