--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,7 +23,6 @@
 const CALM: f64 = 0.9; // of the fleet: must be warm before worse service is held against a build
 const BUSIER: f64 = 0.7; // of present traffic: when the usual is less, that explains worse service
 const ASIDE: usize = 5; // one server in this many is set aside in judging its build
-const BISECTIONS: usize = 24;
 const CIRCLES: usize = 8; // the most players a fleet of gateways makes up
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000); // also the longest hold
@@ -54,7 +53,7 @@
         if t < FIRST_OUTCOMES || low >= high {
             return 0;
         }
-        for _ in 0..BISECTIONS {
+        for _ in 0..f64::MANTISSA_DIGITS {
             let q = (low + high) / 2.0;
             *(if self.strain(q) < better.strain(q + near) { &mut low } else { &mut high }) = q;
         }
@@ -123,7 +122,7 @@
         self.survey();
     }
 
-    /// What of the list is needed for each txn or message, so that none of them walks it.
+    /// What each txn or message needs of the list, so that none walks it.
     fn survey(&mut self) {
         // The fleet's places: while a build comes in, both may run on one place for a while.
         let mut of_build: BTreeMap<Build, usize> = BTreeMap::new();
@@ -425,8 +424,8 @@
         if txn.answer == Answer::Given {
             return;
         }
-        let served = |a: &Attempt| a.standing == Standing::Closed { may_have_run: true };
-        self.unserved += f64::from(answer != Answer::Given || !txn.attempts.iter().any(served));
+        let ran = txn.attempts.iter().any(|a| a.standing == Standing::Closed { may_have_run: true });
+        self.unserved += f64::from(answer != Answer::Given || !ran);
         txn.answer = answer;
         if let Some(at) = txn.due.take() {
             self.due.remove(&(at, id));
@@ -588,7 +587,8 @@
         if served || outcome == Outcome::TimedOut {
             self.whole(product, in_time, quick);
         }
-        if paired && warmth >= 1.0 && outcome != Outcome::Moot {
+        // A connection that was not made says nothing of the build: a new server has none open yet.
+        if paired && warmth >= 1.0 && !matches!(outcome, Outcome::Moot | Outcome::ConnectFailed) {
             sides.push((Side::InTime, in_time));
         }
         if paired && served {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -388,6 +388,32 @@
     .assert_eq(&lines);
 }
 
+#[test]
+fn connections_that_were_not_made_are_not_held_against_the_build() {
+    let mut lines = String::new();
+    for fails in [Outcome::ConnectFailed, Outcome::Errored] {
+        let mut told = terms();
+        told.release.free = 1000.0;
+        let mut desk = Desk::with(told, &[1, 1, 1, 1, 2, 2, 2, 2], Phase::Trial);
+        let tried = std::cell::Cell::new(0);
+        desk.traffic(300, 10, |s| {
+            tried.set(tried.get() + usize::from(s > 3));
+            if s > 3 && tried.get() % 3 == 1 {
+                (fails, 250)
+            } else {
+                (Outcome::Served, 50)
+            }
+        });
+        let back = desk.decisions().contains("vote Back");
+        lines += &format!("{fails:?} once in three: {}\n", if back { "back" } else { "spared" });
+    }
+    expect![[r#"
+        ConnectFailed once in three: spared
+        Errored once in three: back
+    "#]]
+    .assert_eq(&lines);
+}
+
 #[test]
 fn a_product_that_waits_at_every_server_is_not_held_against_the_build() {
     let mut lines = String::new();
