--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,7 +22,7 @@
 const MEMORY: f64 = 400.0; // outcomes without a build in question that service is compared to
 const CALM: f64 = 0.9; // of the fleet: must be warm before worse service is held against a build
 const BUSIER: f64 = 0.7; // of present traffic: when the usual is less, that explains worse service
-const ASIDE: usize = 5; // one server in this many is set aside in judging its build
+const ASIDE: usize = 4; // one server in this many is set aside in judging its build
 const CIRCLES: usize = 8; // the most players a fleet of gateways makes up
 const RETELL: Span = Span(1_000_000);
 const FALLBACK: Span = Span(3_000_000); // also the longest hold
@@ -662,7 +662,7 @@
         self.unjudged = true;
     }
 
-    /// An arm's payoffs without those of the fifth of its servers that lost most, if it has others: guards
+    /// An arm's payoffs without those of the quarter of its servers that lost most, if it has others: guards
     /// against quick errors, neighbours or pauses at some servers that would be held against their build
     /// (departure D). A bad build shows on most of its servers. Harms by waiting for more of them to show it.
     fn payoff(&self, side: Side, arm: Arm) -> Payoff {
