--- /dev/null
+++ b/crates/gateway/src/clients.rs
@@ -0,0 +1,434 @@
+//! Clients: the listener, their connections, the requests on them and the answers.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
+use harrierdock::interface::{Key, TxnId};
+use harrierdock::time::{Point, Span};
+use harrierdock_http::{write, Fault, Intake, Progress, RequestHead};
+use indexmap::IndexSet;
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::connection::{Connection, Filled, Flushed, Purse};
+use crate::counters::Count;
+use crate::dues::ConnectionNo;
+use crate::gateway::Gateway;
+use crate::room::{Asked, Notice, Room, Told};
+
+const BACKLOG: i32 = 1024;
+/// Connections taken in one go, so that a flood of them gives way to what is under way.
+const ACCEPT_MOST: usize = 64;
+/// The longest id that is passed on.
+const ID_MOST: usize = 64;
+
+// The page's names end here.
+const PATH_READY: &str = "/ready";
+const PATH_TXN: &str = "/api";
+const PARAMETER_KEY: &str = "obj";
+const FIELD_TXN: &str = "X-Txn";
+const FIELD_PRODUCT: &str = "X-Lane";
+const FIELD_LEFT: &str = "X-Remaining-Ms";
+const FIELD_AGAIN: &str = "X-Resent";
+const FIELD_REFERENCE: &str = "Idempotency-Key";
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Reading,
+    Waiting(TxnId),
+    /// An answer goes out; then the connection is kept, or it is not.
+    Answering {
+        kept: bool,
+    },
+    /// All is said; what the client still sends is passed over until it ends.
+    Parting,
+}
+
+struct Client {
+    connection: Connection,
+    intake: Intake,
+    phase: Phase,
+    since: Point,
+}
+
+/// What a txn was answered with.
+pub enum Answer {
+    Settled(Told),
+    Declined { retry_after: Option<Span> },
+    Voided,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Door {
+    Open,
+    /// Nobody is let in for want of descriptors.
+    Paused,
+}
+
+pub struct Clients {
+    listener: Rc<TcpListener>,
+    token: Option<RegistrationToken>,
+    door: Door,
+    all: BTreeMap<ConnectionNo, Client>,
+    asking: BTreeMap<TxnId, ConnectionNo>,
+    products: IndexSet<String>,
+    /// How long a client may leave a request or an answer unfinished.
+    patience: Span,
+    pub ready: bool,
+    pub ending: bool,
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let kind = Type::STREAM.nonblocking().cloexec();
+    let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+fn on_ready(gateway: &mut Gateway, no: ConnectionNo, readiness: Readiness) {
+    gateway.clients.serve(&mut gateway.room, no, readiness);
+    gateway.settle();
+}
+
+/// A key is a small number at the door, whatever its text.
+fn key(text: &str) -> Key {
+    let number = (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok()).flatten();
+    Key(number.unwrap_or_else(|| harrierdock_terms::hash(text)))
+}
+
+fn good_id(text: &str) -> bool {
+    !text.is_empty() && text.len() <= ID_MOST && text.bytes().all(|b| b.is_ascii_graphic())
+}
+
+impl Clients {
+    pub fn new(address: SocketAddr, products: IndexSet<String>, patience: Span) -> io::Result<Clients> {
+        Ok(Clients {
+            listener: Rc::new(listen(address)?),
+            token: None,
+            door: Door::Open,
+            all: BTreeMap::new(),
+            asking: BTreeMap::new(),
+            products,
+            patience,
+            ready: false,
+            ending: false,
+        })
+    }
+
+    pub fn open(&mut self, room: &Room) -> Result<(), String> {
+        let source = Generic::new(self.listener.clone(), Interest::READ, Mode::Level);
+        let call = |_, _: &mut _, gateway: &mut Gateway| {
+            gateway.accept();
+            Ok(PostAction::Continue)
+        };
+        let token = room.handle.insert_source(source, call).map_err(|e| e.to_string())?;
+        self.token = Some(token);
+        Ok(())
+    }
+
+    /// Takes waiting connections while descriptors last. Gives back whether room must be made for more.
+    pub fn accept(&mut self, room: &mut Room) -> bool {
+        for _ in 0..ACCEPT_MOST {
+            if room.descriptors.spare() == 0 {
+                room.counters.add(Count::NoDescriptor);
+                return true;
+            }
+            let stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+                    continue
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Err(_) => {
+                    room.counters.add(Count::NoDescriptor);
+                    return true;
+                }
+            };
+            let set = stream.set_nonblocking(true).and_then(|_| stream.set_nodelay(true));
+            let no = room.next_connection();
+            let call = move |gateway: &mut Gateway, readiness| on_ready(gateway, no, readiness);
+            let made = set.and_then(|_| Connection::adopt(room, stream, Interest::READ, Purse::Budget, call));
+            let Ok(connection) = made else { continue };
+            room.counters.add(Count::ClientsAccepted);
+            let client =
+                Client { connection, intake: Intake::default(), phase: Phase::Reading, since: room.now() };
+            self.all.insert(no, client);
+        }
+        false
+    }
+
+    /// Guards against a loop that spins on a listener it cannot serve: no one is let in until `tend`.
+    pub fn pause(&mut self, room: &Room) {
+        if let (Door::Open, Some(token)) = (self.door, &self.token) {
+            self.door = Door::Paused;
+            if let Err(e) = room.handle.disable(token) {
+                log::warn!("the listener cannot be paused: {e}");
+            }
+        }
+    }
+
+    fn resume(&mut self, room: &Room) {
+        if let (Door::Paused, Some(token)) = (self.door, &self.token) {
+            self.door = Door::Open;
+            if let Err(e) = room.handle.enable(token) {
+                log::warn!("the listener cannot be resumed: {e}");
+            }
+        }
+    }
+
+    fn close(&mut self, room: &mut Room, no: ConnectionNo) {
+        let Some(client) = self.all.remove(&no) else { return };
+        if let Phase::Waiting(id) = client.phase {
+            self.asking.remove(&id);
+            room.counters.add(Count::Left);
+            room.tell(Notice::Left { id });
+        }
+        client.connection.close(room);
+    }
+
+    fn serve(&mut self, room: &mut Room, no: ConnectionNo, readiness: Readiness) {
+        let Some(client) = self.all.get_mut(&no) else { return };
+        if readiness.writable && matches!(client.phase, Phase::Answering { .. } | Phase::Reading) {
+            self.send(room, no);
+        }
+        let Some(client) = self.all.get_mut(&no) else { return };
+        if !readiness.readable {
+            return;
+        }
+        if !client.connection.reads() {
+            // Nothing is read for now, so what woke us is a connection that broke.
+            if !matches!(client.phase, Phase::Answering { .. }) {
+                self.close(room, no);
+            }
+            return;
+        }
+        match client.connection.fill(room) {
+            Filled::Some if client.phase == Phase::Parting => {
+                client.connection.input.clear();
+                client.connection.release_empty(room);
+            }
+            Filled::Some if client.phase == Phase::Reading => {
+                client.since = room.now();
+                self.advance(room, no);
+            }
+            Filled::Some | Filled::Nothing => {}
+            Filled::Full => client.connection.wants(room, false, false),
+            Filled::Ended | Filled::Failed => self.close(room, no),
+        }
+    }
+
+    /// Reads on in what has come in, and answers or takes what is whole.
+    fn advance(&mut self, room: &mut Room, no: ConnectionNo) {
+        while let Some(client) = self.all.get_mut(&no).filter(|c| c.phase == Phase::Reading) {
+            if client.intake.untouched(&client.connection.input) {
+                client.connection.release_empty(room);
+                return;
+            }
+            match client.intake.request(&mut client.connection.input) {
+                Ok(Progress::More) => return,
+                Ok(Progress::Asks) => {
+                    let Some(out) = client.connection.out(room) else { return self.close(room, no) };
+                    write::go_on(out);
+                    return self.send(room, no);
+                }
+                Ok(Progress::Whole) => self.take(room, no),
+                Err(fault) => self.refuse(room, no, fault),
+            }
+        }
+    }
+
+    /// A request is whole: a txn is told to the driver, anything else is answered here.
+    fn take(&mut self, room: &mut Room, no: ConnectionNo) {
+        let Some(client) = self.all.get(&no) else { return };
+        let bytes = &client.connection.input;
+        let head = match RequestHead::read(bytes) {
+            Ok(Some(head)) => head,
+            Ok(None) => return self.refuse(room, no, Fault::Malformed),
+            Err(fault) => return self.refuse(room, no, fault),
+        };
+        if head.path() == PATH_READY {
+            let status = if self.ready && !self.ending { 200 } else { 503 };
+            return self.reply(room, no, status, true);
+        }
+        if head.path() != PATH_TXN {
+            return self.reply(room, no, 404, true);
+        }
+        if !matches!(head.method, "GET" | "POST") {
+            return self.reply(room, no, 405, true);
+        }
+        let id = room.next_txn();
+        let Some(notice) = self.txn(id, &head) else { return self.reply(room, no, 400, true) };
+        room.counters.add(Count::Taken);
+        room.tell(notice);
+        self.asking.insert(id, no);
+        if let Some(client) = self.all.get_mut(&no) {
+            client.phase = Phase::Waiting(id);
+        }
+    }
+
+    fn txn(&self, id: TxnId, head: &RequestHead) -> Option<Notice> {
+        let one = |name| head.fields.one(name).ok().flatten();
+        one(FIELD_TXN).filter(|id| good_id(id))?;
+        let product = self.products.get_index_of(one(FIELD_PRODUCT)?)?;
+        let left: u32 = one(FIELD_LEFT)?.parse().ok()?;
+        head.fields.one(FIELD_REFERENCE).ok()?;
+        Some(Notice::Taken {
+            id,
+            product,
+            key: head.parameter(PARAMETER_KEY).map(key),
+            again: one(FIELD_AGAIN) == Some("1"),
+            left: Span(i64::from(left) * 1000),
+        })
+    }
+
+    /// The txn's request, as long as its client waits.
+    pub fn asked<T>(&self, id: TxnId, with: impl FnOnce(Asked) -> T) -> Option<T> {
+        let client = self.all.get(self.asking.get(&id)?)?;
+        let bytes = &client.connection.input;
+        let head = RequestHead::read(&bytes[client.intake.head()]).ok().flatten()?;
+        Some(with(Asked {
+            method: head.method,
+            target: head.target,
+            txn: head.fields.one(FIELD_TXN).ok().flatten()?,
+            reference: head.fields.one(FIELD_REFERENCE).ok().flatten(),
+            body: &bytes[client.intake.body()],
+        }))
+    }
+
+    /// The txn's one final answer.
+    pub fn answer(&mut self, room: &mut Room, id: TxnId, answer: Answer) {
+        let Some(no) = self.asking.remove(&id) else { return };
+        let Some(client) = self.all.get_mut(&no) else { return };
+        let kept = !self.ending
+            && RequestHead::read(&client.connection.input).is_ok_and(|h| h.is_some_and(|h| h.keeps()));
+        client.phase = Phase::Answering { kept };
+        let Some(out) = client.connection.out(room) else { return self.close(room, no) };
+        match answer {
+            Answer::Settled(mut told) => {
+                write::status_line(out, 200);
+                if !kept {
+                    write::field(out, "Connection", "close");
+                }
+                write::body(out, &told.buffer[told.body.clone()]);
+                room.pool.give_back(&mut told.buffer);
+                room.counters.add(Count::Settled);
+            }
+            Answer::Declined { retry_after } => {
+                write::status_line(out, 503);
+                if let Some(after) = retry_after {
+                    write::field(out, "Retry-After", after.as_secs());
+                }
+                if !kept {
+                    write::field(out, "Connection", "close");
+                }
+                write::body(out, b"");
+                room.counters.add(Count::Declined);
+            }
+            Answer::Voided => {
+                write::status_line(out, 502);
+                if !kept {
+                    write::field(out, "Connection", "close");
+                }
+                write::body(out, b"");
+                room.counters.add(Count::Voided);
+            }
+        }
+        self.send(room, no);
+    }
+
+    /// An answer of the gateway's own to a request that is no txn.
+    fn reply(&mut self, room: &mut Room, no: ConnectionNo, status: u16, whole: bool) {
+        room.counters.add(Count::NotTxn);
+        let Some(client) = self.all.get_mut(&no) else { return };
+        let keeps =
+            || RequestHead::read(&client.connection.input).is_ok_and(|h| h.is_some_and(|h| h.keeps()));
+        let kept = whole && !self.ending && keeps();
+        client.phase = Phase::Answering { kept };
+        let Some(out) = client.connection.out(room) else { return self.close(room, no) };
+        write::status_line(out, status);
+        if !kept {
+            write::field(out, "Connection", "close");
+        }
+        write::body(out, b"");
+        self.send(room, no);
+    }
+
+    /// Guards against doubt about where the next request starts: a malformed one ends its connection.
+    fn refuse(&mut self, room: &mut Room, no: ConnectionNo, fault: Fault) {
+        room.counters.add(Count::Malformed);
+        self.reply(room, no, fault.status(), false);
+    }
+
+    fn send(&mut self, room: &mut Room, no: ConnectionNo) {
+        let Some(client) = self.all.get_mut(&no) else { return };
+        client.since = room.now();
+        match client.connection.flush(room) {
+            Flushed::Failed => return self.close(room, no),
+            Flushed::Part => return client.connection.wants(room, client.phase == Phase::Reading, true),
+            Flushed::All => client.connection.wants(room, true, false),
+        }
+        match client.phase {
+            Phase::Answering { kept: true } => {
+                client.intake.consume(&mut client.connection.input);
+                client.phase = Phase::Reading;
+                client.connection.release_empty(room);
+                self.advance(room, no);
+            }
+            Phase::Answering { kept: false } => {
+                client.phase = Phase::Parting;
+                client.connection.finish_sending();
+                client.connection.input.clear();
+                client.connection.release_empty(room);
+            }
+            _ => {}
+        }
+    }
+
+    /// Closes those who leave something unfinished for too long, and lets new ones in again.
+    pub fn tend(&mut self, room: &mut Room) {
+        let edge = room.now() - self.patience;
+        let stalled = |c: &Client| match c.phase {
+            Phase::Waiting(_) => false,
+            Phase::Reading => c.since < edge && !c.connection.input.is_empty(),
+            Phase::Answering { .. } | Phase::Parting => c.since < edge,
+        };
+        let late: Vec<ConnectionNo> =
+            self.all.iter().filter(|(_, c)| stalled(c)).map(|(no, _)| *no).collect();
+        late.into_iter().for_each(|no| self.close(room, no));
+        // Those who found no buffer may find one now.
+        for client in self.all.values().filter(|c| c.phase == Phase::Reading) {
+            if !client.connection.reads() && client.connection.input.is_empty() {
+                client.connection.wants(room, true, false);
+            }
+        }
+        if room.descriptors.spare() > 0 {
+            self.resume(room);
+        }
+    }
+
+    /// Closes the client that has been idle longest. Gives back whether there was one.
+    pub fn close_idle(&mut self, room: &mut Room) -> bool {
+        let idle = |c: &&Client| c.phase == Phase::Parting || c.intake.untouched(&c.connection.input);
+        let oldest = self.all.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.since).map(|(no, _)| *no);
+        oldest.inspect(|no| self.close(room, *no)).is_some()
+    }
+
+    /// While ending: closes connections between requests. Gives back whether none are left.
+    pub fn part(&mut self, room: &mut Room) -> bool {
+        let all: Vec<ConnectionNo> = self.all.keys().copied().collect();
+        for no in all {
+            // A request that has come in meanwhile is still taken.
+            self.serve(room, no, Readiness { readable: true, writable: false, error: false });
+            let idle = |c: &Client| c.phase == Phase::Reading && c.intake.untouched(&c.connection.input);
+            if self.all.get(&no).is_some_and(idle) {
+                self.close(room, no);
+            }
+        }
+        self.all.values().all(|c| c.phase == Phase::Parting)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/discovery.rs
@@ -0,0 +1,199 @@
+//! Discovery: a watch of the list of servers, from the version held on.
+
+use std::net::SocketAddr;
+
+use calloop::Readiness;
+use harrierdock::interface::{Event, Lifecycle, Listed, Scope};
+use harrierdock::time::{Point, Span};
+use harrierdock_terms::{mark, Names};
+use serde::Deserialize;
+
+use crate::clock::Clock;
+use crate::counters::Count;
+use crate::feed::{Asking, Feed, Heard};
+use crate::gateway::Gateway;
+use crate::room::{Notice, Room};
+use crate::servers::{Machine, Servers};
+
+/// A stream in order says something, if only an empty line, this often.
+const SIGN_OF_LIFE: Span = Span(2_000_000);
+/// Signs of life that may be missed before a stream counts as silent.
+const MISSED: f64 = 2.5;
+
+/// A list as discovery writes it. The page's names end here.
+#[derive(Clone, Default, Deserialize)]
+pub struct ListTold {
+    #[serde(default)]
+    revision: i64,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    members: Vec<MemberTold>,
+}
+
+#[derive(Clone, Deserialize)]
+struct MemberTold {
+    id: String,
+    host_port: SocketAddr,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: u64,
+    phase: PhaseTold,
+    #[serde(default = "one")]
+    size: f64,
+    #[serde(default)]
+    up_since_ms: i64,
+    revision_no: u32,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum PhaseTold {
+    Ready,
+    Draining,
+    Gone,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl MemberTold {
+    fn listed(&self, names: &mut Names, clock: &Clock, now: Point) -> Listed {
+        Listed {
+            build: self.revision_no,
+            server: names.servers.insert_full(self.id.clone()).0,
+            zone: names.zones.insert_full(self.locality.clone()).0,
+            model: names.models.insert_full(self.flavor.clone()).0,
+            cell: self.cell,
+            lifecycle: match self.phase {
+                PhaseTold::Ready => Lifecycle::Ready,
+                PhaseTold::Draining => Lifecycle::Draining,
+                PhaseTold::Gone => Lifecycle::Gone,
+            },
+            weight: self.size,
+            // The start is one point however often it is told, so the module sees one start.
+            age: (self.up_since_ms > 0).then(|| now - clock.at_unix_ms(self.up_since_ms)),
+            mark: mark(&self.id),
+        }
+    }
+}
+
+pub struct Discovery {
+    feed: Feed,
+    revision: Option<i64>,
+    pause: Span,
+}
+
+fn on_ready(gateway: &mut Gateway, readiness: Readiness) {
+    let Gateway { room, discovery, driver, servers, .. } = gateway;
+    for heard in discovery.feed.serve(room, readiness) {
+        discovery.hear(room, &mut driver.names, servers, heard);
+    }
+    gateway.clients.ready |= gateway.discovery.revision.is_some();
+    gateway.settle();
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr, pause: Span) -> Discovery {
+        let feed = Feed::new("discovery", address, SIGN_OF_LIFE * MISSED);
+        Discovery { feed, revision: None, pause }
+    }
+
+    /// The list as this gateway had it last.
+    pub fn recall(&mut self, room: &mut Room, names: &mut Names, servers: &mut Servers, list: &ListTold) {
+        if !list.members.is_empty() {
+            self.revision = Some(list.revision);
+            self.apply(room, names, servers, list, Scope::Kept);
+        }
+    }
+
+    pub fn knows(&self) -> bool {
+        self.revision.is_some()
+    }
+
+    /// Opens the watch, or asks for a whole list first if none is held that changes could apply to.
+    fn open(&mut self, room: &mut Room) {
+        match self.revision {
+            Some(revision) => self.feed.open(room, &watch(revision), Asking::Lines, on_ready),
+            None => self.feed.open(room, "/v1/endpoints", Asking::Once, on_ready),
+        }
+    }
+
+    pub fn tend(&mut self, room: &mut Room) {
+        let now = room.now();
+        if self.feed.is_silent(now) {
+            log::warn!("discovery: silent, renewed");
+            self.open(room);
+        } else if !self.feed.rests(now, self.pause) {
+            self.open(room);
+        }
+    }
+
+    fn hear(&mut self, room: &mut Room, names: &mut Names, servers: &mut Servers, heard: Heard) {
+        let text = match &heard {
+            Heard::Broken => {
+                // At once where it has stood for a while; else `tend` will.
+                let now = room.now();
+                if !self.feed.rests(now, self.pause) {
+                    self.open(room);
+                }
+                return;
+            }
+            Heard::Line(line) if line.is_empty() => return,
+            Heard::Line(text) | Heard::Once(text) => text,
+        };
+        let list: ListTold = match serde_json::from_slice(text) {
+            Ok(list) => list,
+            Err(e) => {
+                room.counters.add(Count::LinesRefused);
+                log::warn!("discovery: a line cannot be read, the whole list is fetched: {e}");
+                self.revision = None;
+                // Guards against a torrent of bad lines: the next try waits for `tend`.
+                return self.feed.close(room);
+            }
+        };
+        self.revision = Some(list.revision);
+        let scope = if list.complete { Scope::Whole } else { Scope::Changes };
+        self.apply(room, names, servers, &list, scope);
+        if matches!(heard, Heard::Once(_)) {
+            self.feed.ask(room, &watch(list.revision), Asking::Lines);
+        }
+    }
+
+    fn apply(
+        &mut self,
+        room: &mut Room,
+        names: &mut Names,
+        servers: &mut Servers,
+        list: &ListTold,
+        scope: Scope,
+    ) {
+        room.counters.add(Count::Lists);
+        let now = room.now();
+        let mut lines = Vec::new();
+        let mut held = vec![scope == Scope::Changes; names.servers.len()];
+        for member in &list.members {
+            let line = member.listed(names, &room.clock, now);
+            let (address, up_since, build) = (member.host_port, member.up_since_ms, line.build);
+            let runs = line.lifecycle != Lifecycle::Gone;
+            servers.place(room, line.server, runs.then_some(Machine { address, up_since, build }));
+            if let Some(held) = held.get_mut(line.server) {
+                *held = true;
+            }
+            lines.push(line);
+        }
+        for server in (0..held.len()).filter(|s| !held[*s]) {
+            servers.place(room, server, None);
+        }
+        log::debug!("discovery: list {} with {} lines", list.revision, lines.len());
+        room.inbox.push_back((now, Notice::Event(Event::Roster { scope, lines })));
+    }
+}
+
+fn watch(revision: i64) -> String {
+    format!("/v1/endpoints?stream=1&index={revision}")
+}
--- /dev/null
+++ b/crates/gateway/src/driver.rs
@@ -0,0 +1,194 @@
+//! The driver: the only caller of the decision module. Notices become events, actions are obeyed, and a book
+//! holds every txn until it has had its answer and all its submissions have ended.
+
+use std::collections::BTreeMap;
+
+use harrierdock::interface::*;
+use harrierdock::policy;
+use harrierdock::time::{Point, Span};
+use harrierdock_terms::Names;
+
+use crate::clients::Answer;
+use crate::counters::Count;
+use crate::dues::Due;
+use crate::gateway::Gateway;
+use crate::room::{Asked, Notice};
+
+struct Sent {
+    server: ServerIx,
+    at: Point,
+    out: bool,
+}
+
+struct Entry {
+    expiry: Point,
+    overdue: Point,
+    answered: bool,
+    sent: Vec<Sent>,
+}
+
+pub struct Driver {
+    module: policy::Gateway,
+    pub names: Names,
+    book: BTreeMap<TxnId, Entry>,
+    attempts: usize,
+    tick: Span,
+}
+
+impl Driver {
+    pub fn new(terms: Terms, names: Names, seed: u64) -> Driver {
+        let (attempts, tick) = (terms.limits.attempts, terms.tick);
+        Driver { module: policy::Gateway::new(terms, seed), names, book: BTreeMap::new(), attempts, tick }
+    }
+
+    /// How many txns have not had their answer.
+    pub fn owed(&self) -> usize {
+        self.book.values().filter(|e| !e.answered).count()
+    }
+}
+
+fn count_of(outcome: Outcome) -> Count {
+    match outcome {
+        Outcome::Served => Count::Served,
+        Outcome::Errored => Count::Errored,
+        Outcome::Full => Count::Full,
+        Outcome::TimedOut => Count::TimedOut,
+        Outcome::ConnectFailed => Count::ConnectFailed,
+        Outcome::Reset => Count::Reset,
+        Outcome::Recalled => Count::Recalled,
+        Outcome::Moot => Count::Moot,
+    }
+}
+
+impl Gateway {
+    /// Tells the module all that is waiting for it, and does what it asks for.
+    pub fn settle(&mut self) {
+        while let Some((at, notice)) = self.room.inbox.pop_front() {
+            self.notice(at, notice);
+        }
+    }
+
+    fn notice(&mut self, now: Point, notice: Notice) {
+        match notice {
+            Notice::Event(event) => self.take(now, event),
+            Notice::Taken { id, product, key, again, left } => {
+                let (expiry, overdue) = (now + left, now + left + self.driver.tick);
+                let entry = Entry { expiry, overdue, answered: false, sent: Vec::new() };
+                self.driver.book.insert(id, entry);
+                self.room.dues.set(overdue, Due::Txn(id));
+                self.take(now, Event::Txn { id, product, tenant: None, key, again, left, cost: None });
+            }
+            Notice::Left { id } => {
+                if self.close_txn(id) {
+                    self.take(now, Event::Left { id });
+                    self.strike(id);
+                }
+            }
+            Notice::Closed { id, attempt, outcome, told } => {
+                self.room.counters.add(count_of(outcome));
+                let entry = self.driver.book.get_mut(&id);
+                let sent = entry.and_then(|e| e.sent.get_mut(attempt)).filter(|s| s.out);
+                self.room.counters.must(sent.is_some(), "a submission ends once");
+                let Some(sent) = sent else { return };
+                sent.out = false;
+                let (server, took) = (sent.server, now - sent.at);
+                if let Some(mut told) = told {
+                    if self.close_txn(id) {
+                        self.clients.answer(&mut self.room, id, Answer::Settled(told));
+                    } else {
+                        self.room.pool.give_back(&mut told.buffer);
+                    }
+                }
+                let ended = self.driver.book.get(&id).is_none_or(|e| e.answered);
+                let load = Load::default();
+                self.take(now, Event::Closed { id, attempt, server, outcome, took, ended, load });
+                self.strike(id);
+            }
+        }
+    }
+
+    /// The txn has its answer, or needs none any more. Gives back whether it had none before.
+    fn close_txn(&mut self, id: TxnId) -> bool {
+        let Some(entry) = self.driver.book.get_mut(&id).filter(|e| !e.answered) else { return false };
+        entry.answered = true;
+        self.room.dues.clear(entry.overdue, Due::Txn(id));
+        true
+    }
+
+    /// Takes a txn out of the book once nothing of it is left.
+    fn strike(&mut self, id: TxnId) {
+        let over = |e: &Entry| e.answered && e.sent.iter().all(|s| !s.out);
+        if self.driver.book.get(&id).is_some_and(over) {
+            self.driver.book.remove(&id);
+        }
+    }
+
+    fn take(&mut self, now: Point, event: Event) {
+        for action in self.driver.module.take(now, event) {
+            self.obey(now, action);
+        }
+    }
+
+    fn obey(&mut self, now: Point, action: Action) {
+        match action {
+            Action::Submit { id, server, timeout } => self.submit(now, id, server, timeout),
+            Action::Recall { id, attempt } => self.servers.recall(&mut self.room, id, attempt),
+            Action::Decline { id, retry_after } => self.answer(id, Answer::Declined { retry_after }),
+            Action::Void { id } => self.answer(id, Answer::Voided),
+            Action::Vote { build, stage, verdict } => {
+                if let Some(platform) = &mut self.platform {
+                    platform.vote(&mut self.room, build, stage, verdict);
+                }
+            }
+            Action::Tell { to, message } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(&mut self.room, to, &message);
+                }
+            }
+            Action::Probe { server } => self.servers.probe(&mut self.room, server),
+            // The watch stands from the start on.
+            Action::Listen => {}
+            Action::Wake { after } => self.room.dues.set(now + after, Due::Wake),
+        }
+    }
+
+    fn answer(&mut self, id: TxnId, answer: Answer) {
+        if self.close_txn(id) {
+            self.clients.answer(&mut self.room, id, answer);
+            self.strike(id);
+        }
+    }
+
+    fn submit(&mut self, now: Point, id: TxnId, server: ServerIx, timeout: Span) {
+        let Some(entry) = self.driver.book.get_mut(&id) else {
+            return self.room.counters.must(false, "a submission is of a txn in the book");
+        };
+        let attempt = entry.sent.len();
+        entry.sent.push(Sent { server, at: now, out: true });
+        let left = entry.expiry - self.room.clock.now();
+        let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
+        let spent = entry.answered || attempt >= self.driver.attempts || wait <= Span::ZERO;
+        if !spent && self.room.descriptors.spare() == 0 {
+            self.make_room();
+        }
+        let Gateway { clients, servers, room, .. } = self;
+        let submit = |asked: Asked<'_>| servers.submit(room, (id, attempt), server, wait, &asked);
+        let sent = if spent { None } else { clients.asked(id, submit) };
+        if let Err(outcome) = sent.unwrap_or(Err(Outcome::Moot)) {
+            self.room.tell(Notice::Closed { id, attempt, outcome, told: None });
+        }
+    }
+
+    /// Guards the rule that no txn is lost, should the module ever leave one without an answer.
+    pub fn overdue(&mut self, id: TxnId) {
+        self.room.counters.must(false, "a txn has its answer by its expiry");
+        self.answer(id, Answer::Voided);
+        let now = self.room.now();
+        self.take(now, Event::Left { id });
+    }
+
+    pub fn wake(&mut self) {
+        let now = self.room.now();
+        self.take(now, Event::Wake);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,170 @@
+//! A stream of lines from one address, for as long as the gateway runs. One that breaks, or stands silent for
+//! longer than its protocol allows, is replaced.
+
+use std::net::SocketAddr;
+
+use calloop::Readiness;
+use harrierdock::time::{Point, Span};
+use harrierdock_http::{write, AnswerHead, Intake, Progress, BODY_MOST};
+
+use crate::connection::{Connection, Filled, Flushed, Purse};
+use crate::counters::Count;
+use crate::gateway::Gateway;
+use crate::room::Room;
+
+/// What is asked for on the connection.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Asking {
+    /// One answer, whole.
+    Once,
+    /// An answer that goes on, line by line.
+    Lines,
+}
+
+pub enum Heard {
+    Once(Vec<u8>),
+    Line(Vec<u8>),
+    Broken,
+}
+
+pub struct Feed {
+    address: SocketAddr,
+    name: &'static str,
+    connection: Option<Connection>,
+    up: bool,
+    intake: Intake,
+    asking: Asking,
+    heard: Point,
+    tried: Point,
+    /// The longest that a stream in order says nothing.
+    silence: Span,
+}
+
+impl Feed {
+    pub fn new(name: &'static str, address: SocketAddr, silence: Span) -> Feed {
+        Feed {
+            address,
+            name,
+            connection: None,
+            up: false,
+            intake: Intake::default(),
+            asking: Asking::Lines,
+            heard: Point(0),
+            tried: Point(0) - silence,
+            silence,
+        }
+    }
+
+    /// Whether it stands, or there is a reason to wait before it is opened anew.
+    pub fn rests(&self, now: Point, pause: Span) -> bool {
+        self.connection.is_some() || now - self.tried < pause
+    }
+
+    pub fn is_silent(&self, now: Point) -> bool {
+        self.connection.is_some() && now - self.heard > self.silence
+    }
+
+    pub fn open(
+        &mut self,
+        room: &mut Room,
+        target: &str,
+        asking: Asking,
+        on_ready: impl Fn(&mut Gateway, Readiness) + 'static,
+    ) {
+        self.close(room);
+        (self.tried, self.heard) = (room.now(), room.now());
+        match Connection::dial(room, self.address, Purse::Reserve, on_ready) {
+            Ok(connection) => {
+                room.counters.add(Count::StreamsOpened);
+                self.connection = Some(connection);
+                self.ask(room, target, asking);
+            }
+            Err(e) => log::warn!("{}: cannot connect: {e}", self.name),
+        }
+    }
+
+    /// Writes a request, the first or one that follows a whole answer.
+    pub fn ask(&mut self, room: &mut Room, target: &str, asking: Asking) {
+        let Some(connection) = &mut self.connection else { return };
+        (self.intake, self.asking) = (Intake::default(), asking);
+        let Some(out) = connection.out(room) else { return self.close(room) };
+        write::request_line(out, "GET", target);
+        write::field(out, "Host", self.address);
+        write::end(out);
+        if self.up {
+            self.send(room);
+        }
+    }
+
+    fn send(&mut self, room: &mut Room) -> bool {
+        let Some(connection) = &mut self.connection else { return false };
+        let flushed = connection.flush(room);
+        connection.wants(room, true, flushed == Flushed::Part);
+        flushed != Flushed::Failed
+    }
+
+    pub fn close(&mut self, room: &mut Room) {
+        self.up = false;
+        if let Some(connection) = self.connection.take() {
+            connection.close(room);
+        }
+    }
+
+    /// What came in. After `Broken` the connection is gone.
+    pub fn serve(&mut self, room: &mut Room, readiness: Readiness) -> Vec<Heard> {
+        let mut heard = Vec::new();
+        if !self.take_in(room, readiness, &mut heard) {
+            self.close(room);
+            heard.push(Heard::Broken);
+        }
+        heard
+    }
+
+    fn take_in(&mut self, room: &mut Room, readiness: Readiness, heard: &mut Vec<Heard>) -> bool {
+        let Some(connection) = &mut self.connection else { return true };
+        if readiness.writable {
+            if !self.up && connection.is_up().is_err() {
+                return false;
+            }
+            self.up = true;
+            if !self.send(room) {
+                return false;
+            }
+        }
+        let Some(connection) = self.connection.as_mut().filter(|_| readiness.readable) else { return true };
+        let going = match connection.fill(room) {
+            Filled::Some => true,
+            Filled::Nothing => return true,
+            Filled::Full | Filled::Ended | Filled::Failed => false,
+        };
+        self.heard = room.now();
+        self.read(heard) && going
+    }
+
+    fn read(&mut self, heard: &mut Vec<Heard>) -> bool {
+        let Some(connection) = &mut self.connection else { return false };
+        let input = &mut connection.input;
+        let progress = match self.asking {
+            Asking::Once => self.intake.answer(input),
+            Asking::Lines => self.intake.stream(input),
+        };
+        let Ok(progress) = progress else { return false };
+        if self.intake.in_head() {
+            return true;
+        }
+        if !matches!(AnswerHead::read(input), Ok(Some(head)) if head.status == 200) {
+            return false;
+        }
+        if self.asking == Asking::Once {
+            if progress == Progress::Whole {
+                heard.push(Heard::Once(input[self.intake.body()].to_vec()));
+                self.intake.consume(input);
+            }
+            return true;
+        }
+        while let Some(line) = self.intake.next_line(input) {
+            heard.push(Heard::Line(line));
+        }
+        progress != Progress::Whole && self.intake.body().len() <= BODY_MOST
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,173 @@
+//! One gateway: its parts, its loop, and how it ends.
+
+use calloop::signals::{Signal, Signals};
+use calloop::EventLoop;
+use harrierdock::time::{Point, Span};
+
+use crate::clients::Clients;
+use crate::counters::Count;
+use crate::discovery::Discovery;
+use crate::driver::Driver;
+use crate::dues::Due;
+use crate::logger;
+use crate::peers::Peers;
+use crate::platform::Platform;
+use crate::pool::{Descriptors, Pool};
+use crate::room::Room;
+use crate::servers::Servers;
+use crate::told::Told;
+
+/// How long after a signal to end new requests may still come.
+const COMING: Span = Span(700_000);
+/// The longest time that a client's wait counts for in ending.
+const LONGEST_WAIT: Span = Span(3_000_000);
+const REPORT: Span = Span(10_000_000);
+
+pub struct Gateway {
+    pub room: Room,
+    pub driver: Driver,
+    pub clients: Clients,
+    pub servers: Servers,
+    pub discovery: Discovery,
+    pub platform: Option<Platform>,
+    pub peers: Option<Peers>,
+    /// How often connections and streams are looked after: as long as a connection may take to come up.
+    tending: Span,
+    longest: Span,
+    ending: Option<Point>,
+    over: bool,
+}
+
+/// Serves until it is told to end.
+pub fn serve(told: &Told) -> Result<(), String> {
+    let mut event_loop: EventLoop<Gateway> =
+        EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
+    let mut gateway = Gateway::new(told, &event_loop)?;
+    log::info!("{} serves on {}", told.name, told.listen);
+    while !gateway.over {
+        let wait = gateway.room.dues.next().map(|at| gateway.room.clock.until(at));
+        event_loop.dispatch(wait, &mut gateway).map_err(|e| format!("the event loop: {e}"))?;
+        gateway.fall_due();
+    }
+    gateway.report();
+    log::info!("{} ends", told.name);
+    Ok(())
+}
+
+impl Gateway {
+    fn new(told: &Told, event_loop: &EventLoop<'static, Gateway>) -> Result<Gateway, String> {
+        let (terms, names) = told.terms()?;
+        let limits = &terms.limits;
+        let (connect, idle) = (limits.connect, limits.idle);
+        let longest = terms.products.iter().map(|p| p.expiry).max().unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
+        let mut room =
+            Room::new(event_loop.handle(), Pool::new(&told.limits), Descriptors::new(&told.limits));
+        let listens = |e| format!("cannot listen on {}: {e}", told.listen);
+        let clients = Clients::new(told.listen, names.products.clone(), idle).map_err(listens)?;
+        let peers = Peers::open(&room, told, terms.ordinal).map_err(|e| format!("cannot hear peers: {e}"))?;
+        let pause = connect;
+        let wait = terms.release.vote_wait;
+        let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, wait, pause));
+        let discovery = Discovery::new(told.discovery, pause);
+        let signals =
+            Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("no signals: {e}"))?;
+        let on_signal = |_, _: &mut (), gateway: &mut Gateway| gateway.end();
+        event_loop.handle().insert_source(signals, on_signal).map_err(|e| format!("no signals: {e}"))?;
+        room.due_in(Span::ZERO, Due::Tend);
+        room.due_in(REPORT, Due::Report);
+        let mut gateway = Gateway {
+            room,
+            driver: Driver::new(terms, names, told.seed()),
+            clients,
+            servers: Servers::new(connect, idle),
+            discovery,
+            platform,
+            peers,
+            tending: connect.max(Span(1000)),
+            longest,
+            ending: None,
+            over: false,
+        };
+        let Gateway { room, driver, servers, discovery, platform, clients, .. } = &mut gateway;
+        discovery.recall(room, &mut driver.names, servers, &told.known);
+        clients.ready = discovery.knows();
+        if let (Some(platform), Some(news)) = (platform, told.rollouts.as_ref().and_then(|r| r.news)) {
+            platform.learn(room, news, false);
+        }
+        gateway.settle();
+        gateway.clients.open(&gateway.room)?;
+        Ok(gateway)
+    }
+
+    fn fall_due(&mut self) {
+        let now = self.room.now();
+        while let Some(due) = self.room.dues.pop(now) {
+            match due {
+                Due::Wake => self.wake(),
+                Due::Submission(no) => self.servers.give_up(&mut self.room, no),
+                Due::Vote(no) => {
+                    if let Some(platform) = &mut self.platform {
+                        platform.give_up(&mut self.room, no);
+                    }
+                }
+                Due::Txn(id) => self.overdue(id),
+                Due::Tend => self.tend(),
+                Due::Report => {
+                    self.report();
+                    self.room.due_in(REPORT, Due::Report);
+                }
+            }
+            self.settle();
+        }
+    }
+
+    fn tend(&mut self) {
+        let room = &mut self.room;
+        self.servers.tend(room);
+        self.clients.tend(room);
+        self.discovery.tend(room);
+        if let Some(platform) = &mut self.platform {
+            platform.tend(room);
+        }
+        log::logger().flush();
+        if let Some(since) = self.ending {
+            let waited = self.room.now() - since;
+            if waited >= COMING {
+                self.accept();
+                let parted = self.clients.part(&mut self.room);
+                self.settle();
+                self.over |= (parted && self.driver.owed() == 0) || waited >= COMING + self.longest;
+            }
+        }
+        self.room.due_in(self.tending, Due::Tend);
+    }
+
+    pub fn accept(&mut self) {
+        if self.clients.accept(&mut self.room) && !self.make_room() {
+            self.clients.pause(&self.room);
+        }
+    }
+
+    /// Closes an idle connection to make room for another.
+    pub fn make_room(&mut self) -> bool {
+        self.servers.close_idle(&mut self.room) || self.clients.close_idle(&mut self.room)
+    }
+
+    /// The first signal lets all that is taken be answered; a second one ends at once.
+    fn end(&mut self) {
+        if self.ending.is_some() {
+            self.over = true;
+            return;
+        }
+        log::info!("told to end");
+        self.ending = Some(self.room.now());
+        self.clients.ending = true;
+    }
+
+    fn report(&mut self) {
+        let room = &mut self.room;
+        room.counters.set(Count::LogLinesLost, logger::lost());
+        let (held, lent) = (room.descriptors.held, room.pool.lent);
+        log::info!("counts: {} open={held} lent={lent} owed={}", room.counters, self.driver.owed());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,82 @@
+//! Other gateways of the tier: datagrams, known by their sender's address.
+
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use harrierdock::interface::{Event, Message, PeerIx};
+use harrierdock::mail;
+
+use crate::counters::Count;
+use crate::gateway::Gateway;
+use crate::room::{Notice, Room};
+use crate::told::Told;
+
+/// The longest datagram that may be sent.
+const MOST: usize = 256;
+/// Datagrams read in one go, so that a flood of them gives way to txns.
+const READ_MOST: usize = 32;
+
+pub struct Peers {
+    socket: Rc<UdpSocket>,
+    addresses: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+    own: PeerIx,
+}
+
+impl Peers {
+    /// None where the gateway was told of no peers.
+    pub fn open(room: &Room, told: &Told, own: PeerIx) -> io::Result<Option<Peers>> {
+        let Some(address) = told.peer_listen else { return Ok(None) };
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+        let call = |_, _: &mut _, gateway: &mut Gateway| {
+            if let Some(peers) = &gateway.peers {
+                peers.hear(&mut gateway.room);
+            }
+            gateway.settle();
+            Ok(PostAction::Continue)
+        };
+        room.handle.insert_source(source, call).map_err(|e| io::Error::other(e.error))?;
+        Ok(Some(Peers { socket, addresses: told.peers.clone(), all: told.peers_all, own }))
+    }
+
+    fn hear(&self, room: &mut Room) {
+        let mut bytes = [0_u8; MOST + 1];
+        for _ in 0..READ_MOST {
+            let (size, sender) = match self.socket.recv_from(&mut bytes) {
+                Ok(got) => got,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // An earlier datagram's word of failure.
+                Err(_) => continue,
+            };
+            let from = self.addresses.iter().position(|a| *a == sender).filter(|p| *p != self.own);
+            let said = std::str::from_utf8(&bytes[..size]).ok().filter(|_| size <= MOST);
+            let Some((from, message)) = from.zip(said.and_then(mail::read)) else {
+                room.counters.add(Count::MailRefused);
+                continue;
+            };
+            room.counters.add(Count::MailHeard);
+            room.tell(Notice::Event(Event::Mail { from, message }));
+        }
+    }
+
+    pub fn tell(&self, room: &mut Room, to: Option<PeerIx>, message: &Message) {
+        let address = match to {
+            Some(peer) => self.addresses.get(peer).copied(),
+            None => self.all,
+        };
+        let text = mail::write(message);
+        room.counters.must(text.len() <= MOST, "a message to a peer fits a datagram");
+        if let Some(address) = address.filter(|_| text.len() <= MOST) {
+            // A datagram may be lost on its way as well.
+            if self.socket.send_to(text.as_bytes(), address).is_ok() {
+                room.counters.add(Count::MailSent);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/servers.rs
@@ -0,0 +1,371 @@
+//! Servers: their addresses, the connections kept to each, and the submissions on them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use calloop::Readiness;
+use harrierdock::interface::{Event, Load, Outcome, ServerIx, TxnId};
+use harrierdock::time::{Point, Span};
+use harrierdock_http::{write, AnswerHead, Intake, Progress};
+
+use crate::connection::{Connection, Filled, Flushed, Purse};
+use crate::counters::Count;
+use crate::dues::{ConnectionNo, Due};
+use crate::gateway::Gateway;
+use crate::room::{Asked, Notice, Room, Told};
+
+// The page's names end here.
+const FIELD_TXN: &str = "X-Txn";
+const FIELD_LEFT: &str = "X-Remaining-Ms";
+const FIELD_REFERENCE: &str = "Idempotency-Key";
+const FIELD_TURNED_AWAY: &str = "X-Turned-Away";
+const PATH_HEALTH: &str = "/health";
+
+/// What runs at a place; another start or address is another machine, whose connections are its own.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Machine {
+    pub address: SocketAddr,
+    pub up_since: i64,
+    pub build: u32,
+}
+
+#[derive(Default)]
+struct Place {
+    machine: Option<Machine>,
+    /// Connections kept, the last used at the end.
+    kept: Vec<ConnectionNo>,
+}
+
+#[derive(Clone, Copy)]
+enum Task {
+    Submission { id: TxnId, attempt: usize },
+    Probe,
+}
+
+/// What a connection is at work on, and until when it may be.
+#[derive(Clone, Copy)]
+struct Errand {
+    task: Task,
+    /// When it is given up: no connection yet, then no answer yet.
+    due: Point,
+    until: Point,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Connecting,
+    Writing,
+    Waiting,
+    Idle,
+}
+
+struct Line {
+    connection: Connection,
+    server: ServerIx,
+    machine: Machine,
+    phase: Phase,
+    intake: Intake,
+    since: Point,
+    errand: Option<Errand>,
+}
+
+pub struct Servers {
+    places: Vec<Place>,
+    lines: BTreeMap<ConnectionNo, Line>,
+    out: BTreeMap<(TxnId, usize), ConnectionNo>,
+    connect: Span,
+    /// How long a connection is kept unused: till a connection's making before the server closes it.
+    keep: Span,
+}
+
+fn on_ready(gateway: &mut Gateway, no: ConnectionNo, readiness: Readiness) {
+    gateway.servers.serve(&mut gateway.room, no, readiness);
+    gateway.settle();
+}
+
+impl Servers {
+    pub fn new(connect: Span, idle: Span) -> Servers {
+        let keep = idle - connect;
+        Servers { places: Vec::new(), lines: BTreeMap::new(), out: BTreeMap::new(), connect, keep }
+    }
+
+    /// Discovery's word on what runs at a place.
+    pub fn place(&mut self, room: &mut Room, server: ServerIx, machine: Option<Machine>) {
+        if self.places.len() <= server {
+            self.places.resize_with(server + 1, Place::default);
+        }
+        if self.places[server].machine != machine {
+            self.places[server].machine = machine;
+            for no in std::mem::take(&mut self.places[server].kept) {
+                self.drop_line(room, no);
+            }
+        }
+    }
+
+    /// Sends a txn to a server. What cannot be sent is told in the outcome it amounts to.
+    pub fn submit(
+        &mut self,
+        room: &mut Room,
+        (id, attempt): (TxnId, usize),
+        server: ServerIx,
+        wait: Span,
+        asked: &Asked,
+    ) -> Result<(), Outcome> {
+        let no = self.line_to(room, server, wait, Task::Submission { id, attempt })?;
+        let Some(line) = self.lines.get_mut(&no) else { return Err(Outcome::Moot) };
+        let Some(out) = line.connection.out(room) else {
+            self.drop_line(room, no);
+            return Err(Outcome::Moot);
+        };
+        write::request_line(out, asked.method, asked.target);
+        write::field(out, "Host", line.machine.address);
+        write::field(out, FIELD_TXN, asked.txn);
+        write::field(out, FIELD_LEFT, wait.0 / 1000);
+        if let Some(reference) = asked.reference {
+            write::field(out, FIELD_REFERENCE, reference);
+        }
+        if asked.method == "GET" && asked.body.is_empty() {
+            write::end(out);
+        } else {
+            write::body(out, asked.body);
+        }
+        self.out.insert((id, attempt), no);
+        self.send(room, no);
+        Ok(())
+    }
+
+    pub fn probe(&mut self, room: &mut Room, server: ServerIx) {
+        let probed = |outcome| Notice::Event(Event::Probed { server, outcome, load: Load::default() });
+        let no = match self.line_to(room, server, self.connect, Task::Probe) {
+            Ok(no) => no,
+            Err(outcome) => return room.tell(probed(outcome)),
+        };
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        let Some(out) = line.connection.out(room) else {
+            self.drop_line(room, no);
+            return room.tell(probed(Outcome::Moot));
+        };
+        write::request_line(out, "GET", PATH_HEALTH);
+        write::field(out, "Host", line.machine.address);
+        write::end(out);
+        self.send(room, no);
+    }
+
+    /// A connection to the server with this errand on it: the last used that still stands, or a new one.
+    fn line_to(
+        &mut self,
+        room: &mut Room,
+        server: ServerIx,
+        wait: Span,
+        task: Task,
+    ) -> Result<ConnectionNo, Outcome> {
+        let machine = self.places.get(server).and_then(|p| p.machine).ok_or(Outcome::ConnectFailed)?;
+        let until = room.now() + wait;
+        // Guards against a kept connection that the server has closed, or is about to close.
+        while let Some(no) = self.places[server].kept.pop() {
+            let edge = room.now() - self.keep;
+            let Some(line) = self.lines.get_mut(&no) else { continue };
+            if line.since <= edge || !line.connection.stands() {
+                room.counters.add(Count::KeptWasClosed);
+                self.drop_line(room, no);
+                continue;
+            }
+            room.counters.add(Count::Reused);
+            (line.phase, line.since) = (Phase::Writing, room.now());
+            line.errand = Some(Errand { task, due: until, until });
+            room.dues.set(until, Due::Submission(no));
+            return Ok(no);
+        }
+        if room.descriptors.spare() == 0 {
+            room.counters.add(Count::NoDescriptor);
+            return Err(Outcome::Moot);
+        }
+        let no = room.next_connection();
+        let call = move |gateway: &mut Gateway, readiness| on_ready(gateway, no, readiness);
+        let connection = Connection::dial(room, machine.address, Purse::Budget, call).map_err(|e| {
+            use rustix::io::Errno;
+            let ours = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+            let lacking = ours.iter().any(|o| e.raw_os_error() == Some(o.raw_os_error()));
+            if lacking {
+                room.counters.add(Count::NoDescriptor);
+                Outcome::Moot
+            } else {
+                Outcome::ConnectFailed
+            }
+        })?;
+        let due = until.min(room.now() + self.connect);
+        room.dues.set(due, Due::Submission(no));
+        let errand = Some(Errand { task, due, until });
+        let (phase, intake, since) = (Phase::Connecting, Intake::default(), room.now());
+        self.lines.insert(no, Line { connection, server, machine, phase, intake, since, errand });
+        Ok(no)
+    }
+
+    fn serve(&mut self, room: &mut Room, no: ConnectionNo, readiness: Readiness) {
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        if line.phase == Phase::Connecting {
+            if line.connection.is_up().is_err() {
+                return self.fail(room, no, Outcome::ConnectFailed);
+            }
+            room.counters.add(Count::ServersConnected);
+            line.phase = Phase::Writing;
+            if let Some(errand) = &mut line.errand {
+                room.dues.clear(errand.due, Due::Submission(no));
+                errand.due = errand.until;
+                room.dues.set(errand.due, Due::Submission(no));
+            }
+            return self.send(room, no);
+        }
+        if readiness.writable && line.phase == Phase::Writing {
+            self.send(room, no);
+        }
+        if readiness.readable {
+            self.hear(room, no);
+        }
+    }
+
+    fn send(&mut self, room: &mut Room, no: ConnectionNo) {
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        if line.phase != Phase::Writing {
+            return;
+        }
+        match line.connection.flush(room) {
+            // Not all of the request was written, so the server cannot have started on it.
+            Flushed::Failed => self.fail(room, no, Outcome::ConnectFailed),
+            Flushed::Part => line.connection.wants(room, true, true),
+            Flushed::All => {
+                line.phase = Phase::Waiting;
+                line.connection.wants(room, true, false);
+            }
+        }
+    }
+
+    fn hear(&mut self, room: &mut Room, no: ConnectionNo) {
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        let ended = match line.connection.fill(room) {
+            Filled::Nothing => return,
+            Filled::Some => false,
+            Filled::Ended | Filled::Failed | Filled::Full => true,
+        };
+        if line.phase == Phase::Idle {
+            // A kept connection that is closed, or speaks unasked, is of no more use.
+            let server = line.server;
+            self.places[server].kept.retain(|kept| *kept != no);
+            return self.drop_line(room, no);
+        }
+        let progress = line.intake.answer(&mut line.connection.input);
+        let whole =
+            matches!(progress, Ok(Progress::Whole)) || (ended && progress.is_ok() && line.intake.ends());
+        if whole {
+            self.answered(room, no, ended);
+        } else if ended || progress.is_err() {
+            let unwritten = line.phase == Phase::Writing;
+            self.fail(room, no, if unwritten { Outcome::ConnectFailed } else { Outcome::Reset });
+        }
+    }
+
+    fn answered(&mut self, room: &mut Room, no: ConnectionNo, ended: bool) {
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        let Ok(Some(head)) = AnswerHead::read(&line.connection.input) else {
+            return self.fail(room, no, Outcome::Reset);
+        };
+        let turned_away = || head.fields.one(FIELD_TURNED_AWAY).ok().flatten() == Some("1");
+        let outcome = match head.status {
+            200 => Outcome::Served,
+            503 | 504 if turned_away() => Outcome::Full,
+            _ => Outcome::Errored,
+        };
+        let keeps = head.keeps() && !ended && line.phase == Phase::Waiting;
+        let told = (outcome == Outcome::Served).then(|| {
+            let (body, end) = (line.intake.body(), line.intake.body().end);
+            // Whatever stands behind a whole answer was not asked for, and ends the connection.
+            let clean = line.connection.input.len() == end;
+            (Told { buffer: std::mem::take(&mut line.connection.input), body }, clean)
+        });
+        let clean = told.as_ref().map_or(line.connection.input.len() == line.intake.body().end, |t| t.1);
+        self.close_errand(room, no, outcome, told.map(|t| t.0));
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        let place = &mut self.places[line.server];
+        if !keeps || !clean || place.machine != Some(line.machine) {
+            return self.drop_line(room, no);
+        }
+        line.connection.input.clear();
+        line.connection.release_empty(room);
+        (line.intake, line.phase, line.since) = (Intake::default(), Phase::Idle, room.now());
+        line.connection.wants(room, true, false);
+        place.kept.push(no);
+    }
+
+    /// Tells how the errand ended; the connection stays.
+    fn close_errand(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome, told: Option<Told>) {
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        let Some(errand) = line.errand.take() else { return };
+        room.dues.clear(errand.due, Due::Submission(no));
+        match errand.task {
+            Task::Submission { id, attempt } => {
+                self.out.remove(&(id, attempt));
+                room.tell(Notice::Closed { id, attempt, outcome, told });
+            }
+            Task::Probe => {
+                if let Some(mut told) = told {
+                    room.pool.give_back(&mut told.buffer);
+                }
+                let server = line.server;
+                room.tell(Notice::Event(Event::Probed { server, outcome, load: Load::default() }));
+            }
+        }
+    }
+
+    fn fail(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome) {
+        self.close_errand(room, no, outcome, None);
+        self.drop_line(room, no);
+    }
+
+    fn drop_line(&mut self, room: &mut Room, no: ConnectionNo) {
+        if let Some(line) = self.lines.remove(&no) {
+            if let Some(errand) = line.errand {
+                room.dues.clear(errand.due, Due::Submission(no));
+            }
+            line.connection.close(room);
+        }
+    }
+
+    /// The errand has had its time: the connection is closed, so that nothing more is written for it.
+    pub fn give_up(&mut self, room: &mut Room, no: ConnectionNo) {
+        let Some(line) = self.lines.get(&no) else { return };
+        let outcome = match line.phase {
+            Phase::Connecting | Phase::Writing => Outcome::ConnectFailed,
+            Phase::Waiting => Outcome::TimedOut,
+            Phase::Idle => return,
+        };
+        self.fail(room, no, outcome);
+    }
+
+    pub fn recall(&mut self, room: &mut Room, id: TxnId, attempt: usize) {
+        if let Some(no) = self.out.get(&(id, attempt)).copied() {
+            self.fail(room, no, Outcome::Recalled);
+        }
+    }
+
+    /// Closes what was kept for too long.
+    pub fn tend(&mut self, room: &mut Room) {
+        let edge = room.now() - self.keep;
+        let old = |l: &Line| l.phase == Phase::Idle && l.since <= edge;
+        let old: Vec<ConnectionNo> = self.lines.iter().filter(|(_, l)| old(l)).map(|(no, _)| *no).collect();
+        old.into_iter().for_each(|no| self.close_kept(room, no));
+    }
+
+    fn close_kept(&mut self, room: &mut Room, no: ConnectionNo) {
+        if let Some(line) = self.lines.get(&no) {
+            self.places[line.server].kept.retain(|kept| *kept != no);
+        }
+        self.drop_line(room, no);
+    }
+
+    /// Closes the connection that was kept unused longest. Gives back whether there was one.
+    pub fn close_idle(&mut self, room: &mut Room) -> bool {
+        let idle = self.lines.iter().filter(|(_, l)| l.phase == Phase::Idle);
+        let oldest = idle.min_by_key(|(_, l)| l.since).map(|(no, _)| *no);
+        oldest.inspect(|no| self.close_kept(room, *no)).is_some()
+    }
+}
--- a/crates/drill/src/terms.rs
+++ b/crates/terms/src/lib.rs
@@ -132,6 +132,18 @@
     pub servers: IndexSet<String>,
 }
 
+/// FNV-1a of a text.
+pub fn hash(text: &str) -> u64 {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
+/// A server's mark: FNV-1a of its id, folded to 16 bits. All gateways of a tier must fold alike.
+pub fn mark(id: &str) -> u16 {
+    let hash = id.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    (hash ^ (hash >> 16)) as u16
+}
+
 fn repeat(class: &Class) -> Result<Repeat, String> {
     let group = match class.group.as_str() {
         "zone" => Group::Zone,
