--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -207,13 +207,17 @@
             }
             return;
         }
+        let begins = client.connection.input.is_empty();
         match client.connection.fill(room) {
             Filled::Some if client.phase == Phase::Parting => {
                 client.connection.input.clear();
                 client.connection.release_empty(room);
             }
             Filled::Some if client.phase == Phase::Reading => {
-                client.since = room.now();
+                // A request counts from its first byte, so that one sent drop by drop has no longer than others.
+                if begins {
+                    client.since = room.now();
+                }
                 self.advance(room, no);
             }
             Filled::Some | Filled::Nothing => {}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -91,7 +91,9 @@
 fn on_ready(gateway: &mut Gateway, readiness: Readiness) {
     let Gateway { room, discovery, driver, servers, .. } = gateway;
     for heard in discovery.feed.serve(room, readiness) {
-        discovery.hear(room, &mut driver.names, servers, heard);
+        if !discovery.hear(room, &mut driver.names, servers, heard) {
+            break;
+        }
     }
     gateway.clients.ready |= gateway.discovery.revision.is_some();
     gateway.settle();
@@ -125,25 +127,22 @@
 
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
-        if self.feed.is_silent(now) {
-            log::warn!("discovery: silent, renewed");
-            self.open(room);
-        } else if !self.feed.rests(now, self.pause) {
+        if self.feed.is_silent(now, self.pause) || !self.feed.rests(now, self.pause) {
             self.open(room);
         }
     }
 
-    fn hear(&mut self, room: &mut Room, names: &mut Names, servers: &mut Servers, heard: Heard) {
+    /// Takes in what discovery says. Gives back whether what was heard behind it still counts.
+    fn hear(&mut self, room: &mut Room, names: &mut Names, servers: &mut Servers, heard: Heard) -> bool {
         let text = match &heard {
             Heard::Broken => {
                 // At once where it has stood for a while; else `tend` will.
-                let now = room.now();
-                if !self.feed.rests(now, self.pause) {
+                if !self.feed.rests(room.now(), self.pause) {
                     self.open(room);
                 }
-                return;
+                return false;
             }
-            Heard::Line(line) if line.is_empty() => return,
+            Heard::Line(line) if line.is_empty() => return true,
             Heard::Line(text) | Heard::Once(text) => text,
         };
         let list: ListTold = match serde_json::from_slice(text) {
@@ -151,9 +150,11 @@
             Err(e) => {
                 room.counters.add(Count::LinesRefused);
                 log::warn!("discovery: a line cannot be read, the whole list is fetched: {e}");
+                // Guards against changes applied to a list that lacks some; the next try waits for `tend`, so
+                // a torrent of bad lines costs little.
                 self.revision = None;
-                // Guards against a torrent of bad lines: the next try waits for `tend`.
-                return self.feed.close(room);
+                self.feed.close(room);
+                return false;
             }
         };
         self.revision = Some(list.revision);
@@ -162,6 +163,7 @@
         if matches!(heard, Heard::Once(_)) {
             self.feed.ask(room, &watch(list.revision), Asking::Lines);
         }
+        true
     }
 
     fn apply(
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -60,8 +60,13 @@
         self.connection.is_some() || now - self.tried < pause
     }
 
-    pub fn is_silent(&self, now: Point) -> bool {
-        self.connection.is_some() && now - self.heard > self.silence
+    /// Whether it has said nothing for too long, or has not come up in the time a connection may take.
+    pub fn is_silent(&self, now: Point, connect: Span) -> bool {
+        let silent = now - self.heard > if self.up { self.silence } else { connect };
+        if silent && self.connection.is_some() {
+            log::warn!("{}: silent, renewed", self.name);
+        }
+        silent && self.connection.is_some()
     }
 
     pub fn open(
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -176,7 +176,7 @@
 
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
-        if self.feed.is_silent(now) || !self.feed.rests(now, self.pause) {
+        if self.feed.is_silent(now, self.pause) || !self.feed.rests(now, self.pause) {
             self.feed.open(room, PATH_EVENTS, Asking::Lines, on_feed);
         }
     }
