--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -120,6 +120,10 @@
         })
     }
 
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
     pub fn open(&mut self, room: &Room) -> Result<(), String> {
         let source = Generic::new(self.listener.clone(), Interest::READ, Mode::Level);
         let call = |_, _: &mut _, gateway: &mut Gateway| {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -23,11 +23,13 @@
     ClientsAccepted,
     ServersConnected,
     Reused,
+    TakenOver,
     KeptWasClosed,
     Lists,
     LinesRefused,
     StreamsOpened,
     News,
+    NewsPassedOver,
     Complaints,
     Votes,
     VotesRefused,
@@ -41,7 +43,7 @@
     Broken,
 }
 
-const NAMES: [(Count, &str); 33] = [
+const NAMES: [(Count, &str); 35] = [
     (Count::Taken, "taken"),
     (Count::Settled, "settled"),
     (Count::Declined, "declined"),
@@ -60,11 +62,13 @@
     (Count::ClientsAccepted, "clients-accepted"),
     (Count::ServersConnected, "servers-connected"),
     (Count::Reused, "reused"),
+    (Count::TakenOver, "taken-over"),
     (Count::KeptWasClosed, "kept-was-closed"),
     (Count::Lists, "lists"),
     (Count::LinesRefused, "lines-refused"),
     (Count::StreamsOpened, "streams-opened"),
     (Count::News, "news"),
+    (Count::NewsPassedOver, "news-passed-over"),
     (Count::Complaints, "complaints"),
     (Count::Votes, "votes"),
     (Count::VotesRefused, "votes-refused"),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,7 +43,8 @@
     let mut event_loop: EventLoop<Gateway> =
         EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
     let mut gateway = Gateway::new(told, &event_loop)?;
-    log::info!("{} serves on {}", told.name, told.listen);
+    let address = gateway.clients.address().map_err(|e| format!("no address: {e}"))?;
+    log::info!("{} serves on {address}", told.name);
     while !gateway.over {
         let wait = gateway.room.dues.next().map(|at| gateway.room.clock.until(at));
         event_loop.dispatch(wait, &mut gateway).map_err(|e| format!("the event loop: {e}"))?;
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -139,6 +139,9 @@
                 told.news(Word::Valid, answers_vote)
             }
         };
+        if held.is_some() {
+            room.counters.add(Count::NewsPassedOver);
+        }
         if held.is_none() || answers_vote {
             log::debug!("platform: {told:?}, answers a vote: {answers_vote}");
             room.inbox.push_back((now, Notice::Event(Event::Stage(news))));
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -65,7 +65,7 @@
                 fields.insert(field.into(), value.into());
             }
         }
-        Told::deserialize(told).map_err(wrong)
+        serde_path_to_error::deserialize(told).map_err(|e| format!("{}: {e}", path.display()))
     }
 
     pub fn terms(&self) -> Result<(Terms, Names), String> {
--- /dev/null
+++ b/crates/gateway/tests/sockets.rs
@@ -0,0 +1,857 @@
+//! Starts the built gateway and speaks to it over sockets, with stand-ins for servers, discovery, the platform
+//! and a peer. Ports are the system's choice; every wait is for an event, and bounded.
+
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use expect_test::{expect, Expect};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use socket2::{Domain, SockRef, Socket, Type};
+
+const BOUND: Duration = Duration::from_secs(20);
+
+// ---- stand-ins ----
+
+#[derive(Clone, Default)]
+struct Trace(Arc<Mutex<Vec<String>>>);
+
+impl Trace {
+    fn note(&self, line: impl Into<String>) {
+        self.0.lock().unwrap().push(line.into());
+    }
+
+    fn count(&self, start: &str) -> usize {
+        self.0.lock().unwrap().iter().filter(|l| l.starts_with(start)).count()
+    }
+
+    fn wait(&self, start: &str, count: usize) {
+        let from = Instant::now();
+        while self.count(start) < count {
+            assert!(from.elapsed() < BOUND, "no {count} lines {start:?} in {:#?}", self.0.lock().unwrap());
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    fn expect(&self, expected: Expect) {
+        expected.assert_eq(&(self.0.lock().unwrap().join("\n") + "\n"));
+    }
+}
+
+struct Request {
+    connection: usize,
+    number: usize,
+    head: String,
+    body: String,
+    stream: TcpStream,
+}
+
+impl Request {
+    fn field(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
+    }
+
+    fn answer(&mut self, status: &str, body: &str) -> bool {
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
+    /// Says each line that comes, until one says `close`, and this sign of life, if any, while none does.
+    fn stream(&mut self, lines: &Mutex<Receiver<String>>, sign: Option<&str>) -> bool {
+        let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if self.stream.write_all(head).is_err() {
+            return false;
+        }
+        let lines = lines.lock().unwrap();
+        loop {
+            let line = match (lines.recv_timeout(Duration::from_millis(500)), sign) {
+                (Ok(line), _) => line,
+                (Err(_), Some(sign)) => sign.to_string(),
+                (Err(_), None) => continue,
+            };
+            let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+            if line == "close" || self.stream.write_all(chunk.as_bytes()).is_err() {
+                return false;
+            }
+        }
+    }
+}
+
+/// A message's head and body, by its length.
+fn message(reader: &mut impl BufRead) -> Option<(String, String)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8(body).ok()?))
+}
+
+/// Listens, and handles each request in turn on each connection; one that is not kept is closed.
+fn stand_in(handle: impl Fn(&mut Request) -> bool + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (handle, numbers) = (Arc::new(handle), Arc::new(AtomicUsize::new(0)));
+    thread::spawn(move || {
+        for (at, stream) in listener.incoming().enumerate() {
+            let (handle, numbers, stream) = (handle.clone(), numbers.clone(), stream.unwrap());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some((head, body)) = message(&mut reader) {
+                    let number = numbers.fetch_add(1, Ordering::SeqCst) + 1;
+                    let stream = stream.try_clone().unwrap();
+                    let mut request = Request { connection: at + 1, number, head, body, stream };
+                    if !handle(&mut request) {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+#[derive(Clone, Copy)]
+enum Way {
+    Settle,
+    Fail,
+    TurnAway,
+    Reset,
+    Silence,
+    Slowly,
+    Unreadable,
+}
+
+/// A server that goes through its ways, request by request, and stays with the last.
+fn server(name: &'static str, trace: &Trace, ways: &'static [Way]) -> SocketAddr {
+    let trace = trace.clone();
+    stand_in(move |request| {
+        let txn = request.field("X-Txn").unwrap_or("none").to_string();
+        let line = request.head.lines().next().unwrap_or("").replace(" HTTP/1.1", "");
+        let reference = request.field("Idempotency-Key").map_or(String::new(), |k| format!(" reference {k}"));
+        let body =
+            if request.body.len() < 20 { request.body.clone() } else { request.body.len().to_string() };
+        trace.note(format!("{name}.{}: {line} txn {txn}{reference} {body:?}", request.connection));
+        match ways[(request.number - 1).min(ways.len() - 1)] {
+            Way::Settle => request.answer("200 OK", &format!("{name} settled {txn}")),
+            Way::Fail => request.answer("500 No", ""),
+            Way::TurnAway => request.answer("503 No\r\nX-Turned-Away: 1", ""),
+            Way::Reset => {
+                SockRef::from(&request.stream).set_linger(Some(Duration::ZERO)).unwrap();
+                false
+            }
+            Way::Silence => {
+                let ended = request.stream.read(&mut [0; 1]);
+                trace.note(format!("{name}.{}: given up on {}", request.connection, ended.unwrap_or(0) == 0));
+                false
+            }
+            Way::Slowly => {
+                thread::sleep(Duration::from_millis(400));
+                request.answer("200 OK", &format!("{name} settled {txn}"))
+            }
+            Way::Unreadable => request.stream.write_all(b"HTTP/1.1 banana\r\n\r\n").is_ok(),
+        }
+    })
+}
+
+fn settings() -> Value {
+    json!({
+        "az": "h", "azs": ["h"], "balancers": 1, "ordinal": 0, "tick": 5000,
+        "classes": [
+            {"name": "draft", "aim": 3000000, "give_up": 9000000, "idempotency": "safe", "worth": 1.0},
+            {"name": "payment", "aim": 3000000, "give_up": 9000000, "idempotency": "keyed", "group": "all",
+             "memory_span": 9000000, "worth": 5.0},
+            {"name": "lodge", "aim": 3000000, "give_up": 9000000, "idempotency": "unsafe", "worth": 5.0}],
+        "family_info": {"exposure_caps": [1.0, 1.0], "steps": [0.5, 1.0], "counted_over": 2000000,
+            "spare_tries": 1.0, "vote_life": 4000000, "vote_wait": 400000, "api_rate": 600.0,
+            "decided_by": "majority"},
+        "limits": {"max_attempts": 3, "cancel": true, "may_tell": true, "retry_after": true,
+            "max_retry_after": 1500000, "connect_timeout": 250000, "conn_idle": 5000000},
+        "safety": {"cold_from": 0.5, "ramp_time": 1000000, "fall": 1000000, "fall_multiple": 4.0}})
+}
+
+fn member(id: &str, address: SocketAddr, phase: &str, build: u32) -> Value {
+    json!({"id": id, "host_port": address, "locality": "h", "flavor": "m", "cell": 0, "phase": phase,
+        "size": 1.0, "up_since_ms": 0, "revision_no": build})
+}
+
+fn list(revision: u32, complete: bool, members: &[Value]) -> Value {
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+fn news(build: u32, stage: usize, progress: &str) -> Value {
+    json!({"image": build, "ring": stage, "progress": progress, "ceiling": 1.0, "lag_ms": 60000})
+}
+
+/// Discovery that notes what is asked of it and says what it is given.
+fn discovery(trace: &Trace) -> (SocketAddr, Sender<String>) {
+    let ((say, lines), trace) = (channel(), trace.clone());
+    let lines = Mutex::new(lines);
+    let address = stand_in(move |request| {
+        trace.note(format!("discovery: {}", request.head.lines().next().unwrap_or("")));
+        if request.head.starts_with("GET /v1/endpoints HTTP") {
+            let whole = list(60, true, &[]).to_string();
+            return request.answer("200 OK", &whole);
+        }
+        request.stream(&lines, Some(""))
+    });
+    (address, say)
+}
+
+fn silent() -> SocketAddr {
+    stand_in(|request| request.stream.read(&mut [0; 1]).is_err())
+}
+
+// ---- the gateway ----
+
+struct Gateway {
+    child: Child,
+    address: SocketAddr,
+    mail: Option<SocketAddr>,
+    log: Receiver<String>,
+}
+
+fn address_in(line: &str) -> Option<SocketAddr> {
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+fn configuration(discovery: SocketAddr, members: &[Value]) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "00000000000000aa",
+        "limits": {"memory_mb": 192, "sockets": 200}, "known": list(41, true, members), "settings": settings()})
+}
+
+fn program(told: &Value, arguments: &[&str]) -> Command {
+    static NUMBERS: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBERS.fetch_add(1, Ordering::SeqCst);
+    let path = format!("{}/told-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    fs::write(&path, told.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_harrierdock"));
+    command.args(arguments).env("LB_CONFIG", path).stderr(Stdio::piped()).stdout(Stdio::piped());
+    command.env_remove("LB_NAME").env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+    command
+}
+
+fn start(told: &Value) -> Gateway {
+    let mut child = program(told, &["serve", "--log", "debug"]).spawn().unwrap();
+    let (say, log) = channel();
+    let lines = BufReader::new(child.stderr.take().unwrap());
+    thread::spawn(move || lines.lines().map_while(Result::ok).try_for_each(|l| say.send(l)));
+    let mut gateway = Gateway { child, address: "127.0.0.1:0".parse().unwrap(), mail: None, log };
+    if told["peer_listen"].is_string() {
+        gateway.mail = address_in(&gateway.line("hears peers on"));
+    }
+    gateway.address = address_in(&gateway.line("serves on")).unwrap();
+    gateway
+}
+
+impl Gateway {
+    /// Waits for a log line with this in it.
+    fn line(&self, part: &str) -> String {
+        let from = Instant::now();
+        loop {
+            let left = BOUND.saturating_sub(from.elapsed());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("no log line says {part:?}"));
+            assert!(!line.contains("broken"), "{line}");
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    fn caller(&self) -> Caller {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(BOUND)).unwrap();
+        Caller(BufReader::new(stream))
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Ends it, and gives back its last counts of these names.
+    fn end(mut self, names: &[&str]) -> String {
+        self.signal(Signal::TERM);
+        let counts = self.line("counts:");
+        assert_eq!(self.child.wait().unwrap().code(), Some(0));
+        let wanted = |part: &&str| names.iter().any(|n| part.starts_with(&format!("{n}=")));
+        counts.split(' ').filter(wanted).collect::<Vec<_>>().join(" ")
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Caller(BufReader<TcpStream>);
+
+fn txn(product: &str, id: &str, left: u32) -> String {
+    let (method, more) = match product {
+        "draft" => ("GET", "\r\n".to_string()),
+        "payment" => ("POST", format!("Idempotency-Key: Key-{id}\r\nContent-Length: 2\r\n\r\n{{}}")),
+        _ => ("POST", "Content-Length: 2\r\n\r\n{}".to_string()),
+    };
+    let head =
+        format!("{method} /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: {id}\r\n");
+    format!("{head}X-Lane: {product}\r\nX-Remaining-Ms: {left}\r\n{more}")
+}
+
+impl Caller {
+    fn say(&mut self, text: impl AsRef<[u8]>) {
+        self.0.get_mut().write_all(text.as_ref()).unwrap();
+    }
+
+    /// The next answer: its status, what it says of trying again and closing, and its body.
+    fn hear(&mut self) -> String {
+        let Some((head, body)) = message(&mut self.0) else { return "closed".into() };
+        let told =
+            |name: &str| head.lines().find_map(|l| l.strip_prefix(name)).map(|v| format!(" {name}{v}"));
+        let told = [told("Retry-After: "), told("Connection: ")].into_iter().flatten().collect::<String>();
+        format!("{}{told} {body}", &head[9..12]).trim_end().to_string()
+    }
+
+    fn ask(&mut self, text: impl AsRef<[u8]>) -> String {
+        self.say(text);
+        self.hear()
+    }
+}
+
+// ---- txns ----
+
+#[test]
+fn txns_of_each_product_pass_unchanged_on_connections_that_are_kept() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Settle]);
+    let gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let mut caller = gateway.caller();
+    for (product, id) in [("draft", "00aB"), ("payment", "00aC"), ("lodge", "00aD")] {
+        let answer = caller.ask(txn(product, id, 9000));
+        trace.note(format!("client: {answer}"));
+    }
+    // Two at once need two connections; a body in chunks, and one that waits to be asked for, pass on whole.
+    let mut second = gateway.caller();
+    let head = "POST /api HTTP/1.1\r\nX-Txn: c1\r\nX-Lane: lodge\r\nX-Remaining-Ms: 9000\r\n";
+    second.say(format!("{head}Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    let asked = second.hear();
+    trace.note(format!("client: {asked}"));
+    let answer = second.ask("3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n");
+    trace.note(format!("client: {answer}"));
+    let body = "b".repeat(64 * 1024);
+    let answer = second.ask(format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()));
+    trace.note(format!("client: {answer}"));
+    // Requests sent behind one another are answered in turn.
+    second.say(txn("draft", "d1", 9000) + "GET /ready HTTP/1.1\r\n\r\n" + &txn("draft", "d2", 9000));
+    (0..3).map(|_| second.hear()).for_each(|a| trace.note(format!("client: {a}")));
+    trace.note(gateway.end(&["taken", "settled", "servers-connected", "reused", "not-txn"]));
+    trace.expect(expect![[r#"
+        one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn 00aB ""
+        client: 200 one settled 00aB
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn 00aC reference Key-00aC "{}"
+        client: 200 one settled 00aC
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn 00aD "{}"
+        client: 200 one settled 00aD
+        client: 100
+        one.1: POST /api txn c1 "abcdefg"
+        client: 200 one settled c1
+        one.1: POST /api txn c1 "65536"
+        client: 200 one settled c1
+        one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn d1 ""
+        client: 200 one settled d1
+        client: 200
+        one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn d2 ""
+        client: 200 one settled d2
+        taken=7 settled=7 not-txn=1 servers-connected=1 reused=6
+    "#]]);
+}
+
+/// What becomes of one txn where its servers answer in these ways.
+fn outcome(trace: &Trace, product: &str, ways: &'static [Way], left: u32) {
+    trace.note(format!("- {product}"));
+    let one = server("one", trace, ways);
+    let gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let answer = gateway.caller().ask(txn(product, "aa", left));
+    if let [Way::Silence] = ways {
+        trace.wait("one.1: given up on", trace.count("- "));
+    }
+    trace.note(format!("client: {answer}"));
+    let names = ["errored", "full", "timed-out", "connect-failed", "reset", "moot", "served"];
+    trace.note(gateway.end(&names));
+}
+
+#[test]
+fn each_socket_event_becomes_its_outcome() {
+    let trace = Trace::default();
+    outcome(&trace, "draft", &[Way::Reset, Way::Settle], 9000);
+    outcome(&trace, "lodge", &[Way::Reset, Way::Settle], 9000);
+    outcome(&trace, "payment", &[Way::Fail, Way::Settle], 9000);
+    outcome(&trace, "lodge", &[Way::Unreadable], 9000);
+    outcome(&trace, "lodge", &[Way::TurnAway], 9000);
+    trace.expect(expect![[r#"
+        - draft
+        one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn aa ""
+        one.2: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn aa ""
+        client: 200 one settled aa
+        served=1 reset=1
+        - lodge
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa "{}"
+        client: 502
+        reset=1
+        - payment
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa reference Key-aa "{}"
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa reference Key-aa "{}"
+        client: 200 one settled aa
+        served=1 errored=1
+        - lodge
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa "{}"
+        client: 502
+        reset=1
+        - lodge
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa "{}"
+        client: 503 Retry-After: 1.5
+        full=1
+    "#]]);
+}
+
+#[test]
+fn silence_ends_at_the_clients_time_and_the_submission_is_given_up() {
+    let trace = Trace::default();
+    for product in ["draft", "lodge"] {
+        outcome(&trace, product, &[Way::Silence], 500);
+    }
+    trace.expect(expect![[r#"
+        - draft
+        one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn aa ""
+        one.1: given up on true
+        client: 503 Retry-After: 1.5
+        timed-out=1
+        - lodge
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa "{}"
+        one.1: given up on true
+        client: 502
+        timed-out=1
+    "#]]);
+}
+
+#[test]
+fn a_refused_connection_is_never_run_and_a_client_that_leaves_is_owed_nothing() {
+    let trace = Trace::default();
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let gateway = start(&configuration(silent(), &[member("s-1", closed, "ready", 41)]));
+    trace.note(gateway.caller().ask(txn("lodge", "aa", 9000)));
+    trace.note(gateway.end(&["connect-failed", "declined"]));
+    let one = server("one", &trace, &[Way::Silence]);
+    let gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let mut caller = gateway.caller();
+    caller.say(txn("lodge", "ab", 9000));
+    trace.wait("one.1: POST", 1);
+    drop(caller);
+    trace.wait("one.1: given up on", 1);
+    trace.note(gateway.end(&["left", "recalled", "voided", "declined"]));
+    trace.expect(expect![[r#"
+        503 Retry-After: 1.5
+        declined=1 connect-failed=1
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn ab "{}"
+        one.1: given up on true
+        left=1 recalled=1
+    "#]]);
+}
+
+#[test]
+fn a_kept_connection_that_its_server_closed_is_not_written_to() {
+    let trace = Trace::default();
+    let noted = trace.clone();
+    // Says that it keeps the connection, and closes it all the same.
+    let one = stand_in(move |request| {
+        noted.note(format!("one.{}", request.connection));
+        request.answer("200 OK", "settled");
+        false
+    });
+    let gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let mut caller = gateway.caller();
+    for id in ["a", "b", "c"] {
+        trace.note(caller.ask(txn("lodge", id, 9000)));
+        // Its end is on the way before the next txn is.
+        thread::sleep(Duration::from_millis(50));
+    }
+    trace.note(gateway.end(&["settled", "reset", "servers-connected"]));
+    trace.expect(expect![[r#"
+        one.1
+        200 settled
+        one.2
+        200 settled
+        one.3
+        200 settled
+        settled=3 servers-connected=3
+    "#]]);
+}
+
+/// Guards against connections that a busy server lets wait, while one to it has become free.
+#[test]
+fn a_connection_that_becomes_free_takes_over_what_waits_for_a_new_one() {
+    let trace = Trace::default();
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener = TcpListener::from(listener);
+    let one = listener.local_addr().unwrap();
+    let ((go, gone), noted) = (channel::<()>(), trace.clone());
+    // Takes one connection only, and answers when it is let.
+    thread::spawn(move || {
+        let mut stream = listener.accept().unwrap().0;
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some((head, _)) = message(&mut reader) {
+            noted.note(format!("one: {}", head.lines().find(|l| l.starts_with("X-Txn")).unwrap()));
+            gone.recv().unwrap();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        }
+    });
+    let mut told = configuration(silent(), &[member("s-1", one, "ready", 41)]);
+    told["settings"]["limits"]["connect_timeout"] = 5000000.into();
+    let gateway = start(&told);
+    let (mut first, mut second, mut other) = (gateway.caller(), gateway.caller(), gateway.caller());
+    first.say(txn("lodge", "a1", 9000));
+    trace.wait("one: ", 1);
+    // Fills the queue of connections, so that the next one does not come up.
+    let fill = || TcpStream::connect_timeout(&one, Duration::from_millis(200));
+    let _queue: Vec<TcpStream> = std::iter::from_fn(|| fill().ok()).collect();
+    second.say(txn("lodge", "a2", 9000));
+    (0..3).for_each(|_| drop(other.ask("GET /ready HTTP/1.1\r\n\r\n")));
+    (0..2).for_each(|_| go.send(()).unwrap());
+    trace.note(format!("{}, {}", first.hear(), second.hear()));
+    trace.note(gateway.end(&["settled", "connect-failed", "servers-connected", "taken-over"]));
+    trace.expect(expect![[r#"
+        one: X-Txn: a1
+        one: X-Txn: a2
+        200, 200
+        settled=2 servers-connected=1 taken-over=1
+    "#]]);
+}
+
+// ---- discovery, platform, peers ----
+
+#[test]
+fn lists_are_followed_through_drains_rebirths_breaks_and_bad_lines() {
+    let trace = Trace::default();
+    let [one, two] = [server("one", &trace, &[Way::Settle]), server("two", &trace, &[Way::Settle])];
+    let (discovery, say) = discovery(&trace);
+    let gateway = start(&configuration(discovery, &[member("s-1", one, "ready", 41)]));
+    let mut caller = gateway.caller();
+    let mut ask = |what: &str, id| {
+        let answer = caller.ask(txn("draft", id, 9000));
+        trace.note(format!("{what}: {answer}"));
+    };
+    // A txn can only be asked once the list has come; the log tells when.
+    let told = |line: Value, revision: u32| {
+        say.send(line.to_string()).unwrap();
+        gateway.line(&format!("discovery: list {revision} "));
+    };
+    trace.wait("discovery: GET", 1);
+    ask("known", "a1");
+    told(list(42, false, &[member("s-1", one, "draining", 41)]), 42);
+    ask("draining", "a2");
+    told(list(43, false, &[member("s-1", two, "ready", 42)]), 43);
+    ask("reborn elsewhere", "a3");
+    say.send("close".into()).unwrap();
+    trace.wait("discovery: GET", 2);
+    told(list(44, true, &[member("s-2", one, "ready", 41)]), 44);
+    ask("a whole list without it", "a4");
+    say.send(r#"{"revision":"odd"}"#.into()).unwrap();
+    trace.wait("discovery: GET", 4);
+    ask("the whole list fetched holds none", "a5");
+    trace.note(gateway.end(&["lines-refused"]));
+    trace.expect(expect![[r#"
+        discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+        one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn a1 ""
+        known: 200 one settled a1
+        draining: 503 Retry-After: 1.5
+        two.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn a3 ""
+        reborn elsewhere: 200 two settled a3
+        discovery: GET /v1/endpoints?stream=1&index=43 HTTP/1.1
+        one.2: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn a4 ""
+        a whole list without it: 200 one settled a4
+        discovery: GET /v1/endpoints HTTP/1.1
+        discovery: GET /v1/endpoints?stream=1&index=60 HTTP/1.1
+        the whole list fetched holds none: 503 Retry-After: 1.5
+        lines-refused=1
+    "#]]);
+}
+
+/// A platform that takes votes in turn by these answers, and says on its stream what it is given.
+fn platform(trace: &Trace, answers: &'static [&'static str]) -> (SocketAddr, Sender<String>) {
+    let ((say, lines), trace) = (channel(), trace.clone());
+    let (lines, votes) = (Mutex::new(lines), AtomicUsize::new(0));
+    let address = stand_in(move |request| {
+        if request.head.starts_with("GET /apis/fleet/events") {
+            trace.note("platform: events");
+            return request.stream(&lines, None);
+        }
+        trace.note(format!("platform: {}", request.body));
+        match answers.get(votes.fetch_add(1, Ordering::SeqCst)) {
+            Some(&"silence") => request.stream.read(&mut [0; 1]).is_err(),
+            Some(&"close") => false,
+            Some(status) => request.answer(status, r#"{"error":"any"}"#),
+            None => request.answer("200 OK", &news(42, 0, "trial").to_string()),
+        }
+    });
+    (address, say)
+}
+
+#[test]
+fn votes_are_cast_again_until_one_counts() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Settle]);
+    let (platform, _say) = platform(&trace, &["429 Full", "500 No", "silence", "close", "409 Moot"]);
+    let mut told = configuration(silent(), &[member("s-1", one, "ready", 41)]);
+    told["rollouts"] = json!({"address": platform, "news": news(42, 0, "trial")});
+    let gateway = start(&told);
+    let words: Vec<String> = (0..5).map(|_| gateway.line("a vote got no state")).collect();
+    words.iter().filter_map(|w| w.rsplit(' ').next()).for_each(|w| trace.note(w));
+    // One that is moot stands for half its life; the next one counts.
+    trace.wait("platform: {", 6);
+    trace.0.lock().unwrap().retain(|l| l != "platform: events");
+    trace.note(gateway.end(&["votes-refused", "news"]));
+    trace.expect(expect![[r#"
+        platform: {"image":42,"ring":0,"opinion":"approve"}
+        platform: {"image":42,"ring":0,"opinion":"approve"}
+        platform: {"image":42,"ring":0,"opinion":"approve"}
+        platform: {"image":42,"ring":0,"opinion":"approve"}
+        platform: {"image":42,"ring":0,"opinion":"approve"}
+        Full
+        Errored
+        TimedOut
+        TimedOut
+        Moot
+        platform: {"image":42,"ring":0,"opinion":"approve"}
+        platform: events
+        news=2 votes-refused=5
+    "#]]);
+}
+
+#[test]
+fn a_silent_platform_stream_is_replaced_and_old_news_is_passed_over() {
+    let trace = Trace::default();
+    let (platform, say) = platform(&trace, &[]);
+    let mut told = configuration(silent(), &[]);
+    told["rollouts"] = json!({"address": platform, "news": news(42, 1, "trial")});
+    told["settings"]["family_info"]["decided_by"] = "clocked".into();
+    let gateway = start(&told);
+    trace.wait("platform: events", 1);
+    let tell = |object: Value| say.send(json!({"type": "news", "object": object}).to_string()).unwrap();
+    tell(news(42, 1, "rolling_back"));
+    tell(news(42, 1, "trial"));
+    say.send("not JSON".into()).unwrap();
+    say.send("{}".into()).unwrap();
+    gateway.line("silent, renewed");
+    trace.wait("platform: events", 2);
+    trace.note(gateway.end(&["news", "news-passed-over", "lines-refused"]));
+    trace.expect(expect![[r#"
+        platform: events
+        platform: events
+        lines-refused=1 news=3 news-passed-over=1
+    "#]]);
+}
+
+#[test]
+fn a_peer_is_known_by_its_address_and_garbage_changes_nothing() {
+    let trace = Trace::default();
+    let [peer, stranger] = [0; 2].map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let one = server("one", &trace, &[Way::Settle]);
+    let (platform, _say) = platform(&trace, &[]);
+    let mut told = configuration(silent(), &[member("s-1", one, "ready", 41)]);
+    told["settings"]["balancers"] = 2.into();
+    told["settings"]["ordinal"] = 1.into();
+    told["settings"]["family_info"]["decided_by"] = "clocked".into();
+    told["rollouts"] = json!({"address": platform, "news": news(42, 0, "trial")});
+    told["peer_listen"] = "127.0.0.1:0".into();
+    told["peers"] = json!([peer.local_addr().unwrap(), "127.0.0.1:9"]);
+    let gateway = start(&told);
+    let to = gateway.mail.unwrap();
+    for garbage in [&b"\xff\xfe"[..], b"42.0", b"42.0.99.t ", &[b'a'; 300], b"9:?????"] {
+        peer.send_to(garbage, to).unwrap();
+    }
+    stranger.send_to(b"42.0.99.t", to).unwrap();
+    gateway.caller().ask(txn("draft", "aa", 9000));
+    assert_eq!(trace.count("platform: {"), 0);
+    // What makes up M by itself is a vote back.
+    peer.send_to(b"42.0.99.t", to).unwrap();
+    trace.wait("platform: {", 1);
+    trace.0.lock().unwrap().retain(|l| l != "platform: events");
+    trace.note(gateway.end(&["mail-heard", "mail-refused"]));
+    trace.expect(expect![[r#"
+        one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn aa ""
+        platform: {"image":42,"ring":0,"opinion":"reject"}
+        mail-heard=1 mail-refused=6
+    "#]]);
+}
+
+// ---- what clients may send ----
+
+#[test]
+fn malformed_requests_are_answered_and_leave_no_doubt_where_the_next_one_starts() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Settle]);
+    let gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let good = txn("draft", "aa", 9000);
+    let rows = [
+        "garbage\r\n\r\n".to_string(),
+        "GET /api HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n".into(),
+        format!("GET /{} HTTP/1.1\r\n", "x".repeat(20_000)),
+        format!("POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000)),
+        "GET /elsewhere HTTP/1.1\r\n\r\n".into(),
+        "DELETE /api HTTP/1.1\r\n\r\n".into(),
+        good.replace("X-Txn", "X-Other"),
+        good.replace("X-Txn: aa", "X-Txn: aa\r\nX-Txn: ab"),
+        good.replace("X-Txn: aa", "X-Txn: a a"),
+        good.replace("draft", "banana"),
+        good.replace("9000", "soon"),
+        good.replace("9000", "-1"),
+        good.replace("HTTP/1.1", "HTTP/1.0"),
+    ];
+    for row in rows {
+        let mut caller = gateway.caller();
+        let (answer, next) = (caller.ask(&row), caller.ask(&good));
+        let row = row.replace("\r\n", " ").chars().take(60).collect::<String>();
+        trace.note(format!("{row}: {answer}, then {next}"));
+    }
+    // Those who say nothing, or half of something, or never read, hold up nobody.
+    let mut idle = [gateway.caller(), gateway.caller(), gateway.caller()];
+    idle[1].say("GET /api HTT");
+    idle[2].say(good.repeat(200));
+    trace.note(format!("beside idle ones: {}", gateway.caller().ask(&good)));
+    trace.0.lock().unwrap().retain(|l| !l.starts_with("one."));
+    trace.expect(expect![[r#"
+        garbage  : 400 Connection: close, then closed
+        GET /api HTTP/1.1 Content-Length: 1 Transfer-Encoding: chunk: 400 Connection: close, then closed
+        GET /xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx: 431 Connection: close, then closed
+        POST /api HTTP/1.1 Content-Length: 70000  xxxxxxxxxxxxxxxxxx: 413 Connection: close, then closed
+        GET /elsewhere HTTP/1.1  : 404, then 200 one settled aa
+        DELETE /api HTTP/1.1  : 405, then 200 one settled aa
+        GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400, then 200 one settled aa
+        GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400, then 200 one settled aa
+        GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400, then 200 one settled aa
+        GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400, then 200 one settled aa
+        GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400, then 200 one settled aa
+        GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400, then 200 one settled aa
+        GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.0 Host: app.svc X: 200 Connection: close one settled aa, then closed
+        beside idle ones: 200 one settled aa
+    "#]]);
+}
+
+#[test]
+fn a_wrong_configuration_or_an_address_in_use_ends_it_in_one_line() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let good = configuration(silent(), &[]);
+    let mut rows = vec![json!([]), json!({"listen": "nowhere"})];
+    for (field, value) in
+        [("listen", json!(taken.local_addr().unwrap())), ("settings", json!({"classes": 7}))]
+    {
+        let mut row = good.clone();
+        row[field] = value;
+        rows.push(row);
+    }
+    let run = |mut command: Command| {
+        let out = command.output().unwrap();
+        let said = String::from_utf8_lossy(&out.stderr).into_owned() + &String::from_utf8_lossy(&out.stdout);
+        let said = said.replace(&taken.local_addr().unwrap().to_string(), "ADDRESS");
+        let path = said.split(' ').find(|w| w.contains("told-")).unwrap_or("\0").to_string();
+        format!("{:?} {}", out.status.code(), said.replace(&path, "PATH"))
+    };
+    let mut trace: String = rows.iter().map(|row| run(program(row, &["serve"]))).collect();
+    let mut unset = program(&good, &["serve"]);
+    unset.env_remove("LB_CONFIG");
+    trace += &run(unset);
+    let mut check = good.clone();
+    check["discovery"] = "127.0.0.1:8500".into();
+    trace += &run(program(&check, &["check"]));
+    let mut overridden = program(&check, &["check"]);
+    overridden.env("LB_NAME", "n7").env("LB_LISTEN", "127.0.0.2:1").env("LB_DISCOVERY", "127.0.0.2:2");
+    trace += &run(overridden);
+    expect![[r#"
+        Some(2) harrierdock: PATH not an object
+        Some(2) harrierdock: PATH listen: invalid socket address syntax
+        Some(2) harrierdock: cannot listen on ADDRESS: Address already in use (os error 98)
+        Some(2) harrierdock: options: classes: invalid type: integer `7`, expected a sequence
+        Some(2) harrierdock: no configuration: LB_CONFIG is not set
+        Some(0) n0 listens on 127.0.0.1:0, discovery at 127.0.0.1:8500, platform none, 0 of 1 gateways, products draft payment lodge, 192 MB, 200 descriptors
+        Some(0) n7 listens on 127.0.0.2:1, discovery at 127.0.0.2:2, platform none, 0 of 1 gateways, products draft payment lodge, 192 MB, 200 descriptors
+    "#]]
+    .assert_eq(&trace);
+}
+
+// ---- limits and ending ----
+
+#[test]
+fn at_the_descriptor_budget_idle_connections_go_first() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Settle]);
+    let mut told = configuration(silent(), &[member("s-1", one, "ready", 41)]);
+    told["limits"]["sockets"] = 32.into();
+    let gateway = start(&told);
+    let mut callers: Vec<Caller> = (0..30).map(|_| gateway.caller()).collect();
+    // The last to come are answered; of the first, which were closed, each can come again.
+    let answers: Vec<String> =
+        callers.iter_mut().rev().take(3).map(|c| c.ask(txn("draft", "aa", 9000))).collect();
+    let open = fs::read_dir(format!("/proc/{}/fd", gateway.child.id())).unwrap().count();
+    trace.0.lock().unwrap().clear();
+    trace.note(format!("{answers:?}, within the limit: {}", open <= 32));
+    trace.note(format!("again: {}", gateway.caller().ask(txn("draft", "ab", 9000))));
+    trace.0.lock().unwrap().retain(|l| !l.starts_with("one."));
+    trace.expect(expect![[r#"
+        ["200 one settled aa", "200 one settled aa", "200 one settled aa"], within the limit: true
+        again: 200 one settled ab
+    "#]]);
+}
+
+#[test]
+fn told_to_end_it_answers_all_that_comes_and_closes_between_requests() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Slowly]);
+    let mut gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let (mut idle, mut busy) = (gateway.caller(), gateway.caller());
+    trace.note(format!("ready: {}", idle.ask("GET /ready HTTP/1.1\r\n\r\n")));
+    busy.say(txn("lodge", "a1", 9000));
+    trace.wait("one.1: POST", 1);
+    gateway.signal(Signal::TERM);
+    gateway.line("told to end");
+    let mut late = gateway.caller();
+    late.say(txn("lodge", "a2", 9000));
+    let mut answers = vec![format!("under way: {}", busy.hear()), format!("late: {}", late.hear())];
+    answers.push(format!("ready: {}", gateway.caller().ask("GET /ready HTTP/1.1\r\n\r\n")));
+    answers.push(format!("idle: {}", idle.hear()));
+    answers.into_iter().for_each(|a| trace.note(a));
+    trace.note(format!("ends with {:?}", gateway.child.wait().unwrap().code()));
+    trace.0.lock().unwrap().retain(|l| !l.starts_with("one."));
+    trace.expect(expect![[r#"
+        ready: 200
+        under way: 200 Connection: close one settled a1
+        late: 200 Connection: close one settled a2
+        ready: 503 Connection: close
+        idle: closed
+        ends with Some(0)
+    "#]]);
+}
+
+#[test]
+fn a_second_signal_ends_it_at_once() {
+    let one = server("one", &Trace::default(), &[Way::Silence]);
+    let mut gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let mut caller = gateway.caller();
+    caller.say(txn("lodge", "a1", 60_000));
+    gateway.signal(Signal::INT);
+    gateway.line("told to end");
+    gateway.signal(Signal::INT);
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+}
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -38,7 +38,6 @@
 fn fault(error: Error) -> Fault {
     match error {
         Error::TooManyHeaders => Fault::HeadTooLarge,
-        Error::Version => Fault::UnknownVersion,
         _ => Fault::Malformed,
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -23,7 +23,6 @@
     HeadTooLarge,
     BodyTooLarge,
     UnknownCoding,
-    UnknownVersion,
 }
 
 impl Fault {
@@ -34,7 +33,6 @@
             Fault::HeadTooLarge => 431,
             Fault::BodyTooLarge => 413,
             Fault::UnknownCoding => 501,
-            Fault::UnknownVersion => 505,
         }
     }
 }
--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -10,13 +10,11 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
-        408 => "Request Timeout",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
-        505 => "HTTP Version Not Supported",
         _ => "Status",
     }
 }
--- /dev/null
+++ b/crates/http/tests/cut.rs
@@ -0,0 +1,174 @@
+//! Messages cut at every byte are read as they are whole, and the limits hold.
+
+use expect_test::expect;
+use harrierdock_http::{AnswerHead, Fault, Intake, Progress, RequestHead, BODY_MOST, BUFFER, HEAD_MOST};
+
+type Reader = fn(&mut Intake, &mut Vec<u8>) -> Result<Progress, Fault>;
+
+fn told(intake: &mut Intake, bytes: &mut Vec<u8>, progress: Progress) -> String {
+    let body = String::from_utf8_lossy(&bytes[intake.body()]).into_owned();
+    let kept = match RequestHead::read(bytes) {
+        Ok(Some(head)) => head.keeps(),
+        _ => AnswerHead::read(bytes).is_ok_and(|h| h.is_some_and(|h| h.keeps())),
+    };
+    intake.consume(bytes);
+    format!("{progress:?} {body:?} kept {kept}, then {:?}", String::from_utf8_lossy(bytes))
+}
+
+/// Reads a message that comes in two parts.
+fn read(reader: Reader, text: &[u8], cut: usize) -> String {
+    let (mut intake, mut bytes) = (Intake::default(), Vec::with_capacity(BUFFER));
+    let mut asked = "";
+    for part in [&text[..cut], &text[cut..]] {
+        bytes.extend_from_slice(part);
+        match reader(&mut intake, &mut bytes) {
+            Err(fault) => return format!("{fault:?} {}", fault.status()),
+            // What follows a whole message is left alone, so it stands behind it either way.
+            Ok(Progress::Whole) if part.len() == text.len() - cut => {
+                return asked.to_owned() + &told(&mut intake, &mut bytes, Progress::Whole);
+            }
+            Ok(Progress::Asks) => asked = "asks, ",
+            Ok(_) => {}
+        }
+    }
+    if intake.ends() {
+        return told(&mut intake, &mut bytes, Progress::Whole) + " at the end";
+    }
+    format!("{asked}unfinished")
+}
+
+fn each(reader: Reader, texts: &[&str]) -> String {
+    let mut trace = String::new();
+    for text in texts {
+        let whole = read(reader, text.as_bytes(), 0);
+        for cut in 0..=text.len() {
+            let parted = read(reader, text.as_bytes(), cut);
+            // Where the body came with the head, nobody had to be asked for it.
+            assert_eq!(parted.replace("asks, ", ""), whole.replace("asks, ", ""), "{text:?} cut at {cut}");
+        }
+        trace += &format!("{whole}\n");
+    }
+    trace
+}
+
+#[test]
+fn requests_are_read_alike_wherever_they_are_cut() {
+    let trace = each(
+        Intake::request,
+        &[
+            "GET /ready HTTP/1.1\r\n\r\n",
+            "\r\nGET /ready HTTP/1.0\r\n\r\nGET",
+            "POST /api HTTP/1.1\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbodyPOST",
+            "POST /api HTTP/1.1\r\ncontent-length: 4\r\nExpect: 100-continue\r\n\r\nbo",
+            "POST /api HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n0A\r\n0123456789\r\n0\r\nT: u\r\n\r\nGET",
+            "POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+            "POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\r\nabc\r\n",
+            "POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n",
+            "POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc",
+            "POST /api HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            "POST /api HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+            "POST /api HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+            "POST /api HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
+            "GET /api HTTP/3.0\r\n\r\n",
+            "GET /api\r\n\r\n",
+            "GET /api HTTP/1.1\r\nX Y: z\r\n\r\n",
+        ],
+    );
+    expect![[r#"
+        Whole "" kept true, then ""
+        Whole "" kept false, then "GET"
+        Whole "body" kept false, then "POST"
+        asks, unfinished
+        Whole "abc0123456789" kept true, then "GET"
+        Malformed 400
+        Malformed 400
+        Malformed 400
+        Malformed 400
+        Malformed 400
+        Malformed 400
+        UnknownCoding 501
+        Malformed 400
+        BodyTooLarge 413
+        Malformed 400
+        Malformed 400
+        Malformed 400
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn answers_are_read_alike_wherever_they_are_cut() {
+    let trace = each(
+        Intake::answer,
+        &[
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP",
+            "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "HTTP/1.0 200 OK\r\n\r\nto the end",
+            "HTTP/1.1 204 None\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbroken",
+            "garbage\r\n\r\n",
+        ],
+    );
+    expect![[r#"
+        Whole "ok" kept true, then "HTTP"
+        Whole "" kept true, then ""
+        Whole "ok" kept true, then ""
+        Whole "to the end" kept false, then "" at the end
+        Whole "" kept true, then ""
+        unfinished
+        Malformed 400
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn lines_of_a_stream_come_out_whole_wherever_it_is_cut() {
+    let text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\none\n\r\n3\r\ntw\r\r\n4\r\no\r\n\n\r\n2\r\n{}\r\n";
+    for cut in 0..=text.len() {
+        let (mut intake, mut bytes, mut lines) = (Intake::default(), Vec::new(), Vec::new());
+        for part in [&text[..cut], &text[cut..]] {
+            bytes.extend_from_slice(part);
+            assert_eq!(intake.stream(&mut bytes), Ok(Progress::More));
+            while let Some(line) = intake.next_line(&mut bytes) {
+                lines.push(String::from_utf8_lossy(&line).into_owned());
+            }
+        }
+        assert_eq!(lines, ["one", "tw\ro", ""], "cut at {cut}");
+    }
+}
+
+#[test]
+fn what_is_too_long_is_refused_before_it_fills_the_buffer() {
+    let fed = |start: &str, more: &[u8]| {
+        let (mut intake, mut bytes) = (Intake::default(), start.as_bytes().to_vec());
+        loop {
+            match intake.request(&mut bytes) {
+                Ok(Progress::More) if bytes.len() + more.len() <= BUFFER => bytes.extend_from_slice(more),
+                end => return format!("{end:?}, {} over the head's limit", bytes.len() > HEAD_MOST),
+            }
+        }
+    };
+    let chunk = format!("1000\r\n{}\r\n", "c".repeat(0x1000));
+    let chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let trace = [
+        fed("GET /", b"long"),
+        fed("GET / HTTP/1.1\r\n", b"A: b\r\n"),
+        fed("garbage without an end", &[0xff; 100]),
+        fed(chunked, chunk.as_bytes()),
+        fed(chunked, b"1;an=extension\r\nc\r\n"),
+        fed(&format!("{chunked}1;"), b"an extension that does not end"),
+    ];
+    expect![[r#"
+        Err(HeadTooLarge), true over the head's limit
+        Err(HeadTooLarge), false over the head's limit
+        Err(Malformed), true over the head's limit
+        Err(BodyTooLarge), true over the head's limit
+        Err(BodyTooLarge), true over the head's limit
+        Err(Malformed), false over the head's limit
+    "#]]
+    .assert_eq(&(trace.join("\n") + "\n"));
+    let longest = format!("POST / HTTP/1.1\r\nContent-Length: {BODY_MOST}\r\n\r\n{}", "b".repeat(BODY_MOST));
+    assert_eq!(Intake::default().request(&mut longest.into_bytes()), Ok(Progress::Whole));
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -159,7 +159,7 @@
 }
 
 pub fn read(options: &serde_json::Value) -> Result<(Terms, Names), String> {
-    let o = Options::deserialize(options).map_err(|e| format!("options: {e}"))?;
+    let o: Options = serde_path_to_error::deserialize(options).map_err(|e| format!("options: {e}"))?;
     let mut names = Names {
         products: o.classes.iter().map(|c| c.name.clone()).collect(),
         tenants: o.tenants.iter().map(|t| t.name.clone()).collect(),
