--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -23,7 +23,6 @@
     ClientsAccepted,
     ServersConnected,
     Reused,
-    TakenOver,
     KeptWasClosed,
     Lists,
     LinesRefused,
@@ -43,7 +42,7 @@
     Broken,
 }
 
-const NAMES: [(Count, &str); 35] = [
+const NAMES: [(Count, &str); 34] = [
     (Count::Taken, "taken"),
     (Count::Settled, "settled"),
     (Count::Declined, "declined"),
@@ -62,7 +61,6 @@
     (Count::ClientsAccepted, "clients-accepted"),
     (Count::ServersConnected, "servers-connected"),
     (Count::Reused, "reused"),
-    (Count::TakenOver, "taken-over"),
     (Count::KeptWasClosed, "kept-was-closed"),
     (Count::Lists, "lists"),
     (Count::LinesRefused, "lines-refused"),
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -1,20 +1,17 @@
 //! Servers: their addresses, the connections kept to each, and the submissions on them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Range;
 
 use calloop::Readiness;
 use harrierdock::interface::{Event, Load, Outcome, ServerIx, TxnId};
 use harrierdock::time::{Point, Span};
 use harrierdock_http::{write, AnswerHead, Intake, Progress};
-use rustix::io::Errno;
 
 use crate::connection::{Connection, Filled, Flushed, Purse};
 use crate::counters::Count;
 use crate::dues::{ConnectionNo, Due};
 use crate::gateway::Gateway;
-use crate::pool::Buffer;
 use crate::room::{Asked, Notice, Room, Told};
 
 // The page's names end here.
@@ -37,8 +34,6 @@
     machine: Option<Machine>,
     /// Connections kept, the last used at the end.
     kept: Vec<ConnectionNo>,
-    /// Connections that are not up yet, in the order of their making.
-    dialled: VecDeque<ConnectionNo>,
 }
 
 #[derive(Clone, Copy)]
@@ -48,11 +43,12 @@
 }
 
 /// What a connection is at work on, and until when it may be.
+#[derive(Clone, Copy)]
 struct Errand {
     task: Task,
+    /// When it is given up: no connection yet, then no answer yet.
+    due: Point,
     until: Point,
-    /// Where the request states the time left.
-    left_at: Range<usize>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,10 +66,6 @@
     phase: Phase,
     intake: Intake,
     since: Point,
-    /// When the connection must be up.
-    up_by: Point,
-    /// When something is given up, if anything may be: the connection's making, then its errand.
-    due: Option<Point>,
     errand: Option<Errand>,
 }
 
@@ -91,29 +83,6 @@
     gateway.settle();
 }
 
-impl Line {
-    fn falls_due(&mut self, room: &mut Room, no: ConnectionNo, due: Option<Point>) {
-        if let Some(before) = std::mem::replace(&mut self.due, due) {
-            room.dues.clear(before, Due::Submission(no));
-        }
-        if let Some(at) = due {
-            room.dues.set(at, Due::Submission(no));
-        }
-    }
-}
-
-impl Errand {
-    /// States the time left anew, in a request that had to wait before it could be written.
-    fn restate(&mut self, request: &mut Buffer, now: Point) {
-        if !self.left_at.is_empty() {
-            let left = ((self.until - now).0 / 1000).max(0).to_string();
-            let end = self.left_at.start + left.len();
-            request.splice(self.left_at.clone(), left.into_bytes());
-            self.left_at.end = end;
-        }
-    }
-}
-
 impl Servers {
     pub fn new(connect: Span, idle: Span) -> Servers {
         let keep = idle - connect;
@@ -125,15 +94,11 @@
         if self.places.len() <= server {
             self.places.resize_with(server + 1, Place::default);
         }
-        let place = &mut self.places[server];
-        if place.machine != machine {
-            place.machine = machine;
-            let (kept, dialled) = (std::mem::take(&mut place.kept), std::mem::take(&mut place.dialled));
-            kept.into_iter().for_each(|no| self.drop_line(room, no));
-            // Those that carry an errand end with it.
-            let free = |no: &ConnectionNo| self.lines.get(no).is_some_and(|l| l.errand.is_none());
-            let free: Vec<ConnectionNo> = dialled.into_iter().filter(free).collect();
-            free.into_iter().for_each(|no| self.drop_line(room, no));
+        if self.places[server].machine != machine {
+            self.places[server].machine = machine;
+            for no in std::mem::take(&mut self.places[server].kept) {
+                self.drop_line(room, no);
+            }
         }
     }
 
@@ -146,7 +111,7 @@
         wait: Span,
         asked: &Asked,
     ) -> Result<(), Outcome> {
-        let no = self.line_to(room, server)?;
+        let no = self.line_to(room, server, wait, Task::Submission { id, attempt })?;
         let Some(line) = self.lines.get_mut(&no) else { return Err(Outcome::Moot) };
         let Some(out) = line.connection.out(room) else {
             self.drop_line(room, no);
@@ -156,8 +121,6 @@
         write::field(out, "Host", line.machine.address);
         write::field(out, FIELD_TXN, asked.txn);
         write::field(out, FIELD_LEFT, wait.0 / 1000);
-        let end = out.len() - "\r\n".len();
-        let left_at = end - (wait.0 / 1000).to_string().len()..end;
         if let Some(reference) = asked.reference {
             write::field(out, FIELD_REFERENCE, reference);
         }
@@ -167,14 +130,13 @@
             write::body(out, asked.body);
         }
         self.out.insert((id, attempt), no);
-        let until = room.now() + wait;
-        self.begin(room, no, Errand { task: Task::Submission { id, attempt }, until, left_at });
+        self.send(room, no);
         Ok(())
     }
 
     pub fn probe(&mut self, room: &mut Room, server: ServerIx) {
         let probed = |outcome| Notice::Event(Event::Probed { server, outcome, load: Load::default() });
-        let no = match self.line_to(room, server) {
+        let no = match self.line_to(room, server, self.connect, Task::Probe) {
             Ok(no) => no,
             Err(outcome) => return room.tell(probed(outcome)),
         };
@@ -186,15 +148,19 @@
         write::request_line(out, "GET", PATH_HEALTH);
         write::field(out, "Host", line.machine.address);
         write::end(out);
-        let until = room.now() + self.connect;
-        self.begin(room, no, Errand { task: Task::Probe, until, left_at: 0..0 });
+        self.send(room, no);
     }
 
-    /// A connection to the server that is at work on nothing: the last used that still stands, one that is on
-    /// its way up, or a new one.
-    fn line_to(&mut self, room: &mut Room, server: ServerIx) -> Result<ConnectionNo, Outcome> {
-        let place = self.places.get_mut(server).ok_or(Outcome::ConnectFailed)?;
-        let machine = place.machine.ok_or(Outcome::ConnectFailed)?;
+    /// A connection to the server with this errand on it: the last used that still stands, or a new one.
+    fn line_to(
+        &mut self,
+        room: &mut Room,
+        server: ServerIx,
+        wait: Span,
+        task: Task,
+    ) -> Result<ConnectionNo, Outcome> {
+        let machine = self.places.get(server).and_then(|p| p.machine).ok_or(Outcome::ConnectFailed)?;
+        let until = room.now() + wait;
         // Guards against a kept connection that the server has closed, or is about to close.
         while let Some(no) = self.places[server].kept.pop() {
             let edge = room.now() - self.keep;
@@ -205,56 +171,50 @@
                 continue;
             }
             room.counters.add(Count::Reused);
+            (line.phase, line.since) = (Phase::Writing, room.now());
+            line.errand = Some(Errand { task, due: until, until });
+            room.dues.set(until, Due::Submission(no));
             return Ok(no);
         }
-        let free = |no: &&ConnectionNo| self.lines.get(no).is_some_and(|l| l.errand.is_none());
-        if let Some(no) = self.places[server].dialled.iter().find(free) {
-            return Ok(*no);
-        }
         if room.descriptors.spare() == 0 {
             room.counters.add(Count::NoDescriptor);
             return Err(Outcome::Moot);
         }
-        self.dial(room, server, machine)
-    }
-
-    fn dial(&mut self, room: &mut Room, server: ServerIx, machine: Machine) -> Result<ConnectionNo, Outcome> {
         let no = room.next_connection();
         let call = move |gateway: &mut Gateway, readiness| on_ready(gateway, no, readiness);
         let connection = Connection::dial(room, machine.address, Purse::Budget, call).map_err(|e| {
+            use rustix::io::Errno;
             let ours = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
-            if ours.iter().any(|o| e.raw_os_error() == Some(o.raw_os_error())) {
+            let lacking = ours.iter().any(|o| e.raw_os_error() == Some(o.raw_os_error()));
+            if lacking {
                 room.counters.add(Count::NoDescriptor);
-                return Outcome::Moot;
+                Outcome::Moot
+            } else {
+                Outcome::ConnectFailed
             }
-            Outcome::ConnectFailed
         })?;
-        let (intake, since) = (Intake::default(), room.now());
-        let (phase, up_by) = (Phase::Connecting, since + self.connect);
-        let line = Line { connection, server, machine, phase, intake, since, up_by, due: None, errand: None };
-        self.lines.insert(no, line);
-        self.places[server].dialled.push_back(no);
+        let due = until.min(room.now() + self.connect);
+        room.dues.set(due, Due::Submission(no));
+        let errand = Some(Errand { task, due, until });
+        let (phase, intake, since) = (Phase::Connecting, Intake::default(), room.now());
+        self.lines.insert(no, Line { connection, server, machine, phase, intake, since, errand });
         Ok(no)
     }
 
-    /// Puts an errand, whose request is written out already, on a connection.
-    fn begin(&mut self, room: &mut Room, no: ConnectionNo, errand: Errand) {
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        let until = errand.until;
-        line.errand = Some(errand);
-        if line.phase == Phase::Connecting {
-            let due = until.min(line.up_by);
-            return line.falls_due(room, no, Some(due));
-        }
-        (line.phase, line.since) = (Phase::Writing, room.now());
-        line.falls_due(room, no, Some(until));
-        self.send(room, no);
-    }
-
     fn serve(&mut self, room: &mut Room, no: ConnectionNo, readiness: Readiness) {
         let Some(line) = self.lines.get_mut(&no) else { return };
         if line.phase == Phase::Connecting {
-            return self.comes_up(room, no);
+            if line.connection.is_up().is_err() {
+                return self.fail(room, no, Outcome::ConnectFailed);
+            }
+            room.counters.add(Count::ServersConnected);
+            line.phase = Phase::Writing;
+            if let Some(errand) = &mut line.errand {
+                room.dues.clear(errand.due, Due::Submission(no));
+                errand.due = errand.until;
+                room.dues.set(errand.due, Due::Submission(no));
+            }
+            return self.send(room, no);
         }
         if readiness.writable && line.phase == Phase::Writing {
             self.send(room, no);
@@ -264,53 +224,6 @@
         }
     }
 
-    fn comes_up(&mut self, room: &mut Room, no: ConnectionNo) {
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        self.places[line.server].dialled.retain(|dialled| *dialled != no);
-        if line.connection.is_up().is_err() {
-            return self.fail(room, no, Outcome::ConnectFailed);
-        }
-        room.counters.add(Count::ServersConnected);
-        let Some(errand) = &mut line.errand else { return self.rest(room, no) };
-        let until = errand.until;
-        errand.restate(&mut line.connection.output, room.now());
-        line.phase = Phase::Writing;
-        line.falls_due(room, no, Some(until));
-        self.send(room, no);
-    }
-
-    /// A connection has nothing to do: it takes over a submission that waits for one of its own to come up, or
-    /// is kept. Guards against submissions that a busy server's slow handshakes keep waiting, or make fail,
-    /// while connections to it stand idle.
-    fn rest(&mut self, room: &mut Room, no: ConnectionNo) {
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        let (server, machine) = (line.server, line.machine);
-        (line.intake, line.phase, line.since) = (Intake::default(), Phase::Idle, room.now());
-        line.falls_due(room, no, None);
-        line.connection.wants(room, true, false);
-        if self.places[server].machine != Some(machine) {
-            return self.drop_line(room, no);
-        }
-        let waits = |no: &&ConnectionNo| self.lines.get(no).is_some_and(|l| l.errand.is_some());
-        let Some(other) = self.places[server].dialled.iter().find(waits).copied() else {
-            return self.places[server].kept.push(no);
-        };
-        let Some(waiting) = self.lines.get_mut(&other) else { return };
-        let Some(mut errand) = waiting.errand.take() else { return };
-        let mut request = std::mem::take(&mut waiting.connection.output);
-        let up_by = waiting.up_by;
-        waiting.falls_due(room, other, Some(up_by));
-        errand.restate(&mut request, room.now());
-        if let Some(line) = self.lines.get_mut(&no) {
-            line.connection.output = request;
-        }
-        if let Task::Submission { id, attempt } = errand.task {
-            self.out.insert((id, attempt), no);
-        }
-        room.counters.add(Count::TakenOver);
-        self.begin(room, no, errand);
-    }
-
     fn send(&mut self, room: &mut Room, no: ConnectionNo) {
         let Some(line) = self.lines.get_mut(&no) else { return };
         if line.phase != Phase::Writing {
@@ -371,21 +284,23 @@
         });
         let clean = told.as_ref().map_or(line.connection.input.len() == line.intake.body().end, |t| t.1);
         self.close_errand(room, no, outcome, told.map(|t| t.0));
-        if !keeps || !clean {
+        let Some(line) = self.lines.get_mut(&no) else { return };
+        let place = &mut self.places[line.server];
+        if !keeps || !clean || place.machine != Some(line.machine) {
             return self.drop_line(room, no);
         }
-        if let Some(line) = self.lines.get_mut(&no) {
-            line.connection.input.clear();
-            line.connection.release_empty(room);
-        }
-        self.rest(room, no);
+        line.connection.input.clear();
+        line.connection.release_empty(room);
+        (line.intake, line.phase, line.since) = (Intake::default(), Phase::Idle, room.now());
+        line.connection.wants(room, true, false);
+        place.kept.push(no);
     }
 
     /// Tells how the errand ended; the connection stays.
     fn close_errand(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome, told: Option<Told>) {
         let Some(line) = self.lines.get_mut(&no) else { return };
         let Some(errand) = line.errand.take() else { return };
-        line.falls_due(room, no, None);
+        room.dues.clear(errand.due, Due::Submission(no));
         match errand.task {
             Task::Submission { id, attempt } => {
                 self.out.remove(&(id, attempt));
@@ -407,9 +322,10 @@
     }
 
     fn drop_line(&mut self, room: &mut Room, no: ConnectionNo) {
-        if let Some(mut line) = self.lines.remove(&no) {
-            line.falls_due(room, no, None);
-            self.places[line.server].dialled.retain(|dialled| *dialled != no);
+        if let Some(line) = self.lines.remove(&no) {
+            if let Some(errand) = line.errand {
+                room.dues.clear(errand.due, Due::Submission(no));
+            }
             line.connection.close(room);
         }
     }
