--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -28,6 +28,7 @@
 // The page's names end here.
 const PATH_READY: &str = "/ready";
 const PATH_TXN: &str = "/api";
+const METHODS: [&str; 2] = ["GET", "POST"];
 const PARAMETER_KEY: &str = "obj";
 const FIELD_TXN: &str = "X-Txn";
 const FIELD_PRODUCT: &str = "X-Lane";
@@ -261,16 +262,19 @@
         };
         if head.path() == PATH_READY {
             let status = if self.ready && !self.ending { 200 } else { 503 };
-            return self.reply(room, no, status, true);
+            return self.reply(room, no, status, "");
         }
         if head.path() != PATH_TXN {
-            return self.reply(room, no, 404, true);
+            return self.reply(room, no, 404, "");
         }
-        if !matches!(head.method, "GET" | "POST") {
-            return self.reply(room, no, 405, true);
+        if !METHODS.contains(&head.method) {
+            return self.reply(room, no, 405, "");
         }
         let id = room.next_txn();
-        let Some(notice) = self.txn(id, &head) else { return self.reply(room, no, 400, true) };
+        let notice = match self.txn(id, &head) {
+            Ok(notice) => notice,
+            Err(field) => return self.reply(room, no, 400, &format!("{field}: missing or wrong\n")),
+        };
         room.counters.add(Count::Taken);
         room.tell(notice);
         self.asking.insert(id, no);
@@ -279,15 +283,16 @@
         }
     }
 
-    fn txn(&self, id: TxnId, head: &RequestHead) -> Option<Notice> {
+    /// The txn that a request is, or the field that keeps it from being one.
+    fn txn(&self, id: TxnId, head: &RequestHead) -> Result<Notice, &'static str> {
         let one = |name| head.fields.one(name).ok().flatten();
-        one(FIELD_TXN).filter(|id| good_id(id))?;
-        let product = self.products.get_index_of(one(FIELD_PRODUCT)?)?;
-        let left: u32 = one(FIELD_LEFT)?.parse().ok()?;
-        head.fields.one(FIELD_REFERENCE).ok()?;
-        Some(Notice::Taken {
+        one(FIELD_TXN).filter(|id| good_id(id)).ok_or(FIELD_TXN)?;
+        head.fields.one(FIELD_REFERENCE).map_err(|_| FIELD_REFERENCE)?;
+        let left: u32 = one(FIELD_LEFT).and_then(|left| left.parse().ok()).ok_or(FIELD_LEFT)?;
+        let product = one(FIELD_PRODUCT).and_then(|name| self.products.get_index_of(name));
+        Ok(Notice::Taken {
             id,
-            product,
+            product: product.ok_or(FIELD_PRODUCT)?,
             key: head.parameter(PARAMETER_KEY).map(key),
             again: one(FIELD_AGAIN) == Some("1"),
             left: Span(i64::from(left) * 1000),
@@ -311,47 +316,42 @@
     /// The txn's one final answer.
     pub fn answer(&mut self, room: &mut Room, id: TxnId, answer: Answer) {
         let Some(no) = self.asking.remove(&id) else { return };
-        let Some(client) = self.all.get_mut(&no) else { return };
-        let kept = !self.ending
-            && RequestHead::read(&client.connection.input).is_ok_and(|h| h.is_some_and(|h| h.keeps()));
-        client.phase = Phase::Answering { kept };
-        let Some(out) = client.connection.out(room) else { return self.close(room, no) };
+        let (count, status) = match &answer {
+            Answer::Settled(_) => (Count::Settled, 200),
+            Answer::Declined { .. } => (Count::Declined, 503),
+            Answer::Voided => (Count::Voided, 502),
+        };
+        room.counters.add(count);
         match answer {
             Answer::Settled(mut told) => {
-                write::status_line(out, 200);
-                if !kept {
-                    write::field(out, "Connection", "close");
-                }
-                write::body(out, &told.buffer[told.body.clone()]);
+                self.respond(room, no, status, None, &told.buffer[told.body.clone()], true);
                 room.pool.give_back(&mut told.buffer);
-                room.counters.add(Count::Settled);
             }
             Answer::Declined { retry_after } => {
-                write::status_line(out, 503);
-                if let Some(after) = retry_after {
-                    write::field(out, "Retry-After", after.as_secs());
-                }
-                if !kept {
-                    write::field(out, "Connection", "close");
-                }
-                write::body(out, b"");
-                room.counters.add(Count::Declined);
-            }
-            Answer::Voided => {
-                write::status_line(out, 502);
-                if !kept {
-                    write::field(out, "Connection", "close");
-                }
-                write::body(out, b"");
-                room.counters.add(Count::Voided);
+                let after = retry_after.map(|after| ("Retry-After", after.as_secs().to_string()));
+                self.respond(room, no, status, after, b"", true);
             }
+            Answer::Voided => self.respond(room, no, status, None, b"", true),
         }
-        self.send(room, no);
     }
 
-    /// An answer of the gateway's own to a request that is no txn.
-    fn reply(&mut self, room: &mut Room, no: ConnectionNo, status: u16, whole: bool) {
+    /// An answer of the gateway's own to a request that is no txn, with a word on what is wrong with it.
+    fn reply(&mut self, room: &mut Room, no: ConnectionNo, status: u16, word: &str) {
         room.counters.add(Count::NotTxn);
+        let allow = (status == 405).then(|| ("Allow", METHODS.join(", ")));
+        self.respond(room, no, status, allow, word.as_bytes(), true);
+    }
+
+    /// Writes an answer. The connection is kept afterwards if the client wants it and the request was whole.
+    fn respond(
+        &mut self,
+        room: &mut Room,
+        no: ConnectionNo,
+        status: u16,
+        more: Option<(&str, String)>,
+        body: &[u8],
+        whole: bool,
+    ) {
         let Some(client) = self.all.get_mut(&no) else { return };
         let keeps =
             || RequestHead::read(&client.connection.input).is_ok_and(|h| h.is_some_and(|h| h.keeps()));
@@ -359,17 +359,20 @@
         client.phase = Phase::Answering { kept };
         let Some(out) = client.connection.out(room) else { return self.close(room, no) };
         write::status_line(out, status);
+        if let Some((name, value)) = more {
+            write::field(out, name, value);
+        }
         if !kept {
             write::field(out, "Connection", "close");
         }
-        write::body(out, b"");
+        write::body(out, body);
         self.send(room, no);
     }
 
     /// Guards against doubt about where the next request starts: a malformed one ends its connection.
     fn refuse(&mut self, room: &mut Room, no: ConnectionNo, fault: Fault) {
         room.counters.add(Count::Malformed);
-        self.reply(room, no, fault.status(), false);
+        self.respond(room, no, fault.status(), None, b"", false);
     }
 
     fn send(&mut self, room: &mut Room, no: ConnectionNo) {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -38,11 +38,12 @@
     NoDescriptor,
     NoBuffer,
     LogLinesLost,
+    PoolBroken,
     /// Something that must hold did not.
     Broken,
 }
 
-const NAMES: [(Count, &str); 34] = [
+const NAMES: [(Count, &str); 35] = [
     (Count::Taken, "taken"),
     (Count::Settled, "settled"),
     (Count::Declined, "declined"),
@@ -76,6 +77,7 @@
     (Count::NoDescriptor, "no-descriptor"),
     (Count::NoBuffer, "no-buffer"),
     (Count::LogLinesLost, "log-lines-lost"),
+    (Count::PoolBroken, "pool-broken"),
     (Count::Broken, "broken"),
 ];
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -119,6 +119,9 @@
     pub fn serve(&mut self, room: &mut Room, readiness: Readiness) -> Vec<Heard> {
         let mut heard = Vec::new();
         if !self.take_in(room, readiness, &mut heard) {
+            if self.up {
+                log::warn!("{}: broken off", self.name);
+            }
             self.close(room);
             heard.push(Heard::Broken);
         }
@@ -131,7 +134,9 @@
             if !self.up && connection.is_up().is_err() {
                 return false;
             }
-            self.up = true;
+            if !std::mem::replace(&mut self.up, true) {
+                log::info!("{}: reached", self.name);
+            }
             if !self.send(room) {
                 return false;
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,7 +47,10 @@
     log::info!("{} serves on {address}", told.name);
     while !gateway.over {
         let wait = gateway.room.dues.next().map(|at| gateway.room.clock.until(at));
-        event_loop.dispatch(wait, &mut gateway).map_err(|e| format!("the event loop: {e}"))?;
+        // Guards against one socket's trouble ending them all: the loop goes on.
+        if let Err(e) = event_loop.dispatch(wait, &mut gateway) {
+            gateway.room.counters.must(false, &format!("the loop goes through: {e}"));
+        }
         gateway.fall_due();
     }
     gateway.report();
@@ -168,6 +171,7 @@
     fn report(&mut self) {
         let room = &mut self.room;
         room.counters.set(Count::LogLinesLost, logger::lost());
+        room.counters.set(Count::PoolBroken, room.pool.broken);
         let (held, lent) = (room.descriptors.held, room.pool.lent);
         log::info!("counts: {} open={held} lent={lent} owed={}", room.counters, self.driver.owed());
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,6 +10,8 @@
 pub struct Pool {
     spare: Vec<Buffer>,
     pub lent: usize,
+    /// How often what must hold of buffers did not.
+    pub broken: u64,
     most: usize,
 }
 
@@ -21,7 +23,7 @@
 impl Pool {
     pub fn new(told: &LimitsTold) -> Pool {
         let bytes = told.memory_mb.saturating_mul(1 << 20) / 100 * BUFFER_PERCENT;
-        Pool { spare: Vec::new(), lent: 0, most: bytes / BUFFER }
+        Pool { spare: Vec::new(), lent: 0, broken: 0, most: bytes / BUFFER }
     }
 
     pub fn lend(&mut self) -> Option<Buffer> {
@@ -37,10 +39,11 @@
             return;
         }
         let mut buffer = std::mem::take(buffer);
-        debug_assert!(buffer.capacity() < 2 * BUFFER, "a buffer has grown");
-        debug_assert!(self.lent > 0, "more buffers come back than were lent");
+        let as_lent = buffer.capacity() == BUFFER && self.lent > 0;
+        debug_assert!(as_lent, "a buffer comes back as it was lent");
+        self.broken += u64::from(!as_lent);
         self.lent = self.lent.saturating_sub(1);
-        if self.spare.len() < SPARE_MOST {
+        if as_lent && self.spare.len() < SPARE_MOST {
             buffer.clear();
             self.spare.push(buffer);
         }
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -32,6 +32,7 @@
 }
 
 #[derive(Clone, Deserialize)]
+#[serde(default)]
 pub struct LimitsTold {
     pub memory_mb: usize,
     pub sockets: usize,
