--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -431,12 +431,12 @@
 
     /// While ending: closes connections between requests. Gives back whether none are left.
     pub fn part(&mut self, room: &mut Room) -> bool {
-        let all: Vec<ConnectionNo> = self.all.keys().copied().collect();
-        for no in all {
+        let between = |c: &Client| c.phase == Phase::Reading && c.intake.untouched(&c.connection.input);
+        let reading = self.all.iter().filter(|(_, c)| between(c) && c.connection.reads());
+        for no in reading.map(|(no, _)| *no).collect::<Vec<ConnectionNo>>() {
             // A request that has come in meanwhile is still taken.
             self.serve(room, no, Readiness { readable: true, writable: false, error: false });
-            let idle = |c: &Client| c.phase == Phase::Reading && c.intake.untouched(&c.connection.input);
-            if self.all.get(&no).is_some_and(idle) {
+            if self.all.get(&no).is_some_and(between) {
                 self.close(room, no);
             }
         }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -67,6 +67,7 @@
     Reserve,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Filled {
     Some,
     Nothing,
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -168,7 +168,7 @@
         let left = entry.expiry - self.room.clock.now();
         let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
         let spent = entry.answered || attempt >= self.driver.attempts || wait <= Span::ZERO;
-        if !spent && self.room.descriptors.spare() == 0 {
+        if !spent && self.room.descriptors.spare() == 0 && !self.servers.keeps(server) {
             self.make_room();
         }
         let Gateway { clients, servers, room, .. } = self;
--- a/crates/gateway/src/dues.rs
+++ b/crates/gateway/src/dues.rs
@@ -22,6 +22,8 @@
     Tend,
     /// The counters are logged.
     Report,
+    /// Told to end, the gateway looks whether it can.
+    End,
 }
 
 #[derive(Default)]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,8 @@
 const COMING: Span = Span(700_000);
 /// The longest time that a client's wait counts for in ending.
 const LONGEST_WAIT: Span = Span(3_000_000);
+/// The shortest pause of periodic work, whatever is told.
+const LEAST: Span = Span(1_000);
 const REPORT: Span = Span(10_000_000);
 
 pub struct Gateway {
@@ -33,6 +35,8 @@
     pub peers: Option<Peers>,
     /// How often connections and streams are looked after: as long as a connection may take to come up.
     tending: Span,
+    /// How often it is looked at whether the end has come: at each tick of the settings.
+    tick: Span,
     longest: Span,
     ending: Option<Point>,
     over: bool,
@@ -62,7 +66,7 @@
     fn new(told: &Told, event_loop: &EventLoop<'static, Gateway>) -> Result<Gateway, String> {
         let (terms, names) = told.terms()?;
         let limits = &terms.limits;
-        let (connect, idle) = (limits.connect, limits.idle);
+        let (connect, idle, tick) = (limits.connect, limits.idle, terms.tick.max(LEAST));
         let longest = terms.products.iter().map(|p| p.expiry).max().unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
         let mut room =
             Room::new(event_loop.handle(), Pool::new(&told.limits), Descriptors::new(&told.limits));
@@ -87,7 +91,8 @@
             discovery,
             platform,
             peers,
-            tending: connect.max(Span(1000)),
+            tending: connect.max(LEAST),
+            tick,
             longest,
             ending: None,
             over: false,
@@ -116,6 +121,7 @@
                 }
                 Due::Txn(id) => self.overdue(id),
                 Due::Tend => self.tend(),
+                Due::End => self.try_to_end(),
                 Due::Report => {
                     self.report();
                     self.room.due_in(REPORT, Due::Report);
@@ -134,18 +140,20 @@
             platform.tend(room);
         }
         log::logger().flush();
-        if let Some(since) = self.ending {
-            let waited = self.room.now() - since;
-            if waited >= COMING {
-                self.accept();
-                let parted = self.clients.part(&mut self.room);
-                self.settle();
-                self.over |= (parted && self.driver.owed() == 0) || waited >= COMING + self.longest;
-            }
-        }
         self.room.due_in(self.tending, Due::Tend);
     }
 
+    /// Ends once no client is left, after the time in which new ones may come.
+    fn try_to_end(&mut self) {
+        let Some(since) = self.ending else { return };
+        self.accept();
+        let parted = self.clients.part(&mut self.room);
+        self.settle();
+        let latest = since + COMING + self.longest;
+        self.over |= (parted && self.driver.owed() == 0) || self.room.now() >= latest;
+        self.room.due_in(self.tick, Due::End);
+    }
+
     pub fn accept(&mut self) {
         if self.clients.accept(&mut self.room) && !self.make_room() {
             self.clients.pause(&self.room);
@@ -165,6 +173,7 @@
         }
         log::info!("told to end");
         self.ending = Some(self.room.now());
+        self.room.due_in(COMING, Due::End);
         self.clients.ending = true;
     }
 
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -134,6 +134,11 @@
         Ok(())
     }
 
+    /// Whether a connection to the server is kept.
+    pub fn keeps(&self, server: ServerIx) -> bool {
+        self.places.get(server).is_some_and(|p| !p.kept.is_empty())
+    }
+
     pub fn probe(&mut self, room: &mut Room, server: ServerIx) {
         let probed = |outcome| Notice::Event(Event::Probed { server, outcome, load: Load::default() });
         let no = match self.line_to(room, server, self.connect, Task::Probe) {
@@ -229,6 +234,10 @@
         if line.phase != Phase::Writing {
             return;
         }
+        // Guards against writing for a txn that is out of time, where sockets come before what is due.
+        if line.errand.is_some_and(|e| e.until <= room.now()) {
+            return self.give_up(room, no);
+        }
         match line.connection.flush(room) {
             // Not all of the request was written, so the server cannot have started on it.
             Flushed::Failed => self.fail(room, no, Outcome::ConnectFailed),
@@ -242,11 +251,10 @@
 
     fn hear(&mut self, room: &mut Room, no: ConnectionNo) {
         let Some(line) = self.lines.get_mut(&no) else { return };
-        let ended = match line.connection.fill(room) {
-            Filled::Nothing => return,
-            Filled::Some => false,
-            Filled::Ended | Filled::Failed | Filled::Full => true,
-        };
+        let filled = line.connection.fill(room);
+        if filled == Filled::Nothing {
+            return;
+        }
         if line.phase == Phase::Idle {
             // A kept connection that is closed, or speaks unasked, is of no more use.
             let server = line.server;
@@ -254,17 +262,17 @@
             return self.drop_line(room, no);
         }
         let progress = line.intake.answer(&mut line.connection.input);
-        let whole =
-            matches!(progress, Ok(Progress::Whole)) || (ended && progress.is_ok() && line.intake.ends());
-        if whole {
-            self.answered(room, no, ended);
-        } else if ended || progress.is_err() {
+        // Guards against an answer cut off: the end of a connection makes one whole, its breaking never does.
+        let ends = filled == Filled::Ended && progress.is_ok() && line.intake.ends();
+        if progress == Ok(Progress::Whole) || ends {
+            self.answered(room, no, filled == Filled::Some);
+        } else if filled != Filled::Some || progress.is_err() {
             let unwritten = line.phase == Phase::Writing;
             self.fail(room, no, if unwritten { Outcome::ConnectFailed } else { Outcome::Reset });
         }
     }
 
-    fn answered(&mut self, room: &mut Room, no: ConnectionNo, ended: bool) {
+    fn answered(&mut self, room: &mut Room, no: ConnectionNo, goes_on: bool) {
         let Some(line) = self.lines.get_mut(&no) else { return };
         let Ok(Some(head)) = AnswerHead::read(&line.connection.input) else {
             return self.fail(room, no, Outcome::Reset);
@@ -275,7 +283,7 @@
             503 | 504 if turned_away() => Outcome::Full,
             _ => Outcome::Errored,
         };
-        let keeps = head.keeps() && !ended && line.phase == Phase::Waiting;
+        let keeps = head.keeps() && goes_on && line.phase == Phase::Waiting;
         let told = (outcome == Outcome::Served).then(|| {
             let (body, end) = (line.intake.body(), line.intake.body().end);
             // Whatever stands behind a whole answer was not asked for, and ends the connection.
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -14,7 +14,7 @@
 use expect_test::{expect, Expect};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 const BOUND: Duration = Duration::from_secs(20);
 
@@ -131,6 +131,7 @@
     Silence,
     Slowly,
     Unreadable,
+    CutOff,
 }
 
 /// A server that goes through its ways, request by request, and stays with the last.
@@ -160,6 +161,13 @@
                 thread::sleep(Duration::from_millis(400));
                 request.answer("200 OK", &format!("{name} settled {txn}"))
             }
+            Way::CutOff => {
+                // Without a length, an answer goes on to the end of its connection, which here breaks.
+                request.stream.write_all(b"HTTP/1.0 200 OK\r\n\r\nhalf of it").unwrap();
+                thread::sleep(Duration::from_millis(50));
+                SockRef::from(&request.stream).set_linger(Some(Duration::ZERO)).unwrap();
+                false
+            }
             Way::Unreadable => request.stream.write_all(b"HTTP/1.1 banana\r\n\r\n").is_ok(),
         }
     })
@@ -399,6 +407,7 @@
     outcome(&trace, "lodge", &[Way::Reset, Way::Settle], 9000);
     outcome(&trace, "payment", &[Way::Fail, Way::Settle], 9000);
     outcome(&trace, "lodge", &[Way::Unreadable], 9000);
+    outcome(&trace, "lodge", &[Way::CutOff], 9000);
     outcome(&trace, "lodge", &[Way::TurnAway], 9000);
     trace.expect(expect![[r#"
         - draft
@@ -421,6 +430,10 @@
         reset=1
         - lodge
         one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa "{}"
+        client: 502
+        reset=1
+        - lodge
+        one.1: POST /api?obj=7F3a9c21e0b4d655&x=%20 txn aa "{}"
         client: 503 Retry-After: 1.5
         full=1
     "#]]);
@@ -470,6 +483,50 @@
     "#]]);
 }
 
+/// A server whose queue of connections is full, so that the next one does not come up.
+fn full_server() -> (TcpListener, Vec<TcpStream>) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener = TcpListener::from(listener);
+    let address = listener.local_addr().unwrap();
+    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+    let queue = std::iter::from_fn(fill).collect();
+    (listener, queue)
+}
+
+#[test]
+fn a_connection_that_does_not_come_up_is_never_run_and_nothing_is_written_late() {
+    let trace = Trace::default();
+    let (listener, queue) = full_server();
+    let mut told = configuration(silent(), &[member("s-1", listener.local_addr().unwrap(), "ready", 41)]);
+    let gateway = start(&told);
+    trace.note(gateway.caller().ask(txn("lodge", "aa", 9000)));
+    trace.note(gateway.end(&["connect-failed", "declined"]));
+    // Here the gateway stands still while the connection comes up and the txn's time runs out.
+    told["settings"]["limits"]["connect_timeout"] = 9000000.into();
+    let gateway = start(&told);
+    let mut caller = gateway.caller();
+    caller.say(txn("lodge", "ab", 1000));
+    // Answered behind the txn, which is on its way by then.
+    (0..3).for_each(|_| drop(gateway.caller().ask("GET /ready HTTP/1.1\r\n\r\n")));
+    gateway.signal(Signal::STOP);
+    (0..queue.len()).for_each(|_| drop(listener.accept().unwrap()));
+    let mut late = listener.accept().unwrap().0;
+    thread::sleep(Duration::from_millis(1000));
+    gateway.signal(Signal::CONT);
+    trace.note(format!("written late: {} bytes", late.read_to_end(&mut Vec::new()).unwrap_or(0)));
+    trace.note(caller.hear());
+    trace.note(gateway.end(&["connect-failed", "declined"]));
+    trace.expect(expect![[r#"
+        503 Retry-After: 1.5
+        declined=1 connect-failed=1
+        written late: 0 bytes
+        503 Retry-After: 1.5
+        declined=1 connect-failed=1
+    "#]]);
+}
+
 #[test]
 fn a_kept_connection_that_its_server_closed_is_not_written_to() {
     let trace = Trace::default();
