--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -17,7 +17,7 @@
 use crate::counters::Count;
 use crate::dues::ConnectionNo;
 use crate::gateway::Gateway;
-use crate::room::{Asked, Notice, Room, Told};
+use crate::room::{Asked, Body, Notice, Room};
 
 const BACKLOG: i32 = 1024;
 /// Connections taken in one go, so that a flood of them gives way to what is under way.
@@ -57,7 +57,7 @@
 
 /// What a txn was answered with.
 pub enum Answer {
-    Settled(Told),
+    Settled(Body),
     Declined { retry_after: Option<Span> },
     Voided,
 }
@@ -177,6 +177,10 @@
         }
     }
 
+    pub fn is_paused(&self) -> bool {
+        self.door == Door::Paused
+    }
+
     fn resume(&mut self, room: &Room) {
         if let (Door::Paused, Some(token)) = (self.door, &self.token) {
             self.door = Door::Open;
@@ -429,6 +433,22 @@
         oldest.inspect(|no| self.close(room, *no)).is_some()
     }
 
+    /// Closes the client that has left a request unfinished longest, and for longer than `patience`. Guards against
+    /// clients that hold all descriptors with half a request each. Gives back whether there was one.
+    pub fn close_stalled(&mut self, room: &mut Room, patience: Span) -> bool {
+        let edge = room.now() - patience;
+        let stalled = |c: &Client| c.phase == Phase::Reading && c.since < edge;
+        let oldest = self.all.iter().filter(|(_, c)| stalled(c)).min_by_key(|(_, c)| c.since);
+        let Some(no) = oldest.map(|(no, _)| *no) else { return false };
+        // What has come in meanwhile may make the request whole, and then it is taken.
+        self.serve(room, no, Readiness { readable: true, writable: false, error: false });
+        let stalled = self.all.get(&no).is_some_and(stalled);
+        if stalled {
+            self.close(room, no);
+        }
+        stalled
+    }
+
     /// While ending: closes connections between requests. Gives back whether none are left.
     pub fn part(&mut self, room: &mut Room) -> bool {
         let between = |c: &Client| c.phase == Phase::Reading && c.intake.untouched(&c.connection.input);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -68,8 +68,9 @@
         let limits = &terms.limits;
         let (connect, idle, tick) = (limits.connect, limits.idle, terms.tick.max(LEAST));
         let longest = terms.products.iter().map(|p| p.expiry).max().unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
-        let mut room =
-            Room::new(event_loop.handle(), Pool::new(&told.limits), Descriptors::new(&told.limits));
+        let pool = Pool::new(&told.limits);
+        let descriptors = Descriptors::new(&told.limits, &pool);
+        let mut room = Room::new(event_loop.handle(), pool, descriptors);
         let listens = |e| format!("cannot listen on {}: {e}", told.listen);
         let clients = Clients::new(told.listen, names.products.clone(), idle).map_err(listens)?;
         let peers = Peers::open(&room, told, terms.ordinal).map_err(|e| format!("cannot hear peers: {e}"))?;
@@ -132,6 +133,9 @@
     }
 
     fn tend(&mut self) {
+        if self.clients.is_paused() && self.room.descriptors.spare() == 0 {
+            self.make_room();
+        }
         let room = &mut self.room;
         self.servers.tend(room);
         self.clients.tend(room);
@@ -160,9 +164,12 @@
         }
     }
 
-    /// Closes an idle connection to make room for another.
+    /// Closes a connection to make room for another: one that is idle, or whose client has stalled.
     pub fn make_room(&mut self) -> bool {
-        self.servers.close_idle(&mut self.room) || self.clients.close_idle(&mut self.room)
+        let room = &mut self.room;
+        self.servers.close_idle(room)
+            || self.clients.close_idle(room)
+            || self.clients.close_stalled(room, self.tending)
     }
 
     /// The first signal lets all that is taken be answered; a second one ends at once.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -61,8 +61,11 @@
 const RESERVE: usize = 24;
 
 impl Descriptors {
-    pub fn new(told: &LimitsTold) -> Descriptors {
-        Descriptors { held: 0, most: told.sockets.saturating_sub(RESERVE).max(2) }
+    /// Guards against connections without buffers: a txn on two connections holds three of them at the most, its
+    /// request, what goes to or comes from its server, and its answer.
+    pub fn new(told: &LimitsTold, pool: &Pool) -> Descriptors {
+        let most = told.sockets.saturating_sub(RESERVE).min(pool.most / 3 * 2);
+        Descriptors { held: 0, most: most.max(2) }
     }
 
     pub fn spare(&self) -> usize {
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -23,7 +23,7 @@
 }
 
 /// The body of a server's answer, in the buffer it came in.
-pub struct Told {
+pub struct Body {
     pub buffer: Buffer,
     pub body: std::ops::Range<usize>,
 }
@@ -32,7 +32,7 @@
 pub enum Notice {
     Taken { id: TxnId, product: ProductIx, key: Option<Key>, again: bool, left: Span },
     Left { id: TxnId },
-    Closed { id: TxnId, attempt: usize, outcome: Outcome, told: Option<Told> },
+    Closed { id: TxnId, attempt: usize, outcome: Outcome, told: Option<Body> },
     Event(Event),
 }
 
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -12,7 +12,7 @@
 use crate::counters::Count;
 use crate::dues::{ConnectionNo, Due};
 use crate::gateway::Gateway;
-use crate::room::{Asked, Notice, Room, Told};
+use crate::room::{Asked, Body, Notice, Room};
 
 // The page's names end here.
 const FIELD_TXN: &str = "X-Txn";
@@ -288,7 +288,7 @@
             let (body, end) = (line.intake.body(), line.intake.body().end);
             // Whatever stands behind a whole answer was not asked for, and ends the connection.
             let clean = line.connection.input.len() == end;
-            (Told { buffer: std::mem::take(&mut line.connection.input), body }, clean)
+            (Body { buffer: std::mem::take(&mut line.connection.input), body }, clean)
         });
         let clean = told.as_ref().map_or(line.connection.input.len() == line.intake.body().end, |t| t.1);
         self.close_errand(room, no, outcome, told.map(|t| t.0));
@@ -305,7 +305,7 @@
     }
 
     /// Tells how the errand ended; the connection stays.
-    fn close_errand(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome, told: Option<Told>) {
+    fn close_errand(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome, told: Option<Body>) {
         let Some(line) = self.lines.get_mut(&no) else { return };
         let Some(errand) = line.errand.take() else { return };
         room.dues.clear(errand.due, Due::Submission(no));
