--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -187,6 +187,17 @@
         self.take(now, Event::Left { id });
     }
 
+    /// Gives up on every txn that has no answer yet.
+    pub fn void_all(&mut self) {
+        let now = self.room.now();
+        let owed = self.driver.book.iter().filter(|(_, e)| !e.answered).map(|(id, _)| *id);
+        for id in owed.collect::<Vec<TxnId>>() {
+            self.answer(id, Answer::Voided);
+            self.take(now, Event::Left { id });
+        }
+        self.settle();
+    }
+
     pub fn wake(&mut self) {
         let now = self.room.now();
         self.take(now, Event::Wake);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -153,8 +153,12 @@
         self.accept();
         let parted = self.clients.part(&mut self.room);
         self.settle();
-        let latest = since + COMING + self.longest;
-        self.over |= (parted && self.driver.owed() == 0) || self.room.now() >= latest;
+        self.over |= parted && self.driver.owed() == 0;
+        if self.room.now() >= since + COMING + self.longest {
+            // Whoever still waits is told so, while there is time to.
+            self.void_all();
+            self.over = true;
+        }
         self.room.due_in(self.tick, Due::End);
     }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -19,11 +19,16 @@
 mod servers;
 mod told;
 
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 use command_line::{command_line, Command};
 use told::Told;
 
+fn say(mut to: impl Write, line: &str) -> Result<(), String> {
+    writeln!(to, "{line}").map_err(|e| format!("cannot write: {e}"))
+}
+
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve { log, config } => {
@@ -32,13 +37,9 @@
         }
         Command::Check { config } => {
             let told = Told::read(config)?;
-            println!("{}", told.summary()?);
-            Ok(())
-        }
-        Command::Version => {
-            println!("harrierdock {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
+            say(io::stdout(), &told.summary()?)
         }
+        Command::Version => say(io::stdout(), concat!("harrierdock ", env!("CARGO_PKG_VERSION"))),
     }
 }
 
@@ -46,7 +47,8 @@
     match run(command_line().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("harrierdock: {}", e.replace('\n', " "));
+            // With nobody left to read it, the exit code still tells.
+            let _ = say(io::stderr(), &format!("harrierdock: {}", e.replace('\n', " ")));
             ExitCode::from(2)
         }
     }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -882,6 +882,19 @@
     "#]]);
 }
 
+#[test]
+fn what_is_owed_when_time_is_up_is_voided() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Silence]);
+    let mut gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let mut caller = gateway.caller();
+    caller.say(txn("lodge", "a1", 60_000));
+    trace.wait("one.1: POST", 1);
+    gateway.signal(Signal::TERM);
+    assert_eq!(caller.hear(), "502 Connection: close");
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn a_second_signal_ends_it_at_once() {
     let one = server("one", &Trace::default(), &[Way::Silence]);
