--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -142,6 +142,12 @@
                 }
                 return false;
             }
+            Heard::Refused => {
+                // Guards against asking for ever for what follows a version that discovery no longer knows.
+                log::warn!("discovery: refuses, the whole list is fetched");
+                self.revision = None;
+                return true;
+            }
             Heard::Line(line) if line.is_empty() => return true,
             Heard::Line(text) | Heard::Once(text) => text,
         };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -24,6 +24,8 @@
 pub enum Heard {
     Once(Vec<u8>),
     Line(Vec<u8>),
+    /// What was asked for is not to be had.
+    Refused,
     Broken,
 }
 
@@ -163,6 +165,7 @@
             return true;
         }
         if !matches!(AnswerHead::read(input), Ok(Some(head)) if head.status == 200) {
+            heard.push(Heard::Refused);
             return false;
         }
         if self.asking == Asking::Once {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -156,6 +156,7 @@
                 }
                 return;
             }
+            Heard::Refused => return log::warn!("platform: refuses its stream"),
             Heard::Line(line) | Heard::Once(line) => line,
         };
         if line.is_empty() || line == b"{}" {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -212,6 +212,9 @@
             let whole = list(60, true, &[]).to_string();
             return request.answer("200 OK", &whole);
         }
+        if request.head.contains("index=0 ") {
+            return request.answer("410 Gone", "");
+        }
         request.stream(&lines, Some(""))
     });
     (address, say)
@@ -605,6 +608,22 @@
     "#]]);
 }
 
+#[test]
+fn a_version_that_discovery_no_longer_knows_gives_way_to_the_whole_list() {
+    let trace = Trace::default();
+    let (discovery, _say) = discovery(&trace);
+    let mut told = configuration(discovery, &[member("s-1", discovery, "ready", 41)]);
+    told["known"]["revision"] = 0.into();
+    let gateway = start(&told);
+    gateway.line("discovery: list 60 ");
+    trace.wait("discovery: GET", 3);
+    trace.expect(expect![[r#"
+        discovery: GET /v1/endpoints?stream=1&index=0 HTTP/1.1
+        discovery: GET /v1/endpoints HTTP/1.1
+        discovery: GET /v1/endpoints?stream=1&index=60 HTTP/1.1
+    "#]]);
+}
+
 /// A platform that takes votes in turn by these answers, and says on its stream what it is given.
 fn platform(
     trace: &Trace,
@@ -732,6 +751,7 @@
         format!("POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000)),
         "GET /elsewhere HTTP/1.1\r\n\r\n".into(),
         "DELETE /api HTTP/1.1\r\n\r\n".into(),
+        "GET http://app.svc/ready HTTP/1.1\r\n\r\n".into(),
         good.replace("X-Txn", "X-Other"),
         good.replace("X-Txn: aa", "X-Txn: aa\r\nX-Txn: ab"),
         good.replace("X-Txn: aa", "X-Txn: a a"),
@@ -759,6 +779,7 @@
         POST /api HTTP/1.1 Content-Length: 70000  xxxxxxxxxxxxxxxxxx: 413 Connection: close, then closed
         GET /elsewhere HTTP/1.1  : 404, then 200 one settled aa
         DELETE /api HTTP/1.1  : 405, then 200 one settled aa
+        GET http://app.svc/ready HTTP/1.1  : 200, then 200 one settled aa
         GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400 X-Txn: missing or wrong, then 200 one settled aa
         GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400 X-Txn: missing or wrong, then 200 one settled aa
         GET /api?obj=7F3a9c21e0b4d655&x=%20 HTTP/1.1 Host: app.svc X: 400 X-Txn: missing or wrong, then 200 one settled aa
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -128,8 +128,11 @@
         self.minor > 0 && self.fields.says("expect", "100-continue")
     }
 
+    /// The target's path, whether or not the authority stands before it.
     pub fn path(&self) -> &'b str {
-        self.target.split_once('?').map_or(self.target, |(path, _)| path)
+        let path = self.target.split_once('?').map_or(self.target, |(path, _)| path);
+        let Some((_, rest)) = path.split_once("://") else { return path };
+        rest.find('/').map_or("/", |at| &rest[at..])
     }
 
     /// The first query parameter of this name.
