--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -7,7 +7,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
-use harrierdock::interface::{Key, TxnId};
+use harrierdock::interface::TxnId;
 use harrierdock::time::{Point, Span};
 use harrierdock_http::{write, Fault, Intake, Progress, RequestHead};
 use indexmap::IndexSet;
@@ -17,25 +17,12 @@
 use crate::counters::Count;
 use crate::dues::ConnectionNo;
 use crate::gateway::Gateway;
+use crate::request::{asked, Request};
 use crate::room::{Asked, Body, Notice, Room};
 
 const BACKLOG: i32 = 1024;
 /// Connections taken in one go, so that a flood of them gives way to what is under way.
 const ACCEPT_MOST: usize = 64;
-/// The longest id that is passed on.
-const ID_MOST: usize = 64;
-
-// The page's names end here.
-const PATH_READY: &str = "/ready";
-const PATH_TXN: &str = "/api";
-const METHODS: [&str; 2] = ["GET", "POST"];
-const PARAMETER_KEY: &str = "obj";
-const FIELD_TXN: &str = "X-Txn";
-const FIELD_PRODUCT: &str = "X-Lane";
-const FIELD_LEFT: &str = "X-Remaining-Ms";
-const FIELD_AGAIN: &str = "X-Resent";
-const FIELD_REFERENCE: &str = "Idempotency-Key";
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Reading,
@@ -69,6 +56,15 @@
     Paused,
 }
 
+/// What is told to those who ask whether the gateway is ready.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Serving {
+    NotYet,
+    Ready,
+    /// Every connection is closed after its answer.
+    Ending,
+}
+
 pub struct Clients {
     listener: Rc<TcpListener>,
     token: Option<RegistrationToken>,
@@ -78,8 +74,7 @@
     products: IndexSet<String>,
     /// How long a client may leave a request or an answer unfinished.
     patience: Span,
-    pub ready: bool,
-    pub ending: bool,
+    serving: Serving,
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -96,16 +91,6 @@
     gateway.settle();
 }
 
-/// A key is a small number at the door, whatever its text.
-fn key(text: &str) -> Key {
-    let number = (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok()).flatten();
-    Key(number.unwrap_or_else(|| harrierdock_terms::hash(text)))
-}
-
-fn good_id(text: &str) -> bool {
-    !text.is_empty() && text.len() <= ID_MOST && text.bytes().all(|b| b.is_ascii_graphic())
-}
-
 impl Clients {
     pub fn new(address: SocketAddr, products: IndexSet<String>, patience: Span) -> io::Result<Clients> {
         Ok(Clients {
@@ -116,11 +101,15 @@
             asking: BTreeMap::new(),
             products,
             patience,
-            ready: false,
-            ending: false,
+            serving: Serving::NotYet,
         })
     }
 
+    /// Goes on to this, never back.
+    pub fn turn(&mut self, serving: Serving) {
+        self.serving = self.serving.max(serving);
+    }
+
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.listener.local_addr()
     }
@@ -257,50 +246,28 @@
 
     /// A request is whole: a txn is told to the driver, anything else is answered here.
     fn take(&mut self, room: &mut Room, no: ConnectionNo) {
-        let Some(client) = self.all.get(&no) else { return };
-        let bytes = &client.connection.input;
-        let head = match RequestHead::read(bytes) {
+        let Some(client) = self.all.get_mut(&no) else { return };
+        let head = match RequestHead::read(&client.connection.input) {
             Ok(Some(head)) => head,
             Ok(None) => return self.refuse(room, no, Fault::Malformed),
             Err(fault) => return self.refuse(room, no, fault),
         };
-        if head.path() == PATH_READY {
-            let status = if self.ready && !self.ending { 200 } else { 503 };
-            return self.reply(room, no, status, "");
-        }
-        if head.path() != PATH_TXN {
-            return self.reply(room, no, 404, "");
-        }
-        if !METHODS.contains(&head.method) {
-            return self.reply(room, no, 405, "");
-        }
-        let id = room.next_txn();
-        let notice = match self.txn(id, &head) {
-            Ok(notice) => notice,
-            Err(field) => return self.reply(room, no, 400, &format!("{field}: missing or wrong\n")),
+        let (status, more, word) = match Request::read(&head, &self.products) {
+            Request::Txn { product, key, again, left } => {
+                let id = room.next_txn();
+                client.phase = Phase::Waiting(id);
+                self.asking.insert(id, no);
+                room.counters.add(Count::Taken);
+                return room.tell(Notice::Taken { id, product, key, again, left });
+            }
+            Request::Ready if self.serving == Serving::Ready => (200, None, String::new()),
+            Request::Ready => (503, None, String::new()),
+            Request::NotFound => (404, None, String::new()),
+            Request::NotAllowed { methods } => (405, Some(("Allow", methods)), String::new()),
+            Request::Wrong { field } => (400, None, format!("{field}: missing or wrong\n")),
         };
-        room.counters.add(Count::Taken);
-        room.tell(notice);
-        self.asking.insert(id, no);
-        if let Some(client) = self.all.get_mut(&no) {
-            client.phase = Phase::Waiting(id);
-        }
-    }
-
-    /// The txn that a request is, or the field that keeps it from being one.
-    fn txn(&self, id: TxnId, head: &RequestHead) -> Result<Notice, &'static str> {
-        let one = |name| head.fields.one(name).ok().flatten();
-        one(FIELD_TXN).filter(|id| good_id(id)).ok_or(FIELD_TXN)?;
-        head.fields.one(FIELD_REFERENCE).map_err(|_| FIELD_REFERENCE)?;
-        let left: u32 = one(FIELD_LEFT).and_then(|left| left.parse().ok()).ok_or(FIELD_LEFT)?;
-        let product = one(FIELD_PRODUCT).and_then(|name| self.products.get_index_of(name));
-        Ok(Notice::Taken {
-            id,
-            product: product.ok_or(FIELD_PRODUCT)?,
-            key: head.parameter(PARAMETER_KEY).map(key),
-            again: one(FIELD_AGAIN) == Some("1"),
-            left: Span(i64::from(left) * 1000),
-        })
+        room.counters.add(Count::NotTxn);
+        self.respond(room, no, status, more, word.as_bytes(), true);
     }
 
     /// The txn's request, as long as its client waits.
@@ -308,13 +275,7 @@
         let client = self.all.get(self.asking.get(&id)?)?;
         let bytes = &client.connection.input;
         let head = RequestHead::read(&bytes[client.intake.head()]).ok().flatten()?;
-        Some(with(Asked {
-            method: head.method,
-            target: head.target,
-            txn: head.fields.one(FIELD_TXN).ok().flatten()?,
-            reference: head.fields.one(FIELD_REFERENCE).ok().flatten(),
-            body: &bytes[client.intake.body()],
-        }))
+        asked(&head, &bytes[client.intake.body()]).map(with)
     }
 
     /// The txn's one final answer.
@@ -339,13 +300,6 @@
         }
     }
 
-    /// An answer of the gateway's own to a request that is no txn, with a word on what is wrong with it.
-    fn reply(&mut self, room: &mut Room, no: ConnectionNo, status: u16, word: &str) {
-        room.counters.add(Count::NotTxn);
-        let allow = (status == 405).then(|| ("Allow", METHODS.join(", ")));
-        self.respond(room, no, status, allow, word.as_bytes(), true);
-    }
-
     /// Writes an answer. The connection is kept afterwards if the client wants it and the request was whole.
     fn respond(
         &mut self,
@@ -359,7 +313,7 @@
         let Some(client) = self.all.get_mut(&no) else { return };
         let keeps =
             || RequestHead::read(&client.connection.input).is_ok_and(|h| h.is_some_and(|h| h.keeps()));
-        let kept = whole && !self.ending && keeps();
+        let kept = whole && self.serving != Serving::Ending && keeps();
         client.phase = Phase::Answering { kept };
         let Some(out) = client.connection.out(room) else { return self.close(room, no) };
         write::status_line(out, status);
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -95,7 +95,7 @@
             break;
         }
     }
-    gateway.clients.ready |= gateway.discovery.revision.is_some();
+    gateway.look_ready();
     gateway.settle();
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use calloop::EventLoop;
 use harrierdock::time::{Point, Span};
 
-use crate::clients::Clients;
+use crate::clients::{Clients, Serving};
 use crate::counters::Count;
 use crate::discovery::Discovery;
 use crate::driver::Driver;
@@ -98,13 +98,13 @@
             ending: None,
             over: false,
         };
-        let Gateway { room, driver, servers, discovery, platform, clients, .. } = &mut gateway;
+        let Gateway { room, driver, servers, discovery, platform, .. } = &mut gateway;
         discovery.recall(room, &mut driver.names, servers, &told.known);
-        clients.ready = discovery.knows();
         if let (Some(platform), Some(news)) = (platform, told.rollouts.as_ref().and_then(|r| r.news)) {
             platform.learn(room, news, false);
         }
         gateway.settle();
+        gateway.look_ready();
         gateway.clients.open(&gateway.room)?;
         Ok(gateway)
     }
@@ -162,6 +162,13 @@
         self.room.due_in(self.tick, Due::End);
     }
 
+    /// It is ready once it knows a list.
+    pub fn look_ready(&mut self) {
+        if self.discovery.knows() {
+            self.clients.turn(Serving::Ready);
+        }
+    }
+
     pub fn accept(&mut self) {
         if self.clients.accept(&mut self.room) && !self.make_room() {
             self.clients.pause(&self.room);
@@ -185,7 +192,7 @@
         log::info!("told to end");
         self.ending = Some(self.room.now());
         self.room.due_in(COMING, Due::End);
-        self.clients.ending = true;
+        self.clients.turn(Serving::Ending);
     }
 
     fn report(&mut self) {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod platform;
 mod pool;
+mod request;
 mod room;
 mod servers;
 mod told;
