--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -5,7 +5,7 @@
 
 use calloop::Readiness;
 use harrierdock::interface::{Build, Event, Phase, StageNews, Verdict, Word};
-use harrierdock::time::Span;
+use harrierdock::time::{Point, Span};
 use harrierdock_http::{write, AnswerHead, Intake, Progress};
 use harrierdock_terms::Names;
 use serde::Deserialize;
@@ -87,14 +87,14 @@
     connection: Connection,
     intake: Intake,
     written: bool,
-    due: harrierdock::time::Point,
+    due: Point,
 }
 
 pub struct Platform {
     address: SocketAddr,
     feed: Feed,
     calls: BTreeMap<ConnectionNo, Call>,
-    newest: Option<(NewsTold, harrierdock::time::Point)>,
+    newest: Option<(NewsTold, Point)>,
     wait: Span,
     pause: Span,
 }
@@ -255,15 +255,11 @@
             }
         }
         let Some(call) = self.calls.get_mut(&no).filter(|c| readiness.readable && c.written) else { return };
-        let ended = match call.connection.fill(room) {
-            Filled::Nothing => return,
-            Filled::Some => false,
-            Filled::Ended | Filled::Failed | Filled::Full => true,
-        };
+        let filled = call.connection.fill(room);
         let progress = call.intake.answer(&mut call.connection.input);
-        let whole =
-            matches!(progress, Ok(Progress::Whole)) || (ended && progress.is_ok() && call.intake.ends());
-        if !whole && !ended && progress.is_ok() {
+        let ends = filled == Filled::Ended && progress.is_ok() && call.intake.ends();
+        let whole = progress == Ok(Progress::Whole) || ends;
+        if !whole && matches!(filled, Filled::Some | Filled::Nothing) && progress.is_ok() {
             return;
         }
         let input = &call.connection.input;
