--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -127,10 +127,14 @@
 
     /// Takes waiting connections while descriptors last. Gives back whether room must be made for more.
     pub fn accept(&mut self, room: &mut Room) -> bool {
-        for _ in 0..ACCEPT_MOST {
+        for taken in 0..ACCEPT_MOST {
             if room.descriptors.spare() == 0 {
-                room.counters.add(Count::NoDescriptor);
-                return true;
+                // Guards against making room for nobody, at the cost of the one that was let in last: whether
+                // another waits behind it, the listener tells again.
+                if taken == 0 {
+                    room.counters.add(Count::NoDescriptor);
+                }
+                return taken == 0;
             }
             let stream = match self.listener.accept() {
                 Ok((stream, _)) => stream,
@@ -380,27 +384,21 @@
         }
     }
 
-    /// Closes the client that has been idle longest. Gives back whether there was one.
-    pub fn close_idle(&mut self, room: &mut Room) -> bool {
-        let idle = |c: &&Client| c.phase == Phase::Parting || c.intake.untouched(&c.connection.input);
-        let oldest = self.all.iter().filter(|(_, c)| idle(c)).min_by_key(|(_, c)| c.since).map(|(no, _)| *no);
-        oldest.inspect(|no| self.close(room, *no)).is_some()
-    }
-
-    /// Closes the client that has left a request unfinished longest, and for longer than `patience`. Guards against
-    /// clients that hold all descriptors with half a request each. Gives back whether there was one.
-    pub fn close_stalled(&mut self, room: &mut Room, patience: Span) -> bool {
+    /// Closes the client that has been idle longest, or has left a request unfinished for longer than `patience`.
+    /// Guards against clients that hold all descriptors with half a request each, and against those that come
+    /// taking each other's places beside them. Gives back whether there was one.
+    pub fn close_idle(&mut self, room: &mut Room, patience: Span) -> bool {
         let edge = room.now() - patience;
+        let idle = |c: &Client| c.phase == Phase::Parting || c.intake.untouched(&c.connection.input);
         let stalled = |c: &Client| c.phase == Phase::Reading && c.since < edge;
-        let oldest = self.all.iter().filter(|(_, c)| stalled(c)).min_by_key(|(_, c)| c.since);
+        let oldest = self.all.iter().filter(|(_, c)| idle(c) || stalled(c)).min_by_key(|(_, c)| c.since);
         let Some(no) = oldest.map(|(no, _)| *no) else { return false };
-        // What has come in meanwhile may make the request whole, and then it is taken.
+        // What has come in meanwhile may make a request whole, and then it is taken.
         self.serve(room, no, Readiness { readable: true, writable: false, error: false });
-        let stalled = self.all.get(&no).is_some_and(stalled);
-        if stalled {
+        if self.all.get(&no).is_some_and(|c| idle(c) || stalled(c)) {
             self.close(room, no);
         }
-        stalled
+        !self.all.contains_key(&no)
     }
 
     /// While ending: closes connections between requests. Gives back whether none are left.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -178,9 +178,7 @@
     /// Closes a connection to make room for another: one that is idle, or whose client has stalled.
     pub fn make_room(&mut self) -> bool {
         let room = &mut self.room;
-        self.servers.close_idle(room)
-            || self.clients.close_idle(room)
-            || self.clients.close_stalled(room, self.tending)
+        self.servers.close_idle(room) || self.clients.close_idle(room, self.tending)
     }
 
     /// The first signal lets all that is taken be answered; a second one ends at once.
