--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -150,7 +150,7 @@
         if name == "BOOT" {
             let seed = field(row, 2);
             let seed = seed.as_u64().or(seed.as_i64().map(|s| s as u64)).ok_or("value 2 is no seed")?;
-            let (told, names) = terms::read(field(row, 3))?;
+            let (told, names) = terms::read(field(row, 3)).map_err(|e| format!("options: {e}"))?;
             self.instances.insert(who, (Gateway::new(told, seed), names));
             return Ok(());
         }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// A reload has told another address: it is asked at once for what follows the version held.
+    pub fn turn_to(&mut self, room: &mut Room, address: SocketAddr) {
+        if self.feed.turn_to(room, address) {
+            self.open(room);
+        }
+    }
+
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
         if self.feed.is_silent(now, self.pause) || !self.feed.rests(now, self.pause) {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -57,6 +57,17 @@
         }
     }
 
+    /// Turns to another address. Gives back whether it is another one, which is then to be opened.
+    pub fn turn_to(&mut self, room: &mut Room, address: SocketAddr) -> bool {
+        if self.address == address {
+            return false;
+        }
+        log::info!("{}: now at {address}", self.name);
+        self.address = address;
+        self.close(room);
+        true
+    }
+
     /// Whether it stands, or there is a reason to wait before it is opened anew.
     pub fn rests(&self, now: Point, pause: Span) -> bool {
         self.connection.is_some() || now - self.tried < pause
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,8 @@
-//! One gateway: its parts, its loop, and how it ends.
+//! One gateway: its parts, its loop, how it is told anew, and how it ends.
 
-use calloop::signals::{Signal, Signals};
+use std::path::PathBuf;
+
+use calloop::signals::{Event, Signal, Signals};
 use calloop::EventLoop;
 use harrierdock::time::{Point, Span};
 
@@ -15,7 +17,7 @@
 use crate::pool::{Descriptors, Pool};
 use crate::room::Room;
 use crate::servers::Servers;
-use crate::told::Told;
+use crate::told::{RolloutsTold, Told};
 
 /// How long after a signal to end new requests may still come.
 const COMING: Span = Span(700_000);
@@ -33,6 +35,9 @@
     pub discovery: Discovery,
     pub platform: Option<Platform>,
     pub peers: Option<Peers>,
+    /// The file that a reload reads again.
+    path: PathBuf,
+    vote_wait: Span,
     /// How often connections and streams are looked after: as long as a connection may take to come up.
     tending: Span,
     /// How often it is looked at whether the end has come: at each tick of the settings.
@@ -74,13 +79,15 @@
         let listens = |e| format!("cannot listen on {}: {e}", told.listen);
         let clients = Clients::new(told.listen, names.products.clone(), idle).map_err(listens)?;
         let peers = Peers::open(&room, told, terms.ordinal).map_err(|e| format!("cannot hear peers: {e}"))?;
-        let pause = connect;
-        let wait = terms.release.vote_wait;
-        let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, wait, pause));
-        let discovery = Discovery::new(told.discovery, pause);
-        let signals =
-            Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("no signals: {e}"))?;
-        let on_signal = |_, _: &mut (), gateway: &mut Gateway| gateway.end();
+        let vote_wait = terms.release.vote_wait;
+        let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
+        let discovery = Discovery::new(told.discovery, connect);
+        let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
+            .map_err(|e| format!("no signals: {e}"))?;
+        let on_signal = |event: Event, _: &mut (), gateway: &mut Gateway| match event.signal() {
+            Signal::SIGHUP => gateway.reload(),
+            _ => gateway.end(),
+        };
         event_loop.handle().insert_source(signals, on_signal).map_err(|e| format!("no signals: {e}"))?;
         room.due_in(Span::ZERO, Due::Tend);
         room.due_in(REPORT, Due::Report);
@@ -92,6 +99,8 @@
             discovery,
             platform,
             peers,
+            path: told.path.clone(),
+            vote_wait,
             tending: connect.max(LEAST),
             tick,
             longest,
@@ -181,6 +190,21 @@
         self.servers.close_idle(room) || self.clients.close_idle(room, self.tending)
     }
 
+    /// Reads the configuration again and turns to the addresses it tells. All else stays as it is: what is known,
+    /// what is under way, and every connection to clients and servers. A file that cannot be read changes nothing.
+    fn reload(&mut self) {
+        let told = match Told::read_again(&self.path) {
+            Ok(told) => told,
+            Err(e) => return log::warn!("told to reload, nothing changes: {e}"),
+        };
+        log::info!("told to reload");
+        self.discovery.turn_to(&mut self.room, told.discovery);
+        if let Some(RolloutsTold { address, .. }) = told.rollouts {
+            let new = || Platform::new(address, self.vote_wait, self.tending);
+            self.platform.get_or_insert_with(new).turn_to(&mut self.room, address);
+        }
+    }
+
     /// The first signal lets all that is taken be answered; a second one ends at once.
     fn end(&mut self) {
         if self.ending.is_some() {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -178,6 +178,14 @@
         }
     }
 
+    /// A reload has told another address. Votes that are out stay where they went.
+    pub fn turn_to(&mut self, room: &mut Room, address: SocketAddr) {
+        self.address = address;
+        if self.feed.turn_to(room, address) {
+            self.feed.open(room, PATH_EVENTS, Asking::Lines, on_feed);
+        }
+    }
+
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
         if self.feed.is_silent(now, self.pause) || !self.feed.rests(now, self.pause) {
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -1,18 +1,20 @@
-//! What a gateway is told at its start: the configuration, and the variables that override its fields.
+//! What a gateway is told, at its start and again at a reload: the configuration, and the variables beside it.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use harrierdock::interface::Terms;
 use harrierdock_terms::Names;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 use crate::discovery::ListTold;
 use crate::platform::NewsTold;
 
 #[derive(Deserialize)]
 pub struct Told {
+    #[serde(skip)]
+    pub path: PathBuf,
     #[serde(default)]
     pub name: String,
     pub listen: SocketAddr,
@@ -56,21 +58,37 @@
     pub fn read(path: Option<PathBuf>) -> Result<Told, String> {
         let named = || std::env::var_os("LB_CONFIG").map(PathBuf::from);
         let path = path.or_else(named).ok_or("no configuration: LB_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        let wrong = |e: serde_json::Error| format!("{}: {e}", path.display());
-        let mut told: Value = serde_json::from_str(&text).map_err(wrong)?;
-        let fields = told.as_object_mut().ok_or(format!("{}: not an object", path.display()))?;
+        Told::parse(&path, |fields, field, value| {
+            fields.insert(field.into(), value);
+        })
+    }
+
+    /// Reads the file again. Guards against the variables of the start, which cannot change, hiding what the
+    /// file tells now: they fill in only what it leaves out.
+    pub fn read_again(path: &Path) -> Result<Told, String> {
+        Told::parse(path, |fields, field, value| {
+            fields.entry(field).or_insert(value);
+        })
+    }
+
+    fn parse(path: &Path, set: impl Fn(&mut Map<String, Value>, &str, Value)) -> Result<Told, String> {
+        let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
+        let mut value: Value = serde_json::from_str(&text).map_err(|e| wrong(&e))?;
+        let fields = value.as_object_mut().ok_or_else(|| wrong(&"not an object"))?;
         for (variable, field) in [("LB_NAME", "name"), ("LB_LISTEN", "listen"), ("LB_DISCOVERY", "discovery")]
         {
             if let Ok(value) = std::env::var(variable) {
-                fields.insert(field.into(), value.into());
+                set(fields, field, value.into());
             }
         }
-        serde_path_to_error::deserialize(told).map_err(|e| format!("{}: {e}", path.display()))
+        let told: Told = serde_path_to_error::deserialize(value).map_err(|e| wrong(&e))?;
+        let told = Told { path: path.into(), ..told };
+        told.terms().map(|_| told)
     }
 
     pub fn terms(&self) -> Result<(Terms, Names), String> {
-        harrierdock_terms::read(&self.settings)
+        harrierdock_terms::read(&self.settings).map_err(|e| format!("{}: settings.{e}", self.path.display()))
     }
 
     /// The seed as a number; one that is not hexadecimal still gives a number of its own.
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -154,12 +154,12 @@
         "safe" => Ok(Repeat::InquiryLike),
         "keyed" => Ok(Repeat::Referenced { group, memory: Span(class.memory_span) }),
         "unsafe" => Ok(Repeat::OnceOnly),
-        odd => Err(format!("options: class {}: unknown idempotency '{odd}'", class.name)),
+        odd => Err(format!("classes: {}: unknown idempotency '{odd}'", class.name)),
     }
 }
 
 pub fn read(options: &serde_json::Value) -> Result<(Terms, Names), String> {
-    let o: Options = serde_path_to_error::deserialize(options).map_err(|e| format!("options: {e}"))?;
+    let o: Options = serde_path_to_error::deserialize(options).map_err(|e| e.to_string())?;
     let mut names = Names {
         products: o.classes.iter().map(|c| c.name.clone()).collect(),
         tenants: o.tenants.iter().map(|t| t.name.clone()).collect(),
