--- a/src/policy.rs
+++ b/src/policy.rs
@@ -163,7 +163,7 @@
     /// Guards against pushing a cold server over: our share of what may go there within the stated time is
     /// what an average server answers us, times the part of that multiple that all gateways may use. Answers
     /// are counted, not txns taken: client retries multiply those, but no server answers more than it can.
-    /// A gateway whose share is less than one submission in that time takes its chance in place of a count: its
+    /// A gateway whose share is less than one submission in that time takes its chance, not a count: its
     /// share, over what it would send there if each look ended at one of the rivals by weight.
     fn may_warm(&self, server: &Server, rivals: f64, chance: f64) -> bool {
         let warmth = self.warmth(server);
@@ -265,7 +265,7 @@
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
         let pin = self.pin(&self.txns[&id]);
         self.pinned += LEARN * LEARN * (f64::from(pin > 0 && self.on_trial(pin)) - self.pinned);
-        // Guards against a jam that no limit at a server holds off, as hundreds of gateways keep one out at each.
+        // Guards against a jam that no limit at a server holds off: hundreds of gateways keep one out each.
         if self.chance.generate::<f64>() < self.shed {
             return self.give_up(id);
         }
@@ -298,12 +298,12 @@
             || !txn.attempts.iter().any(Attempt::may_have_run)
     }
 
-    /// Finds a server: the build by its share of ready servers, then two choices inside it. Of a large fleet a
+    /// Finds a server: the build by its share of ready servers, then two choices in it. Of a large fleet a
     /// sample stands for all, so that a txn costs the same in any.
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
         self.looks.push(self.now, ()); // one that finds nothing is a chance at a cold server too
         let (mut sample, mut bears) = (Vec::new(), [0.0; 2]);
-        // As many servers as it keeps connections to by its traffic, twice over: a new one costs time and work.
+        // As many servers as it keeps connections to by its traffic, twice over: a new one costs time, work.
         let part = self.terms.limits.idle.over(self.terms.release.window) / 2.0;
         let kept = ((self.taken.len() as f64 * part) as usize).max(SAMPLE);
         for (arm, bears) in self.arms.iter().zip(&mut bears) {
@@ -315,7 +315,7 @@
                 sample.push((arm[at], stands_for));
             }
         }
-        // A cold server counts for as much as it bears, or the warm ones of its build would bear its part too.
+        // A cold server counts for what it bears, or the warm ones of its build would bear its part too.
         // Keys that stay with the trial build are part of its share.
         let share = bears[1] / (bears[0] + bears[1]).max(f64::EPSILON);
         let share = ((share - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
@@ -369,7 +369,7 @@
 
     fn place(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get(&id) else { return };
-        // No second copy while one runs: where work is not stopped it fills the servers that are slow already.
+        // No second copy while one runs: where work is not stopped it fills servers that are slow already.
         if txn.answer != Answer::Owed || txn.attempts.iter().any(|a| !a.closed()) {
             return;
         }
@@ -498,10 +498,10 @@
                 }
             }
         }
-        // Guards a key that the newest build has answered, on trial or released, from any earlier one.
-        if served && self.terms.release.one_way {
-            let newest = self.news.as_ref().is_none_or(|n| build >= n.build);
-            if let Some(key) = key.filter(|_| newest) {
+        // Guards a key that the newest build answered, on trial or released, from any earlier one, even if
+        // that answer could not be read or was not waited for. Harms by keeping keys that it never answered.
+        if self.terms.release.one_way && !proven && outcome != Outcome::Errored {
+            if let Some(key) = key.filter(|_| self.news.as_ref().is_none_or(|n| build >= n.build)) {
                 self.pins.insert(key, build);
             }
         }
@@ -541,7 +541,7 @@
         self.untold.push(told);
     }
 
-    /// Answer times: each server's pace beside the product's mean; and while no build is in question the usual
+    /// Answer times: each server's pace beside the product's mean; while no build is in question, the usual
     /// ones, by product and model.
     fn note(&mut self, told: &Hearsay) {
         let usual_times = !self.on_trial(told.build) && !self.in_question();
@@ -818,7 +818,7 @@
 
     // ---- periodic work and output ----
 
-    /// Sheds while most answers take long, the slowest product's aside, which may wait for something of its own.
+    /// Sheds while most answers take long, the slowest product's aside: it may wait for something of its own.
     /// A member that hears no more lets all in again. The limits at servers do this for circles of one.
     fn crowd(&mut self) {
         let late = || self.rows.iter().map(|r| r.late);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -202,6 +202,48 @@
     );
 }
 
+#[test]
+fn a_key_stays_with_the_newest_build_where_its_answer_may_be_lost() {
+    let mut told = terms();
+    told.release.one_way = true;
+    let mut trace = String::new();
+    for outcome in [Outcome::Reset, Outcome::TimedOut, Outcome::Errored, Outcome::ConnectFailed] {
+        let mut desk = Desk::with(told.clone(), &[1, 2], Phase::Trial);
+        let mut key = 0;
+        let first = loop {
+            key += 1;
+            let txn = desk.txn(LODGE, Some(key));
+            if desk.sent.last() == Some(&(txn, 1)) {
+                break txn;
+            }
+            desk.close(txn, 0, Outcome::Served, 30);
+        };
+        desk.close(first, 0, outcome, 30);
+        if desk.sent.last() == Some(&(first, 0)) {
+            desk.close(first, 1, Outcome::Served, 30);
+        }
+        desk.pass(5000);
+        let used: Vec<ServerIx> = (0..20)
+            .filter_map(|_| {
+                desk.pass(100);
+                let txn = desk.txn(LODGE, Some(key));
+                let to = desk.sent.last().filter(|s| s.0 == txn)?.1;
+                // One that fails leaves the key as it was.
+                desk.close(txn, 0, Outcome::Errored, 30);
+                Some(to)
+            })
+            .collect();
+        trace += &format!("{outcome:?}: earlier build {}\n", share(&used, 0));
+    }
+    expect![[r#"
+        Reset: earlier build 0 of 20
+        TimedOut: earlier build 0 of 20
+        Errored: earlier build 5 of 20
+        ConnectFailed: earlier build 5 of 20
+    "#]]
+    .assert_eq(&trace);
+}
+
 // ---- elimination, drops and votes ----
 
 /// A trial of build 2 on one of four servers, where every n-th answer of the trial build fails.
