--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: the listener, their connections, the requests on them and the answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -23,6 +23,9 @@
 const BACKLOG: i32 = 1024;
 /// Connections taken in one go, so that a flood of them gives way to what is under way.
 const ACCEPT_MOST: usize = 64;
+/// The protocol lets a connection without an open request be closed after this.
+pub const UNUSED: Span = Span(2_000_000);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Reading,
@@ -35,11 +38,50 @@
     Parting,
 }
 
+/// How a connection stands on which no txn is under way, in the order in which they make room for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// Nothing was ever sent on it.
+    Silent,
+    /// Half a request has come.
+    Unfinished,
+    Parting,
+    /// Between requests.
+    Unused,
+    /// An answer goes out that the client does not take in.
+    Unread,
+}
+
 struct Client {
     connection: Connection,
     intake: Intake,
     phase: Phase,
+    /// Whether the client wants the connection kept after this request.
+    keeps: bool,
+    /// Since when it stands as it does; a first request counts from the connection's coming.
     since: Point,
+    /// Where it is noted as one that may make room.
+    standing: Option<(Standing, Point)>,
+}
+
+impl Client {
+    fn stands(&self) -> Option<(Standing, Point)> {
+        let standing = match self.phase {
+            Phase::Waiting(_) => return None,
+            Phase::Reading if !self.intake.untouched(&self.connection.input) => Standing::Unfinished,
+            Phase::Reading if self.keeps => Standing::Unused,
+            Phase::Reading => Standing::Silent,
+            Phase::Answering { .. } => Standing::Unread,
+            Phase::Parting => Standing::Parting,
+        };
+        Some((standing, self.since))
+    }
+}
+
+/// A txn whose client waits.
+struct Asker {
+    no: ConnectionNo,
+    name: String,
 }
 
 /// What a txn was answered with.
@@ -70,13 +112,19 @@
     token: Option<RegistrationToken>,
     door: Door,
     all: BTreeMap<ConnectionNo, Client>,
-    asking: BTreeMap<TxnId, ConnectionNo>,
+    standing: BTreeSet<(Standing, Point, ConnectionNo)>,
+    asking: BTreeMap<TxnId, Asker>,
+    /// The ids of the txns whose clients wait.
+    open: BTreeSet<String>,
     products: IndexSet<String>,
-    /// How long a client may leave a request or an answer unfinished.
+    /// How long a connection is kept unused, or an answer unread.
     patience: Span,
     serving: Serving,
 }
 
+/// As though something had come in.
+const WAITING: Readiness = Readiness { readable: true, writable: false, error: false };
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let kind = Type::STREAM.nonblocking().cloexec();
     let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
@@ -98,7 +146,9 @@
             token: None,
             door: Door::Open,
             all: BTreeMap::new(),
+            standing: BTreeSet::new(),
             asking: BTreeMap::new(),
+            open: BTreeSet::new(),
             products,
             patience,
             serving: Serving::NotYet,
@@ -153,9 +203,10 @@
             let made = set.and_then(|_| Connection::adopt(room, stream, Interest::READ, Purse::Budget, call));
             let Ok(connection) = made else { continue };
             room.counters.add(Count::ClientsAccepted);
-            let client =
-                Client { connection, intake: Intake::default(), phase: Phase::Reading, since: room.now() };
+            let (intake, phase, since) = (Intake::default(), Phase::Reading, room.now());
+            let client = Client { connection, intake, phase, keeps: false, since, standing: None };
             self.all.insert(no, client);
+            self.note(no);
         }
         false
     }
@@ -183,17 +234,41 @@
         }
     }
 
+    /// Notes how a connection stands now.
+    fn note(&mut self, no: ConnectionNo) {
+        let Some(client) = self.all.get_mut(&no) else { return };
+        let now = client.stands();
+        let before = std::mem::replace(&mut client.standing, now);
+        if before != now {
+            before.map(|(standing, since)| self.standing.remove(&(standing, since, no)));
+            self.standing.extend(now.map(|(standing, since)| (standing, since, no)));
+        }
+    }
+
     fn close(&mut self, room: &mut Room, no: ConnectionNo) {
         let Some(client) = self.all.remove(&no) else { return };
+        client.standing.map(|(standing, since)| self.standing.remove(&(standing, since, no)));
         if let Phase::Waiting(id) = client.phase {
-            self.asking.remove(&id);
+            self.forget(id);
             room.counters.add(Count::Left);
             room.tell(Notice::Left { id });
         }
         client.connection.close(room);
     }
 
+    /// The txn's client waits no more. Gives back on which connection it did.
+    fn forget(&mut self, id: TxnId) -> Option<ConnectionNo> {
+        let asker = self.asking.remove(&id)?;
+        self.open.remove(&asker.name);
+        Some(asker.no)
+    }
+
     fn serve(&mut self, room: &mut Room, no: ConnectionNo, readiness: Readiness) {
+        self.look(room, no, readiness);
+        self.note(no);
+    }
+
+    fn look(&mut self, room: &mut Room, no: ConnectionNo, readiness: Readiness) {
         let Some(client) = self.all.get_mut(&no) else { return };
         if readiness.writable && matches!(client.phase, Phase::Answering { .. } | Phase::Reading) {
             self.send(room, no);
@@ -209,15 +284,18 @@
             }
             return;
         }
+        if client.phase == Phase::Parting {
+            if matches!(client.connection.pass_over(room), Filled::Ended | Filled::Failed) {
+                self.close(room, no);
+            }
+            return;
+        }
         let begins = client.connection.input.is_empty();
         match client.connection.fill(room) {
-            Filled::Some if client.phase == Phase::Parting => {
-                client.connection.input.clear();
-                client.connection.release_empty(room);
-            }
             Filled::Some if client.phase == Phase::Reading => {
-                // A request counts from its first byte, so that one sent drop by drop has no longer than others.
-                if begins {
+                // A request counts from its first byte, the first one from the connection's coming, so that one
+                // sent drop by drop has no longer than others.
+                if begins && client.keeps {
                     client.since = room.now();
                 }
                 self.advance(room, no);
@@ -242,6 +320,11 @@
                     write::go_on(out);
                     return self.send(room, no);
                 }
+                // Guards against doubt about what belongs to a request: clients send one at a time, so what
+                // stands behind one makes it unreadable, be it a length that is wrong or hundreds at once.
+                Ok(Progress::Whole) if client.intake.body().end < client.connection.input.len() => {
+                    self.refuse(room, no, Fault::Malformed)
+                }
                 Ok(Progress::Whole) => self.take(room, no),
                 Err(fault) => self.refuse(room, no, fault),
             }
@@ -256,11 +339,15 @@
             Ok(None) => return self.refuse(room, no, Fault::Malformed),
             Err(fault) => return self.refuse(room, no, fault),
         };
+        client.keeps = head.keeps();
         let (status, more, word) = match Request::read(&head, &self.products) {
-            Request::Txn { product, key, again, left } => {
+            // Guards against a second copy of a txn that is under way, which goes on undisturbed.
+            Request::Txn { name, .. } if self.open.contains(name) => (409, None, String::new()),
+            Request::Txn { name, product, key, again, left } => {
                 let id = room.next_txn();
                 client.phase = Phase::Waiting(id);
-                self.asking.insert(id, no);
+                self.open.insert(name.to_string());
+                self.asking.insert(id, Asker { no, name: name.to_string() });
                 room.counters.add(Count::Taken);
                 return room.tell(Notice::Taken { id, product, key, again, left });
             }
@@ -276,7 +363,7 @@
 
     /// The txn's request, as long as its client waits.
     pub fn asked<T>(&self, id: TxnId, with: impl FnOnce(Asked) -> T) -> Option<T> {
-        let client = self.all.get(self.asking.get(&id)?)?;
+        let client = self.all.get(&self.asking.get(&id)?.no)?;
         let bytes = &client.connection.input;
         let head = RequestHead::read(&bytes[client.intake.head()]).ok().flatten()?;
         asked(&head, &bytes[client.intake.body()]).map(with)
@@ -284,7 +371,7 @@
 
     /// The txn's one final answer.
     pub fn answer(&mut self, room: &mut Room, id: TxnId, answer: Answer) {
-        let Some(no) = self.asking.remove(&id) else { return };
+        let Some(no) = self.forget(id) else { return };
         let (count, status) = match &answer {
             Answer::Settled(_) => (Count::Settled, 200),
             Answer::Declined { .. } => (Count::Declined, 503),
@@ -302,9 +389,11 @@
             }
             Answer::Voided => self.respond(room, no, status, None, b"", true),
         }
+        self.note(no);
     }
 
-    /// Writes an answer. The connection is kept afterwards if the client wants it and the request was whole.
+    /// Writes an answer. The connection is kept afterwards if the client wants it, the request was whole, and
+    /// nothing stands behind it.
     fn respond(
         &mut self,
         room: &mut Room,
@@ -315,9 +404,8 @@
         whole: bool,
     ) {
         let Some(client) = self.all.get_mut(&no) else { return };
-        let keeps =
-            || RequestHead::read(&client.connection.input).is_ok_and(|h| h.is_some_and(|h| h.keeps()));
-        let kept = whole && self.serving != Serving::Ending && keeps();
+        let alone = client.intake.body().end == client.connection.input.len();
+        let kept = whole && alone && client.keeps && self.serving != Serving::Ending;
         client.phase = Phase::Answering { kept };
         let Some(out) = client.connection.out(room) else { return self.close(room, no) };
         write::status_line(out, status);
@@ -362,17 +450,25 @@
         }
     }
 
-    /// Closes those who leave something unfinished for too long, and lets new ones in again.
+    /// Closes those who leave something unfinished for too long, and lets new ones in again. Guards against
+    /// connections that say nothing, or half of something: whoever has begun a request is told.
     pub fn tend(&mut self, room: &mut Room) {
-        let edge = room.now() - self.patience;
-        let stalled = |c: &Client| match c.phase {
-            Phase::Waiting(_) => false,
-            Phase::Reading => c.since < edge && !c.connection.input.is_empty(),
-            Phase::Answering { .. } | Phase::Parting => c.since < edge,
-        };
-        let late: Vec<ConnectionNo> =
-            self.all.iter().filter(|(_, c)| stalled(c)).map(|(no, _)| *no).collect();
-        late.into_iter().for_each(|no| self.close(room, no));
+        let now = room.now();
+        let spans = [
+            (Standing::Silent, UNUSED),
+            (Standing::Unfinished, UNUSED),
+            (Standing::Parting, UNUSED),
+            (Standing::Unused, self.patience),
+            (Standing::Unread, self.patience),
+        ];
+        for (standing, span) in spans {
+            while let Some((since, no)) = self.first(standing).filter(|f| now - f.0 >= span) {
+                self.serve(room, no, WAITING);
+                if self.all.get(&no).is_some_and(|c| c.standing == Some((standing, since))) {
+                    self.end(room, no, standing);
+                }
+            }
+        }
         // Those who found no buffer may find one now.
         for client in self.all.values().filter(|c| c.phase == Phase::Reading) {
             if !client.connection.reads() && client.connection.input.is_empty() {
@@ -384,21 +480,52 @@
         }
     }
 
-    /// Closes the client that has been idle longest, or has left a request unfinished for longer than `patience`.
-    /// Guards against clients that hold all descriptors with half a request each, and against those that come
-    /// taking each other's places beside them. Gives back whether there was one.
-    pub fn close_idle(&mut self, room: &mut Room, patience: Span) -> bool {
-        let edge = room.now() - patience;
-        let idle = |c: &Client| c.phase == Phase::Parting || c.intake.untouched(&c.connection.input);
-        let stalled = |c: &Client| c.phase == Phase::Reading && c.since < edge;
-        let oldest = self.all.iter().filter(|(_, c)| idle(c) || stalled(c)).min_by_key(|(_, c)| c.since);
-        let Some(no) = oldest.map(|(no, _)| *no) else { return false };
-        // What has come in meanwhile may make a request whole, and then it is taken.
-        self.serve(room, no, Readiness { readable: true, writable: false, error: false });
-        if self.all.get(&no).is_some_and(|c| idle(c) || stalled(c)) {
-            self.close(room, no);
+    fn end(&mut self, room: &mut Room, no: ConnectionNo, standing: Standing) {
+        if standing != Standing::Unfinished {
+            return self.close(room, no);
+        }
+        room.counters.add(Count::Malformed);
+        self.respond(room, no, 408, None, b"", false);
+        self.note(no);
+    }
+
+    /// Who has stood like this for longest, and since when.
+    fn first(&self, standing: Standing) -> Option<(Point, ConnectionNo)> {
+        let mut from = self.standing.range((standing, Point(i64::MIN), 0)..);
+        from.next().filter(|f| f.0 == standing).map(|f| (f.1, f.2))
+    }
+
+    /// Closes a connection that may make room: silent ones first, then those that have stalled for longer than
+    /// `patience`, then those unused for as long as the protocol asks. Guards against clients that hold all
+    /// descriptors with nothing, or half a request each. Gives back whether there was one.
+    pub fn make_room(&mut self, room: &mut Room, patience: Span) -> bool {
+        let spans = [
+            (Standing::Silent, Span::ZERO),
+            (Standing::Unfinished, patience),
+            (Standing::Parting, patience),
+            (Standing::Unused, UNUSED),
+        ];
+        spans.into_iter().any(|(standing, span)| self.part_with(room, standing, span))
+    }
+
+    /// Closes the connection that was unused longest, however short that is.
+    pub fn close_unused(&mut self, room: &mut Room) -> bool {
+        self.part_with(room, Standing::Unused, Span::ZERO)
+    }
+
+    fn part_with(&mut self, room: &mut Room, standing: Standing, span: Span) -> bool {
+        let now = room.now();
+        while let Some((since, no)) = self.first(standing).filter(|f| now - f.0 >= span) {
+            // What has come in meanwhile may make a request whole, and then it is taken.
+            self.serve(room, no, WAITING);
+            if self.all.get(&no).is_some_and(|c| c.standing == Some((standing, since))) {
+                self.close(room, no);
+            }
+            if !self.all.contains_key(&no) {
+                return true;
+            }
         }
-        !self.all.contains_key(&no)
+        false
     }
 
     /// While ending: closes connections between requests. Gives back whether none are left.
@@ -407,7 +534,7 @@
         let reading = self.all.iter().filter(|(_, c)| between(c) && c.connection.reads());
         for no in reading.map(|(no, _)| *no).collect::<Vec<ConnectionNo>>() {
             // A request that has come in meanwhile is still taken.
-            self.serve(room, no, Readiness { readable: true, writable: false, error: false });
+            self.serve(room, no, WAITING);
             if self.all.get(&no).is_some_and(between) {
                 self.close(room, no);
             }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -161,6 +161,16 @@
         filled
     }
 
+    /// Reads once what is of no use any more, without a buffer of its own.
+    pub fn pass_over(&mut self, room: &mut Room) -> Filled {
+        match recv(&self.stream, &mut room.sink[..], RecvFlags::empty()) {
+            Ok((0, _)) => Filled::Ended,
+            Ok(_) => Filled::Some,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Filled::Nothing,
+            Err(_) => Filled::Failed,
+        }
+    }
+
     /// Gives back buffers that hold nothing.
     pub fn release_empty(&mut self, room: &mut Room) {
         if self.input.is_empty() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use calloop::EventLoop;
 use harrierdock::time::{Point, Span};
 
-use crate::clients::{Clients, Serving};
+use crate::clients::{Clients, Serving, UNUSED};
 use crate::counters::Count;
 use crate::discovery::Discovery;
 use crate::driver::Driver;
@@ -38,7 +38,8 @@
     /// The file that a reload reads again.
     path: PathBuf,
     vote_wait: Span,
-    /// How often connections and streams are looked after: as long as a connection may take to come up.
+    /// How often connections and streams are looked after: as long as a connection may take to come up, and
+    /// often enough to close those that say nothing in their time.
     tending: Span,
     /// How often it is looked at whether the end has come: at each tick of the settings.
     tick: Span,
@@ -101,7 +102,7 @@
             peers,
             path: told.path.clone(),
             vote_wait,
-            tending: connect.max(LEAST),
+            tending: connect.clamp(LEAST, UNUSED / 4.0),
             tick,
             longest,
             ending: None,
@@ -184,14 +185,19 @@
         }
     }
 
-    /// Closes a connection to make room for another: one that is idle, or whose client has stalled.
+    /// Closes a connection to make room for another. Guards against strangers that cost others their connections:
+    /// kept ones to servers go only when no client's is to be spared, and clients' used lately come last.
     pub fn make_room(&mut self) -> bool {
         let room = &mut self.room;
-        self.servers.close_idle(room) || self.clients.close_idle(room, self.tending)
+        let patience = self.tending;
+        self.clients.make_room(room, patience)
+            || self.servers.close_idle(room)
+            || self.clients.close_unused(room)
     }
 
-    /// Reads the configuration again and turns to the addresses it tells. All else stays as it is: what is known,
-    /// what is under way, and every connection to clients and servers. A file that cannot be read changes nothing.
+    /// Reads the configuration again and turns to the addresses it tells. All else stays as it is: what is
+    /// known, what is under way, every connection to clients and servers. A file that cannot be read changes
+    /// nothing.
     fn reload(&mut self) {
         let told = match Told::read_again(&self.path) {
             Ok(told) => told,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -21,9 +21,10 @@
 const FIELD_AGAIN: &str = "X-Resent";
 const FIELD_REFERENCE: &str = "Idempotency-Key";
 
-pub enum Request {
+pub enum Request<'b> {
     Ready,
     Txn {
+        name: &'b str,
         product: ProductIx,
         key: Option<Key>,
         again: bool,
@@ -49,8 +50,8 @@
     !text.is_empty() && text.len() <= ID_MOST && text.bytes().all(|b| b.is_ascii_graphic())
 }
 
-impl Request {
-    pub fn read(head: &RequestHead, products: &IndexSet<String>) -> Request {
+impl<'b> Request<'b> {
+    pub fn read(head: &RequestHead<'b>, products: &IndexSet<String>) -> Request<'b> {
         match head.path() {
             PATH_READY => Request::Ready,
             PATH_TXN if !METHODS.contains(&head.method) => {
@@ -62,13 +63,15 @@
     }
 }
 
-fn txn(head: &RequestHead, products: &IndexSet<String>) -> Result<Request, &'static str> {
+fn txn<'b>(head: &RequestHead<'b>, products: &IndexSet<String>) -> Result<Request<'b>, &'static str> {
     let one = |name| head.fields.one(name).ok().flatten();
-    one(FIELD_TXN).filter(|id| good_id(id)).ok_or(FIELD_TXN)?;
+    let name = one(FIELD_TXN).filter(|id| good_id(id)).ok_or(FIELD_TXN)?;
     head.fields.one(FIELD_REFERENCE).map_err(|_| FIELD_REFERENCE)?;
-    let left: u32 = one(FIELD_LEFT).and_then(|left| left.parse().ok()).ok_or(FIELD_LEFT)?;
+    let digits = one(FIELD_LEFT).filter(|left| left.bytes().all(|b| b.is_ascii_digit()));
+    let left: u32 = digits.and_then(|left| left.parse().ok()).ok_or(FIELD_LEFT)?;
     let product = one(FIELD_PRODUCT).and_then(|name| products.get_index_of(name));
     Ok(Request::Txn {
+        name,
         product: product.ok_or(FIELD_PRODUCT)?,
         key: head.parameter(PARAMETER_KEY).map(key),
         again: one(FIELD_AGAIN) == Some("1"),
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -6,6 +6,7 @@
 use calloop::LoopHandle;
 use harrierdock::interface::{Event, Key, Outcome, ProductIx, TxnId};
 use harrierdock::time::{Point, Span};
+use harrierdock_http::BUFFER;
 
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -44,6 +45,8 @@
     pub counters: Counters,
     pub dues: Dues,
     pub inbox: VecDeque<(Point, Notice)>,
+    /// Where what is passed over goes.
+    pub sink: Vec<u8>,
     last_connection: ConnectionNo,
     last_txn: u64,
 }
@@ -58,6 +61,7 @@
             counters: Counters::default(),
             dues: Dues::default(),
             inbox: VecDeque::new(),
+            sink: vec![0; BUFFER],
             last_connection: 0,
             last_txn: 0,
         }
--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -10,6 +10,8 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
