--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -139,14 +139,19 @@
         }
     }
 
+    /// At once where it has stood for a while; else `tend` will, so that a torrent of bad answers costs little.
+    fn renew(&mut self, room: &mut Room) {
+        self.feed.close(room);
+        if !self.feed.rests(room.now(), self.pause) {
+            self.open(room);
+        }
+    }
+
     /// Takes in what discovery says. Gives back whether what was heard behind it still counts.
     fn hear(&mut self, room: &mut Room, names: &mut Names, servers: &mut Servers, heard: Heard) -> bool {
         let text = match &heard {
             Heard::Broken => {
-                // At once where it has stood for a while; else `tend` will.
-                if !self.feed.rests(room.now(), self.pause) {
-                    self.open(room);
-                }
+                self.renew(room);
                 return false;
             }
             Heard::Refused => {
@@ -162,11 +167,9 @@
             Ok(list) => list,
             Err(e) => {
                 room.counters.add(Count::LinesRefused);
-                log::warn!("discovery: a line cannot be read, the whole list is fetched: {e}");
-                // Guards against changes applied to a list that lacks some; the next try waits for `tend`, so
-                // a torrent of bad lines costs little.
-                self.revision = None;
-                self.feed.close(room);
+                log::warn!("discovery: a line cannot be read, the watch is renewed: {e}");
+                // The list held stays true up to its version, from which the next watch goes on.
+                self.renew(room);
                 return false;
             }
         };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -37,6 +37,8 @@
     intake: Intake,
     asking: Asking,
     heard: Point,
+    /// Since when what came last is only a part.
+    begun: Option<Point>,
     tried: Point,
     /// The longest that a stream in order says nothing.
     silence: Span,
@@ -52,6 +54,7 @@
             intake: Intake::default(),
             asking: Asking::Lines,
             heard: Point(0),
+            begun: None,
             tried: Point(0) - silence,
             silence,
         }
@@ -73,9 +76,11 @@
         self.connection.is_some() || now - self.tried < pause
     }
 
-    /// Whether it has said nothing for too long, or has not come up in the time a connection may take.
+    /// Whether it has said nothing for too long, or has not come up in the time a connection may take. Guards
+    /// against a part of an answer behind which nothing comes: the rest of it has no longer either.
     pub fn is_silent(&self, now: Point, connect: Span) -> bool {
         let silent = now - self.heard > if self.up { self.silence } else { connect };
+        let silent = silent || self.begun.is_some_and(|since| now - since > connect);
         if silent && self.connection.is_some() {
             log::warn!("{}: silent, renewed", self.name);
         }
@@ -122,7 +127,7 @@
     }
 
     pub fn close(&mut self, room: &mut Room) {
-        self.up = false;
+        (self.up, self.begun) = (false, None);
         if let Some(connection) = self.connection.take() {
             connection.close(room);
         }
@@ -161,7 +166,10 @@
             Filled::Full | Filled::Ended | Filled::Failed => false,
         };
         self.heard = room.now();
-        self.read(heard) && going
+        let reads = self.read(heard);
+        let in_part = self.connection.as_ref().is_some_and(|c| self.intake.is_in_part(&c.input));
+        self.begun = in_part.then(|| self.begun.unwrap_or(self.heard));
+        reads && going
     }
 
     fn read(&mut self, heard: &mut Vec<Heard>) -> bool {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -103,7 +103,9 @@
     let Gateway { room, platform, driver, .. } = gateway;
     if let Some(platform) = platform {
         for heard in platform.feed.serve(room, readiness) {
-            platform.hear(room, &driver.names, heard);
+            if !platform.hear(room, &driver.names, heard) {
+                break;
+            }
         }
     }
     gateway.settle();
@@ -148,34 +150,51 @@
         }
     }
 
-    fn hear(&mut self, room: &mut Room, names: &Names, heard: Heard) {
+    /// At once where it has stood for a while; else `tend` will.
+    fn renew(&mut self, room: &mut Room) {
+        self.feed.close(room);
+        if !self.feed.rests(room.now(), self.pause) {
+            self.feed.open(room, PATH_EVENTS, Asking::Lines, on_feed);
+        }
+    }
+
+    /// Takes in what the platform says. Gives back whether what was heard behind it still counts.
+    fn hear(&mut self, room: &mut Room, names: &Names, heard: Heard) -> bool {
         let line = match heard {
             Heard::Broken => {
-                if !self.feed.rests(room.now(), self.pause) {
-                    self.feed.open(room, PATH_EVENTS, Asking::Lines, on_feed);
-                }
-                return;
+                self.renew(room);
+                return false;
+            }
+            Heard::Refused => {
+                log::warn!("platform: refuses its stream");
+                return true;
             }
-            Heard::Refused => return log::warn!("platform: refuses its stream"),
             Heard::Line(line) | Heard::Once(line) => line,
         };
         if line.is_empty() || line == b"{}" {
-            return;
+            return true;
         }
         match serde_json::from_slice(&line) {
             Ok(LineTold::News(told)) => self.learn(room, told, false),
             Ok(LineTold::Report { host, product, lag_ms }) => {
                 let known = names.servers.get_index_of(&host).zip(names.products.get_index_of(&product));
-                let Some((server, product)) = known else { return room.counters.add(Count::LinesRefused) };
+                let Some((server, product)) = known else {
+                    room.counters.add(Count::LinesRefused);
+                    return true;
+                };
                 room.counters.add(Count::Complaints);
                 let age = Span(lag_ms.saturating_mul(1000));
                 room.tell(Notice::Event(Event::Complaint { server, product, age }));
             }
             Err(e) => {
+                // Guards against a stream that goes on after such a line, though nothing true comes on it.
                 room.counters.add(Count::LinesRefused);
-                log::warn!("platform: a line cannot be read: {e}");
+                log::warn!("platform: a line cannot be read, the stream is renewed: {e}");
+                self.renew(room);
+                return false;
             }
         }
+        true
     }
 
     /// A reload has told another address. Votes that are out stay where they went.
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -31,6 +31,8 @@
     end: usize,
     chunks: Chunks,
     asked: bool,
+    /// How much word that an answer is to come was passed over.
+    interim: usize,
 }
 
 impl Intake {
@@ -43,6 +45,20 @@
         matches!(self.stage, Stage::Head)
     }
 
+    /// Whether only the end of the connection tells where the body ends, so that one cut off looks whole.
+    pub fn is_open_ended(&self) -> bool {
+        matches!(self.stage, Stage::Body(Framing::UntilEnd))
+    }
+
+    /// Whether something has come that is not yet whole: a head, a body, or the last line of a stream.
+    pub fn is_in_part(&self, bytes: &[u8]) -> bool {
+        if self.in_head() {
+            !bytes.is_empty()
+        } else {
+            self.end > self.head
+        }
+    }
+
     pub fn head(&self) -> Range<usize> {
         0..self.head
     }
@@ -96,6 +112,11 @@
             if (100..200).contains(&status) {
                 bytes.drain(..size);
                 self.scanned = 0;
+                // Guards against an answer that is for ever to come.
+                self.interim += size;
+                if self.interim > HEAD_MOST {
+                    return Err(Fault::HeadTooLarge);
+                }
                 continue;
             }
             self.begin_body(size, framing);
