--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -119,6 +119,8 @@
     products: IndexSet<String>,
     /// How long a connection is kept unused, or an answer unread.
     patience: Span,
+    /// How long one that has stalled is spared where others need room.
+    stall: Span,
     serving: Serving,
 }
 
@@ -140,7 +142,12 @@
 }
 
 impl Clients {
-    pub fn new(address: SocketAddr, products: IndexSet<String>, patience: Span) -> io::Result<Clients> {
+    pub fn new(
+        address: SocketAddr,
+        products: IndexSet<String>,
+        patience: Span,
+        stall: Span,
+    ) -> io::Result<Clients> {
         Ok(Clients {
             listener: Rc::new(listen(address)?),
             token: None,
@@ -151,6 +158,7 @@
             open: BTreeSet::new(),
             products,
             patience,
+            stall,
             serving: Serving::NotYet,
         })
     }
@@ -200,7 +208,7 @@
             let set = stream.set_nonblocking(true).and_then(|_| stream.set_nodelay(true));
             let no = room.next_connection();
             let call = move |gateway: &mut Gateway, readiness| on_ready(gateway, no, readiness);
-            let made = set.and_then(|_| Connection::adopt(room, stream, Interest::READ, Purse::Budget, call));
+            let made = set.and_then(|_| Connection::adopt(room, stream, Interest::READ, Purse::Client, call));
             let Ok(connection) = made else { continue };
             room.counters.add(Count::ClientsAccepted);
             let (intake, phase, since) = (Intake::default(), Phase::Reading, room.now());
@@ -301,7 +309,14 @@
                 self.advance(room, no);
             }
             Filled::Some | Filled::Nothing => {}
-            Filled::Full => client.connection.wants(room, false, false),
+            Filled::Full => {
+                let lacks = client.connection.input.is_empty();
+                client.connection.wants(room, false, false);
+                // Guards against half requests that hold all buffers: one that has stalled gives its own up.
+                if lacks && self.part_with(room, Standing::Unfinished, self.stall) {
+                    self.read_again(room);
+                }
+            }
             Filled::Ended | Filled::Failed => self.close(room, no),
         }
     }
@@ -469,15 +484,19 @@
                 }
             }
         }
-        // Those who found no buffer may find one now.
+        self.read_again(room);
+        if room.descriptors.spare() > 0 {
+            self.resume(room);
+        }
+    }
+
+    /// Those who found no buffer may find one now.
+    fn read_again(&mut self, room: &Room) {
         for client in self.all.values().filter(|c| c.phase == Phase::Reading) {
             if !client.connection.reads() && client.connection.input.is_empty() {
                 client.connection.wants(room, true, false);
             }
         }
-        if room.descriptors.spare() > 0 {
-            self.resume(room);
-        }
     }
 
     fn end(&mut self, room: &mut Room, no: ConnectionNo, standing: Standing) {
@@ -496,13 +515,13 @@
     }
 
     /// Closes a connection that may make room: silent ones first, then those that have stalled for longer than
-    /// `patience`, then those unused for as long as the protocol asks. Guards against clients that hold all
+    /// `stall`, then those unused for as long as the protocol asks. Guards against clients that hold all
     /// descriptors with nothing, or half a request each. Gives back whether there was one.
-    pub fn make_room(&mut self, room: &mut Room, patience: Span) -> bool {
+    pub fn make_room(&mut self, room: &mut Room) -> bool {
         let spans = [
             (Standing::Silent, Span::ZERO),
-            (Standing::Unfinished, patience),
-            (Standing::Parting, patience),
+            (Standing::Unfinished, self.stall),
+            (Standing::Parting, self.stall),
             (Standing::Unused, UNUSED),
         ];
         spans.into_iter().any(|(standing, span)| self.part_with(room, standing, span))
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -60,10 +60,11 @@
     }
 }
 
-/// Whose descriptors a connection counts against.
+/// Whose descriptor, and whose buffer to read into, a connection takes: those of the budget, or of the reserve.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Purse {
-    Budget,
+    Client,
+    Server,
     Reserve,
 }
 
@@ -107,7 +108,7 @@
         let watched = Watched { socket, interest: interest.clone() };
         let call = move |readiness, _: &mut (), gateway: &mut Gateway| on_ready(gateway, readiness);
         let token = room.handle.insert_source(watched, call).map_err(|e| io::Error::other(e.error))?;
-        if purse == Purse::Budget {
+        if purse != Purse::Reserve {
             room.descriptors.held += 1;
         }
         let (input, output) = (Buffer::new(), Buffer::new());
@@ -141,7 +142,7 @@
     /// Reads once, so that a busy socket gives way to the others.
     pub fn fill(&mut self, room: &mut Room) -> Filled {
         if self.input.capacity() == 0 {
-            let Some(buffer) = room.pool.lend() else {
+            let Some(buffer) = room.pool.lend(self.purse) else {
                 room.counters.add(crate::counters::Count::NoBuffer);
                 return Filled::Full;
             };
@@ -184,7 +185,7 @@
     /// The buffer for what goes out, if one is to be had.
     pub fn out(&mut self, room: &mut Room) -> Option<&mut Buffer> {
         if self.output.capacity() == 0 {
-            let Some(buffer) = room.pool.lend() else {
+            let Some(buffer) = room.pool.lend(Purse::Server) else {
                 room.counters.add(crate::counters::Count::NoBuffer);
                 return None;
             };
@@ -240,7 +241,7 @@
         room.handle.remove(self.token);
         room.pool.give_back(&mut self.input);
         room.pool.give_back(&mut self.output);
-        if self.purse == Purse::Budget {
+        if self.purse != Purse::Reserve {
             room.descriptors.held = room.descriptors.held.saturating_sub(1);
         }
     }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,9 +1,10 @@
 //! Discovery: a watch of the list of servers, from the version held on.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use calloop::Readiness;
-use harrierdock::interface::{Event, Lifecycle, Listed, Scope};
+use harrierdock::interface::{Event, Lifecycle, Listed, Scope, ServerIx};
 use harrierdock::time::{Point, Span};
 use harrierdock_terms::{mark, Names};
 use serde::Deserialize;
@@ -65,7 +66,7 @@
     fn listed(&self, names: &mut Names, clock: &Clock, now: Point) -> Listed {
         Listed {
             build: self.revision_no,
-            server: names.servers.insert_full(self.id.clone()).0,
+            server: names.servers.number(&self.id),
             zone: names.zones.insert_full(self.locality.clone()).0,
             model: names.models.insert_full(self.flavor.clone()).0,
             cell: self.cell,
@@ -193,18 +194,19 @@
         room.counters.add(Count::Lists);
         let now = room.now();
         let mut lines = Vec::new();
-        let mut held = vec![scope == Scope::Changes; names.servers.len()];
+        let mut absent: BTreeSet<ServerIx> = match scope {
+            Scope::Changes => BTreeSet::new(),
+            _ => names.servers.numbers().collect(),
+        };
         for member in &list.members {
             let line = member.listed(names, &room.clock, now);
             let (address, up_since, build) = (member.host_port, member.up_since_ms, line.build);
             let runs = line.lifecycle != Lifecycle::Gone;
             servers.place(room, line.server, runs.then_some(Machine { address, up_since, build }));
-            if let Some(held) = held.get_mut(line.server) {
-                *held = true;
-            }
+            absent.remove(&line.server);
             lines.push(line);
         }
-        for server in (0..held.len()).filter(|s| !held[*s]) {
+        for server in absent {
             servers.place(room, server, None);
         }
         log::debug!("discovery: list {} with {} lines", list.revision, lines.len());
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -66,6 +66,12 @@
         while let Some((at, notice)) = self.room.inbox.pop_front() {
             self.notice(at, notice);
         }
+        // Guards against names of servers that pile up as these come and go; asked only once the module has heard
+        // of all that have come.
+        let Driver { module, names, .. } = &mut self.driver;
+        if names.servers.numbers().len() > module.servers.len() {
+            names.servers.retain(|server| module.servers.contains_key(&server));
+        }
     }
 
     fn notice(&mut self, now: Point, notice: Notice) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -75,10 +75,11 @@
         let (connect, idle, tick) = (limits.connect, limits.idle, terms.tick.max(LEAST));
         let longest = terms.products.iter().map(|p| p.expiry).max().unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
         let pool = Pool::new(&told.limits);
-        let descriptors = Descriptors::new(&told.limits, &pool);
+        let descriptors = Descriptors::new(&told.limits);
         let mut room = Room::new(event_loop.handle(), pool, descriptors);
         let listens = |e| format!("cannot listen on {}: {e}", told.listen);
-        let clients = Clients::new(told.listen, names.products.clone(), idle).map_err(listens)?;
+        let tending = connect.clamp(LEAST, UNUSED / 4.0);
+        let clients = Clients::new(told.listen, names.products.clone(), idle, tending).map_err(listens)?;
         let peers = Peers::open(&room, told, terms.ordinal).map_err(|e| format!("cannot hear peers: {e}"))?;
         let vote_wait = terms.release.vote_wait;
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
@@ -102,7 +103,7 @@
             peers,
             path: told.path.clone(),
             vote_wait,
-            tending: connect.clamp(LEAST, UNUSED / 4.0),
+            tending,
             tick,
             longest,
             ending: None,
@@ -189,10 +190,7 @@
     /// kept ones to servers go only when no client's is to be spared, and clients' used lately come last.
     pub fn make_room(&mut self) -> bool {
         let room = &mut self.room;
-        let patience = self.tending;
-        self.clients.make_room(room, patience)
-            || self.servers.close_idle(room)
-            || self.clients.close_unused(room)
+        self.clients.make_room(room) || self.servers.close_idle(room) || self.clients.close_unused(room)
     }
 
     /// Reads the configuration again and turns to the addresses it tells. All else stays as it is: what is
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -177,7 +177,7 @@
         match serde_json::from_slice(&line) {
             Ok(LineTold::News(told)) => self.learn(room, told, false),
             Ok(LineTold::Report { host, product, lag_ms }) => {
-                let known = names.servers.get_index_of(&host).zip(names.products.get_index_of(&product));
+                let known = names.servers.get(&host).zip(names.products.get_index_of(&product));
                 let Some((server, product)) = known else {
                     room.counters.add(Count::LinesRefused);
                     return true;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 use harrierdock_http::BUFFER;
 
+use crate::connection::Purse;
 use crate::told::LimitsTold;
 
 /// A buffer without room is none: nothing was lent.
@@ -17,6 +18,8 @@
 
 /// The part of the told memory that buffers may take, in percent; the rest is for all else that is kept.
 const BUFFER_PERCENT: usize = 60;
+/// The part of the buffers, in percent, that clients' requests may hold; the rest is for what becomes of them.
+const REQUEST_PERCENT: usize = 66;
 /// Buffers that stay at hand; those beyond go back to the system.
 const SPARE_MOST: usize = 64;
 
@@ -26,8 +29,10 @@
         Pool { spare: Vec::new(), lent: 0, broken: 0, most: bytes / BUFFER }
     }
 
-    pub fn lend(&mut self) -> Option<Buffer> {
-        if self.lent >= self.most {
+    pub fn lend(&mut self, purse: Purse) -> Option<Buffer> {
+        // Guards against requests, sent whole or in half, that leave no buffer to any submission or answer.
+        let most = if purse == Purse::Client { self.most * REQUEST_PERCENT / 100 } else { self.most };
+        if self.lent >= most {
             return None;
         }
         self.lent += 1;
@@ -61,11 +66,8 @@
 const RESERVE: usize = 24;
 
 impl Descriptors {
-    /// Guards against connections without buffers: a txn on two connections holds three of them at the most, its
-    /// request, what goes to or comes from its server, and its answer.
-    pub fn new(told: &LimitsTold, pool: &Pool) -> Descriptors {
-        let most = told.sockets.saturating_sub(RESERVE).min(pool.most / 3 * 2);
-        Descriptors { held: 0, most: most.max(2) }
+    pub fn new(told: &LimitsTold) -> Descriptors {
+        Descriptors { held: 0, most: told.sockets.saturating_sub(RESERVE).max(2) }
     }
 
     pub fn spare(&self) -> usize {
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -29,9 +29,8 @@
     pub build: u32,
 }
 
-#[derive(Default)]
 struct Place {
-    machine: Option<Machine>,
+    machine: Machine,
     /// Connections kept, the last used at the end.
     kept: Vec<ConnectionNo>,
 }
@@ -70,7 +69,8 @@
 }
 
 pub struct Servers {
-    places: Vec<Place>,
+    /// By server, of those that run.
+    places: BTreeMap<ServerIx, Place>,
     lines: BTreeMap<ConnectionNo, Line>,
     out: BTreeMap<(TxnId, usize), ConnectionNo>,
     connect: Span,
@@ -86,19 +86,20 @@
 impl Servers {
     pub fn new(connect: Span, idle: Span) -> Servers {
         let keep = idle - connect;
-        Servers { places: Vec::new(), lines: BTreeMap::new(), out: BTreeMap::new(), connect, keep }
+        Servers { places: BTreeMap::new(), lines: BTreeMap::new(), out: BTreeMap::new(), connect, keep }
     }
 
-    /// Discovery's word on what runs at a place.
+    /// Discovery's word on what runs at a place, if anything does.
     pub fn place(&mut self, room: &mut Room, server: ServerIx, machine: Option<Machine>) {
-        if self.places.len() <= server {
-            self.places.resize_with(server + 1, Place::default);
+        if self.places.get(&server).map(|p| p.machine) == machine {
+            return;
         }
-        if self.places[server].machine != machine {
-            self.places[server].machine = machine;
-            for no in std::mem::take(&mut self.places[server].kept) {
-                self.drop_line(room, no);
-            }
+        let before = match machine {
+            Some(machine) => self.places.insert(server, Place { machine, kept: Vec::new() }),
+            None => self.places.remove(&server),
+        };
+        for no in before.into_iter().flat_map(|p| p.kept) {
+            self.drop_line(room, no);
         }
     }
 
@@ -136,7 +137,7 @@
 
     /// Whether a connection to the server is kept.
     pub fn keeps(&self, server: ServerIx) -> bool {
-        self.places.get(server).is_some_and(|p| !p.kept.is_empty())
+        self.places.get(&server).is_some_and(|p| !p.kept.is_empty())
     }
 
     pub fn probe(&mut self, room: &mut Room, server: ServerIx) {
@@ -164,10 +165,10 @@
         wait: Span,
         task: Task,
     ) -> Result<ConnectionNo, Outcome> {
-        let machine = self.places.get(server).and_then(|p| p.machine).ok_or(Outcome::ConnectFailed)?;
+        let machine = self.places.get(&server).map(|p| p.machine).ok_or(Outcome::ConnectFailed)?;
         let until = room.now() + wait;
         // Guards against a kept connection that the server has closed, or is about to close.
-        while let Some(no) = self.places[server].kept.pop() {
+        while let Some(no) = self.places.get_mut(&server).and_then(|p| p.kept.pop()) {
             let edge = room.now() - self.keep;
             let Some(line) = self.lines.get_mut(&no) else { continue };
             if line.since <= edge || !line.connection.stands() {
@@ -187,7 +188,7 @@
         }
         let no = room.next_connection();
         let call = move |gateway: &mut Gateway, readiness| on_ready(gateway, no, readiness);
-        let connection = Connection::dial(room, machine.address, Purse::Budget, call).map_err(|e| {
+        let connection = Connection::dial(room, machine.address, Purse::Server, call).map_err(|e| {
             use rustix::io::Errno;
             let ours = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
             let lacking = ours.iter().any(|o| e.raw_os_error() == Some(o.raw_os_error()));
@@ -257,9 +258,7 @@
         }
         if line.phase == Phase::Idle {
             // A kept connection that is closed, or speaks unasked, is of no more use.
-            let server = line.server;
-            self.places[server].kept.retain(|kept| *kept != no);
-            return self.drop_line(room, no);
+            return self.close_kept(room, no);
         }
         if line.phase == Phase::Writing {
             // What comes before the request is all written is no answer to it.
@@ -306,10 +305,8 @@
         let clean = told.as_ref().map_or(line.connection.input.len() == line.intake.body().end, |t| t.1);
         self.close_errand(room, no, outcome, told.map(|t| t.0));
         let Some(line) = self.lines.get_mut(&no) else { return };
-        let place = &mut self.places[line.server];
-        if !keeps || !clean || place.machine != Some(line.machine) {
-            return self.drop_line(room, no);
-        }
+        let place = self.places.get_mut(&line.server).filter(|p| p.machine == line.machine);
+        let Some(place) = place.filter(|_| keeps && clean) else { return self.drop_line(room, no) };
         line.connection.input.clear();
         line.connection.release_empty(room);
         (line.intake, line.phase, line.since) = (Intake::default(), Phase::Idle, room.now());
@@ -378,8 +375,8 @@
     }
 
     fn close_kept(&mut self, room: &mut Room, no: ConnectionNo) {
-        if let Some(line) = self.lines.get(&no) {
-            self.places[line.server].kept.retain(|kept| *kept != no);
+        if let Some(place) = self.lines.get(&no).and_then(|l| self.places.get_mut(&l.server)) {
+            place.kept.retain(|kept| *kept != no);
         }
         self.drop_line(room, no);
     }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,6 +1,8 @@
 //! Reads the settings of a start into the module's told terms. Unknown keys are passed over; keys that are
 //! left out get the value that claims least.
 
+use std::collections::BTreeMap;
+
 use harrierdock::interface::*;
 use harrierdock::time::Span;
 use indexmap::IndexSet;
@@ -122,6 +124,47 @@
     must_ask_in: i64,
 }
 
+/// Numbers given to names that come and go. Guards against a name that was forgotten being taken for another by
+/// whatever still speaks of it: a number is given once.
+#[derive(Default)]
+pub struct Ids {
+    numbers: BTreeMap<String, usize>,
+    names: BTreeMap<usize, String>,
+    given: usize,
+}
+
+impl Ids {
+    /// The name's number, a new one if it has none.
+    pub fn number(&mut self, name: &str) -> usize {
+        if let Some(number) = self.get(name) {
+            return number;
+        }
+        let number = self.given;
+        self.given += 1;
+        self.numbers.insert(name.into(), number);
+        self.names.insert(number, name.into());
+        number
+    }
+
+    pub fn get(&self, name: &str) -> Option<usize> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn name(&self, number: usize) -> Option<&str> {
+        self.names.get(&number).map(String::as_str)
+    }
+
+    pub fn numbers(&self) -> impl ExactSizeIterator<Item = usize> + '_ {
+        self.names.keys().copied()
+    }
+
+    /// Forgets the names of all other numbers.
+    pub fn retain(&mut self, keep: impl Fn(usize) -> bool) {
+        self.names.retain(|number, _| keep(*number));
+        self.numbers.retain(|_, number| keep(*number));
+    }
+}
+
 /// The names an instance was told, each by its small index.
 #[derive(Default)]
 pub struct Names {
@@ -129,7 +172,7 @@
     pub tenants: IndexSet<String>,
     pub zones: IndexSet<String>,
     pub models: IndexSet<String>,
-    pub servers: IndexSet<String>,
+    pub servers: Ids,
 }
 
 /// FNV-1a of a text.
@@ -165,7 +208,7 @@
         tenants: o.tenants.iter().map(|t| t.name.clone()).collect(),
         zones: o.azs.iter().cloned().collect(),
         models: o.models.iter().cloned().collect(),
-        servers: IndexSet::new(),
+        servers: Ids::default(),
     };
     let mut products = Vec::new();
     for class in &o.classes {
@@ -230,3 +273,17 @@
     };
     Ok((terms, names))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Ids;
+
+    #[test]
+    fn a_number_is_given_once_however_names_come_and_go() {
+        let mut ids = Ids::default();
+        let first = ["a", "b", "a"].map(|name| ids.number(name));
+        ids.retain(|number| number != 0);
+        let then = ["a", "b", "c"].map(|name| ids.number(name));
+        assert_eq!((first, then, ids.name(0), ids.get("a")), ([0, 1, 0], [2, 1, 3], None, Some(2)));
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,25 +100,30 @@
             (Scope::Changes | Scope::Whole, Watch::Asked(_)) => self.watch = Watch::Standing,
             _ => {}
         }
-        if scope != Scope::Changes {
-            for server in self.servers.values_mut() {
+        for server in self.servers.values_mut().filter(|s| s.listed.lifecycle != Lifecycle::Gone) {
+            server.seen = self.now;
+            if scope != Scope::Changes {
                 server.listed.lifecycle = Lifecycle::Gone;
             }
         }
         for line in lines {
             let started = line.age.map(|a| self.now - a);
-            let again = |s: &Server| s.listed.build != line.build || s.started != started;
-            if self.servers.get(&line.server).is_some_and(|s| !again(s)) {
-                self.servers.entry(line.server).and_modify(|s| s.listed = line);
+            let held = self.servers.get_mut(&line.server);
+            let out = held.as_ref().map_or(0, |s| s.out);
+            if let Some(same) = held.filter(|s| s.listed.build == line.build && s.started == started) {
+                same.listed = line;
                 continue;
             }
-            let out = self.servers.get(&line.server).map_or(0, |s| s.out);
             let dither = self.chance.generate::<f64>();
             let fresh = Server { listed: line, started, out, dither, ..Server::default() };
             let fresh = Server { pace: 1.0, limit: FIRST_LIMIT, good: 1.0, ..fresh };
             self.marks.insert(fresh.listed.mark, fresh.listed.server);
             self.servers.insert(fresh.listed.server, fresh);
         }
+        // Guards against keeping all servers that ever ran; a complaint may speak of one for a while.
+        let edge = self.now - FALLBACK - self.terms.rules.ramp * 3.0;
+        self.servers.retain(|_, s| s.listed.lifecycle != Lifecycle::Gone || s.out > 0 || s.seen > edge);
+        self.marks.retain(|_, ix| self.servers.contains_key(ix));
         self.survey();
     }
 
@@ -142,6 +147,11 @@
         let on: usize = of_build.iter().filter(|(b, _)| **b >= self.trial.build).map(|b| b.1).sum();
         self.runs = (on as f64 / ready, of_build.get(&self.trial.build).copied().unwrap_or(0), newest);
         self.arms = arms;
+        // Guards against keeping every key: one has nowhere else to go where no earlier build is left.
+        let released = self.news.as_ref().is_some_and(|n| n.phase == Phase::Released);
+        if released && self.runs.0 >= 1.0 {
+            self.pins.clear();
+        }
         self.fleet = of_build.into_values().fold(self.fleet, usize::max);
     }
 
@@ -260,8 +270,7 @@
             self.taken_untold += 1;
         }
         self.unserved = (self.unserved - 1.0).max(0.0);
-        let (taken, expiry) = (self.now, self.now + left);
-        let attempts = Vec::new();
+        let (taken, expiry, attempts) = (self.now, self.now + left, Vec::new());
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
         let pin = self.pin(&self.txns[&id]);
         self.pinned += LEARN * LEARN * (f64::from(pin > 0 && self.on_trial(pin)) - self.pinned);
@@ -293,8 +302,7 @@
 
     fn may_decline(&self, txn: &Txn) -> bool {
         let repeat = self.rows[txn.product].repeat;
-        repeat == Repeat::InquiryLike
-            || matches!(repeat, Repeat::Referenced { group: Group::All, .. })
+        matches!(repeat, Repeat::InquiryLike | Repeat::Referenced { group: Group::All, .. })
             || !txn.attempts.iter().any(Attempt::may_have_run)
     }
 
@@ -449,8 +457,7 @@
         if served {
             self.served.push(self.now, ());
         }
-        let lag = took.over(self.rows[product].sla);
-        let shortest = self.shortest_sla();
+        let (lag, shortest) = (took.over(self.rows[product].sla), self.shortest_sla());
         if let Some(server) = self.servers.get_mut(&ix) {
             server.out = server.out.saturating_sub(1);
             if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Recalled) {
@@ -581,27 +588,21 @@
         let model = server.listed.model;
         let in_time = served && told.lag <= 1.0;
         let paired = self.runs.0 < 1.0;
-        let mut sides = Vec::new();
         let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
             self.whole(product, in_time, quick);
         }
         // A connection that was not made says nothing of the build: a new server has none open yet.
-        if paired && warmth >= 1.0 && !matches!(outcome, Outcome::Moot | Outcome::ConnectFailed) {
-            sides.push((Side::InTime, in_time));
-        }
-        if paired && served {
-            sides.push((Side::Quick, quick));
-        }
-        if served && self.terms.release.complaint_share > 0.0 {
-            sides.push((Side::Right, true));
-        }
-        if served || failed {
-            sides.push((Side::Sound, served));
-            sides.push((Side::SoundAt(product), served));
-        }
-        for (side, good) in sides {
+        let made = !matches!(outcome, Outcome::Moot | Outcome::ConnectFailed);
+        let sides = [
+            (Side::InTime, in_time, paired && warmth >= 1.0 && made),
+            (Side::Quick, quick, paired && served),
+            (Side::Right, true, served && self.terms.release.complaint_share > 0.0),
+            (Side::Sound, served, served || failed),
+            (Side::SoundAt(product), served, served || failed),
+        ];
+        for (side, good, _) in sides.into_iter().filter(|s| s.2) {
             self.pay(side, arm, ix, f64::from(good), 1.0);
         }
     }
@@ -901,9 +902,8 @@
         self.emit_bits(&mut out);
         self.emit_paces(&mut out);
         self.emit_watch(&mut out);
-        let beat = self.shortest_sla() * BEAT;
         if self.beat <= self.now {
-            self.beat = self.now + beat;
+            self.beat = self.now + self.shortest_sla() * BEAT;
         }
         let next = self.due.first().map_or(self.beat, |d| d.0.min(self.beat)).max(self.now + Span(1));
         if self.armed.is_none_or(|at| at <= self.now || next < at) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,8 @@
 pub struct Server {
     pub listed: Listed,
     pub started: Option<Point>,
+    /// When a list last said that it runs.
+    pub seen: Point,
     pub out: usize,
     /// The first send since the server was last heard of.
     pub owes: Option<Point>,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -244,6 +244,37 @@
     .assert_eq(&trace);
 }
 
+#[test]
+fn servers_and_keys_that_are_over_are_not_kept() {
+    let mut told = terms();
+    told.release.one_way = true;
+    let mut desk = Desk::with(told, &[1, 1], Phase::Released);
+    let mut trace = String::new();
+    for build in 2..30 {
+        let places = [build as usize * 2, build as usize * 2 + 1];
+        let lines = places.map(|ix| server(ix, build));
+        desk.tell(Event::Roster { scope: Scope::Changes, lines: lines.to_vec() });
+        desk.stage(build, 1, Phase::Trial, 1.0);
+        for key in 0..20 {
+            desk.pass(50);
+            let txn = desk.txn(ASK, Some(u64::from(build) * 100 + key));
+            desk.close(txn, 0, Outcome::Served, 30);
+        }
+        let during = desk.kept();
+        let gone = |ix| Listed { lifecycle: Lifecycle::Gone, ..server(ix, build - 1) };
+        let lines = places.map(|ix| gone(if build == 2 { ix - 4 } else { ix - 2 })).to_vec();
+        desk.tell(Event::Roster { scope: Scope::Changes, lines });
+        desk.stage(build, 1, Phase::Released, 1.0);
+        if build % 14 == 1 {
+            trace += &format!("build {build} on trial: {during}; released: {}\n", desk.kept());
+        }
+    }
+    expect![[r#"
+        build 15 on trial: 30 servers, 30 marks, 11 keys; released: 30 servers, 30 marks, 0 keys
+        build 29 on trial: 40 servers, 40 marks, 13 keys; released: 38 servers, 38 marks, 0 keys
+    "#]].assert_eq(&trace);
+}
+
 // ---- elimination, drops and votes ----
 
 /// A trial of build 2 on one of four servers, where every n-th answer of the trial build fails.
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -92,6 +92,12 @@
         desk
     }
 
+    /// How much it keeps that comes and goes.
+    pub fn kept(&self) -> String {
+        let (servers, marks) = (self.gateway.servers.len(), self.gateway.marks.len());
+        format!("{servers} servers, {marks} marks, {} keys", self.gateway.pins.len())
+    }
+
     pub fn mail(&mut self, from: PeerIx, text: &str) {
         if let Some(message) = mail::read(text) {
             self.tell(Event::Mail { from, message });
