--- a/src/policy.rs
+++ b/src/policy.rs
@@ -195,8 +195,7 @@
     /// that fails everything would else give too few outcomes to be dropped, and the fallback move it on.
     fn healthy(&self, server: &Server) -> bool {
         let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
-        let few = self.arms[Arm::Trial as usize].len() < self.arms[Arm::Earlier as usize].len();
-        let judged = few && self.on_trial(server.listed.build) && !self.dropped(Arm::Trial, 1.0);
+        let judged = self.on_trial(server.listed.build) && !self.dropped(Arm::Trial, 1.0);
         (judged || self.now >= server.left_out)
             && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
     }
@@ -393,17 +392,13 @@
         };
         let Some(to) = self.servers.get_mut(&server) else { return };
         let build = to.listed.build;
-        // Guards against a server that swallows requests: where it was silent lately, what may be repeated is
-        // not waited for to the end. Harms heavy txns there, which begin anew elsewhere.
-        let suspect = to.strikes > 0 && self.rows[product].repeat != Repeat::OnceOnly;
-        let wait = if suspect { sla * CROWDED } else { Span::ZERO };
         to.out += 1;
         to.owes = to.owes.or(Some(self.now));
         to.sends.push(self.now, ());
         if self.on_trial(build) {
             self.exposed.push(self.now, (product, build));
         }
-        let attempt = Attempt { server, build, sent: self.now, wait, standing: Standing::Wanted };
+        let attempt = Attempt { server, build, sent: self.now, standing: Standing::Wanted };
         self.changed.insert(id);
         if let Some(txn) = self.txns.get_mut(&id) {
             txn.attempts.push(attempt);
@@ -495,15 +490,13 @@
             server.limit = server.limit.max(1.0);
             if !matches!(outcome, Outcome::Moot | Outcome::Recalled | Outcome::Full) {
                 server.good += 2.0 * LEARN * (f64::from(served) - server.good);
-                let silent = matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut);
-                if server.good < FAILING || silent {
+                if server.good < FAILING || outcome == Outcome::ConnectFailed {
+                    // Guards against dead and quick-failing servers, whatever ails them.
                     server.left_out =
                         self.now + shortest * (LEAVE_OUT * f64::powi(2.0, server.strikes.min(3)));
                     server.strikes += 1;
-                    if silent {
-                        server.dead_until = server.left_out + shortest;
-                    }
                     if outcome == Outcome::ConnectFailed {
+                        server.dead_until = server.left_out + shortest;
                         server.shut = self.now + shortest * LEAVE_OUT;
                     }
                     server.good = (1.0 + FAILING) / 2.0;
@@ -686,8 +679,10 @@
     fn eliminate(&mut self) {
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         for side in sides {
-            let (before, trial) = (self.before.get(&side).copied(), self.payoff(side, Arm::Trial));
-            let earlier = before.unwrap_or_else(|| self.payoff(side, Arm::Earlier));
+            let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
+            if let Some(before) = self.before.get(&side) {
+                earlier = *before;
+            }
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = match side {
                 Side::Whole | Side::Brisk => 1.5 * EPSILON, // no arm beside it to share what else goes on
@@ -719,9 +714,11 @@
     }
 
     fn stage(&mut self, news: StageNews) {
-        if let Some((_, _, ballot)) = self.cast.as_mut().filter(|_| news.answers_vote) {
+        if news.answers_vote {
             let answered = matches!(news.word, Word::Valid | Word::Moot);
-            *ballot = if answered { Ballot::Stands } else { Ballot::Refused };
+            if let Some((_, _, ballot)) = &mut self.cast {
+                *ballot = if answered { Ballot::Stands } else { Ballot::Refused };
+            }
         }
         if news.word != Word::Valid {
             return;
@@ -876,14 +873,17 @@
         for id in std::mem::take(&mut self.changed) {
             let Some(txn) = self.txns.get_mut(&id) else { continue };
             for (hop, attempt) in txn.attempts.iter_mut().enumerate() {
-                let (server, timeout) = (attempt.server, attempt.wait);
-                let (standing, action) = match attempt.standing {
-                    Standing::Wanted => (Standing::Out, Action::Submit { id, server, timeout }),
-                    Standing::Unwanted => (Standing::Recalled, Action::Recall { id, attempt: hop }),
-                    _ => continue,
-                };
-                attempt.standing = standing;
-                out.push(action);
+                match attempt.standing {
+                    Standing::Wanted => {
+                        attempt.standing = Standing::Out;
+                        out.push(Action::Submit { id, server: attempt.server, timeout: Span::ZERO });
+                    }
+                    Standing::Unwanted => {
+                        attempt.standing = Standing::Recalled;
+                        out.push(Action::Recall { id, attempt: hop });
+                    }
+                    _ => {}
+                }
             }
             let answer = match txn.answer {
                 Answer::Decline => Some(Action::Decline { id, retry_after: self.terms.limits.retry_after }),
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,8 +45,6 @@
     pub server: ServerIx,
     pub build: Build,
     pub sent: Point,
-    /// How long its answer is waited for, if not to the txn's expiry.
-    pub wait: Span,
     pub standing: Standing,
 }
 
