--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -25,6 +25,8 @@
 const ACCEPT_MOST: usize = 64;
 /// The protocol lets a connection without an open request be closed after this.
 pub const UNUSED: Span = Span(2_000_000);
+/// The protocol lets clients hold one in this many descriptors for requests, at the most.
+const REQUESTS_PART: usize = 3;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -113,6 +115,8 @@
     door: Door,
     all: BTreeMap<ConnectionNo, Client>,
     standing: BTreeSet<(Standing, Point, ConnectionNo)>,
+    unused: usize,
+    most_unused: usize,
     asking: BTreeMap<TxnId, Asker>,
     /// The ids of the txns whose clients wait.
     open: BTreeSet<String>,
@@ -147,6 +151,7 @@
         products: IndexSet<String>,
         patience: Span,
         stall: Span,
+        descriptors: usize,
     ) -> io::Result<Clients> {
         Ok(Clients {
             listener: Rc::new(listen(address)?),
@@ -154,6 +159,8 @@
             door: Door::Open,
             all: BTreeMap::new(),
             standing: BTreeSet::new(),
+            unused: 0,
+            most_unused: descriptors / REQUESTS_PART / 2,
             asking: BTreeMap::new(),
             open: BTreeSet::new(),
             products,
@@ -248,14 +255,28 @@
         let now = client.stands();
         let before = std::mem::replace(&mut client.standing, now);
         if before != now {
-            before.map(|(standing, since)| self.standing.remove(&(standing, since, no)));
-            self.standing.extend(now.map(|(standing, since)| (standing, since, no)));
+            before.into_iter().for_each(|before| self.unlist(no, before));
+            if let Some((standing, since)) = now {
+                self.standing.insert((standing, since, no));
+                self.unused += usize::from(standing == Standing::Unused);
+            }
         }
     }
 
+    fn unlist(&mut self, no: ConnectionNo, (standing, since): (Standing, Point)) {
+        self.standing.remove(&(standing, since, no));
+        self.unused -= usize::from(standing == Standing::Unused);
+    }
+
+    /// Closes those unused longest. Guards against clients that ask once and keep their connection: what they
+    /// hold counts against all of them, and the rest would have none left to ask on.
+    pub fn trim(&mut self, room: &mut Room) {
+        while self.unused > self.most_unused && self.part_with(room, Standing::Unused, Span::ZERO) {}
+    }
+
     fn close(&mut self, room: &mut Room, no: ConnectionNo) {
         let Some(client) = self.all.remove(&no) else { return };
-        client.standing.map(|(standing, since)| self.standing.remove(&(standing, since, no)));
+        client.standing.into_iter().for_each(|standing| self.unlist(no, standing));
         if let Phase::Waiting(id) = client.phase {
             self.forget(id);
             room.counters.add(Count::Left);
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -66,6 +66,7 @@
         while let Some((at, notice)) = self.room.inbox.pop_front() {
             self.notice(at, notice);
         }
+        self.clients.trim(&mut self.room);
         // Guards against names of servers that pile up as these come and go; asked only once the module has heard
         // of all that have come.
         let Driver { module, names, .. } = &mut self.driver;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -79,7 +79,8 @@
         let mut room = Room::new(event_loop.handle(), pool, descriptors);
         let listens = |e| format!("cannot listen on {}: {e}", told.listen);
         let tending = connect.clamp(LEAST, UNUSED / 4.0);
-        let clients = Clients::new(told.listen, names.products.clone(), idle, tending).map_err(listens)?;
+        let (products, sockets) = (names.products.clone(), told.limits.sockets);
+        let clients = Clients::new(told.listen, products, idle, tending, sockets).map_err(listens)?;
         let peers = Peers::open(&room, told, terms.ordinal).map_err(|e| format!("cannot hear peers: {e}"))?;
         let vote_wait = terms.release.vote_wait;
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
