--- a/src/policy.rs
+++ b/src/policy.rs
@@ -668,7 +668,14 @@
     /// (departure D). A bad build shows on most of its servers. Harms by waiting for more of them to show it.
     fn payoff(&self, side: Side, arm: Arm) -> Payoff {
         let Some(by_server) = self.trial.payoffs.get(&(side, arm)) else { return Payoff::default() };
-        let mut seen: Vec<&Payoff> = by_server.values().collect();
+        // Nor are machines the build's fault that fail most of theirs, where the earlier build has such too.
+        let sound = |arm| self.trial.payoffs.get(&(Side::Sound, arm)).into_iter().flatten();
+        let wreck = |s: &(&ServerIx, &Payoff)| s.1.sum < s.1.count * (1.0 - FAILING);
+        let known = sound(Arm::Earlier).any(|s| wreck(&s)) && !matches!(side, Side::Whole | Side::Brisk);
+        let wrecks: BTreeSet<&ServerIx> = sound(arm).filter(|s| known && wreck(s)).map(|s| s.0).collect();
+        let all = by_server.keys().all(|ix| wrecks.contains(ix));
+        let of = by_server.iter().filter(|s| all || !wrecks.contains(s.0));
+        let mut seen: Vec<&Payoff> = of.map(|s| s.1).collect();
         seen.sort_by(|a, b| (b.count - b.sum).total_cmp(&(a.count - a.sum)));
         let aside = if seen.len() > 1 && side != Side::Right { (seen.len() / ASIDE).max(1) } else { 0 };
         seen[aside..].iter().fold(Payoff::default(), |all, p| all.with(p, 1.0))
@@ -679,10 +686,8 @@
     fn eliminate(&mut self) {
         let sides: BTreeSet<Side> = self.trial.payoffs.keys().map(|k| k.0).collect();
         for side in sides {
-            let (mut earlier, trial) = (self.payoff(side, Arm::Earlier), self.payoff(side, Arm::Trial));
-            if let Some(before) = self.before.get(&side) {
-                earlier = *before;
-            }
+            let (before, trial) = (self.before.get(&side).copied(), self.payoff(side, Arm::Trial));
+            let earlier = before.unwrap_or_else(|| self.payoff(side, Arm::Earlier));
             // An arm within epsilon of the best is good enough; only pace differs between good builds.
             let near = match side {
                 Side::Whole | Side::Brisk => 1.5 * EPSILON, // no arm beside it to share what else goes on
@@ -714,11 +719,9 @@
     }
 
     fn stage(&mut self, news: StageNews) {
-        if news.answers_vote {
+        if let Some((_, _, ballot)) = self.cast.as_mut().filter(|_| news.answers_vote) {
             let answered = matches!(news.word, Word::Valid | Word::Moot);
-            if let Some((_, _, ballot)) = &mut self.cast {
-                *ballot = if answered { Ballot::Stands } else { Ballot::Refused };
-            }
+            *ballot = if answered { Ballot::Stands } else { Ballot::Refused };
         }
         if news.word != Word::Valid {
             return;
@@ -873,17 +876,14 @@
         for id in std::mem::take(&mut self.changed) {
             let Some(txn) = self.txns.get_mut(&id) else { continue };
             for (hop, attempt) in txn.attempts.iter_mut().enumerate() {
-                match attempt.standing {
-                    Standing::Wanted => {
-                        attempt.standing = Standing::Out;
-                        out.push(Action::Submit { id, server: attempt.server, timeout: Span::ZERO });
-                    }
-                    Standing::Unwanted => {
-                        attempt.standing = Standing::Recalled;
-                        out.push(Action::Recall { id, attempt: hop });
-                    }
-                    _ => {}
-                }
+                let (server, timeout) = (attempt.server, Span::ZERO);
+                let (standing, action) = match attempt.standing {
+                    Standing::Wanted => (Standing::Out, Action::Submit { id, server, timeout }),
+                    Standing::Unwanted => (Standing::Recalled, Action::Recall { id, attempt: hop }),
+                    _ => continue,
+                };
+                attempt.standing = standing;
+                out.push(action);
             }
             let answer = match txn.answer {
                 Answer::Decline => Some(Action::Decline { id, retry_after: self.terms.limits.retry_after }),
