--- a/src/policy.rs
+++ b/src/policy.rs
@@ -148,8 +148,7 @@
         self.runs = (on as f64 / ready, of_build.get(&self.trial.build).copied().unwrap_or(0), newest);
         self.arms = arms;
         // Guards against keeping every key: one has nowhere else to go where no earlier build is left.
-        let released = self.news.as_ref().is_some_and(|n| n.phase == Phase::Released);
-        if released && self.runs.0 >= 1.0 {
+        if self.runs.0 >= 1.0 && self.news.as_ref().is_some_and(|n| n.phase == Phase::Released) {
             self.pins.clear();
         }
         self.fleet = of_build.into_values().fold(self.fleet, usize::max);
@@ -239,11 +238,17 @@
         sent + 1.0 <= told.free + cap * self.taken.count(edge + tick, |p| counts(*p))
     }
 
+    /// The build that a key stays with: one that has answered it, or whose answer may be on its way by now.
     fn pin(&self, txn: &Txn) -> Build {
-        txn.key.and_then(|k| self.pins.get(&k)).copied().unwrap_or(0)
+        let Some(key) = txn.key.filter(|_| self.terms.release.one_way) else { return 0 };
+        let same = self.txns.values().filter(|t| t.key == Some(key)).flat_map(|t| &t.attempts);
+        let back = self.news.as_ref().filter(|n| matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
+        let until = back.map_or(Build::MAX, |n| n.build);
+        let out = same.filter(|a| !a.closed() && a.build < until).map(|a| a.build).max();
+        out.max(self.pins.get(&key).copied()).unwrap_or(0)
     }
 
-    fn open_to(&self, server: &Server, txn: &Txn) -> bool {
+    fn open_to(&self, server: &Server, txn: &Txn, pin: Build) -> bool {
         let build = server.listed.build;
         let on_trial = self.on_trial(build);
         let row = &self.rows[txn.product];
@@ -252,7 +257,7 @@
                 < self.terms.release.guarded_stages
             && row.repeat != Repeat::InquiryLike;
         server.listed.lifecycle == Lifecycle::Ready
-            && build >= self.pin(txn)
+            && build >= pin
             && !guarded
             && ((server.out + server.ghosts.len()) as f64) < server.limit
             && self.now >= server.shut
@@ -329,6 +334,7 @@
         let share = ((share - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
         let trial_first = self.chance.generate::<f64>() < share && self.txns[&id].attempts.is_empty();
         let txn = &self.txns[&id];
+        let pin = self.pin(txn);
         let tier = |ix: ServerIx, server: &Server, on_trial: bool| {
             let tried = txn.attempts.iter().any(|a| a.server == ix);
             match (self.healthy(server), tried) {
@@ -344,7 +350,7 @@
             if on_trial && !within.iter().any(|w| w.0 == build) {
                 within.push((build, self.within_cap(build, txn.product)));
             }
-            if !within.contains(&(build, false)) && self.open_to(server, txn) {
+            if !within.contains(&(build, false)) && self.open_to(server, txn, pin) {
                 open.entry(tier(ix, server, on_trial)).or_default().push((ix, stands_for));
             }
         }
@@ -428,10 +434,7 @@
 
     /// The txn needs nothing more: what is still out is called back, and nothing is due.
     fn finish(&mut self, id: TxnId, answer: Answer) {
-        let Some(txn) = self.txns.get_mut(&id) else { return };
-        if txn.answer == Answer::Given {
-            return;
-        }
+        let Some(txn) = self.txns.get_mut(&id).filter(|t| t.answer != Answer::Given) else { return };
         let ran = txn.attempts.iter().any(|a| a.standing == Standing::Closed { may_have_run: true });
         self.unserved += f64::from(answer != Answer::Given || !ran);
         txn.answer = answer;
@@ -585,10 +588,9 @@
         let (served, failed) = (outcome == Outcome::Served, outcome == Outcome::Errored);
         // An answer is as cold as its server was when it was asked.
         let warmth = self.warmth_at(server, self.now - took);
-        let model = server.listed.model;
         let in_time = served && told.lag <= 1.0;
         let paired = self.runs.0 < 1.0;
-        let usual = mean * self.usual.get(&model).copied().unwrap_or(1.0);
+        let usual = mean * self.usual.get(&server.listed.model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
             self.whole(product, in_time, quick);
@@ -629,11 +631,10 @@
     /// Guards against wrong answers, which look like any other until a client complains: the answer that paid
     /// pays no more (departure F). A single complaint, which may be mistaken, does not reach the bound.
     fn complaint(&mut self, told: &Hearsay) {
-        let Some(&ix) = self.marks.get(&told.mark) else { return };
-        if self.news.is_some() && told.build <= self.trial.build {
-            let arm = if told.build == self.trial.build { Arm::Trial } else { Arm::Earlier };
-            self.pay(Side::Right, arm, ix, -1.0, 0.0);
-        }
+        let judged = self.news.is_some() && told.build <= self.trial.build;
+        let Some(&ix) = self.marks.get(&told.mark).filter(|_| judged) else { return };
+        let arm = if told.build == self.trial.build { Arm::Trial } else { Arm::Earlier };
+        self.pay(Side::Right, arm, ix, -1.0, 0.0);
     }
 
     /// Whether a new build is about, or was released so lately that its load has just come.
@@ -806,9 +807,8 @@
             }
             return;
         }
-        if self.dropped(Arm::Earlier, 1.0) || self.waited_out() {
-            self.vote = Some((build, stage, Verdict::On));
-        }
+        let on = self.dropped(Arm::Earlier, 1.0) || self.waited_out();
+        self.vote = on.then_some((build, stage, Verdict::On));
     }
 
     /// Whether the fallback wait after the start of the stage's newest machine is over.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -235,11 +235,23 @@
             .collect();
         trace += &format!("{outcome:?}: earlier build {}\n", share(&used, 0));
     }
+    // Nor does it leave while its answer may be on its way.
+    let mut desk = Desk::with(told, &[1, 2], Phase::Trial);
+    let mut used: Vec<ServerIx> = Vec::new();
+    for key in 0..40 {
+        let [first, second] = [0; 2].map(|_| desk.txn(ASK, Some(key)));
+        let to: Vec<ServerIx> = desk.sent.iter().filter(|s| s.0 >= first).map(|s| s.1).collect();
+        used.extend(to.get(1).filter(|_| to[0] == 1));
+        [first, second].into_iter().for_each(|txn| desk.close(txn, 0, Outcome::Served, 30));
+        desk.pass(20);
+    }
+    trace += &format!("on its way: earlier build {}\n", share(&used, 0));
     expect![[r#"
         Reset: earlier build 0 of 20
         TimedOut: earlier build 0 of 20
         Errored: earlier build 5 of 20
         ConnectFailed: earlier build 5 of 20
+        on its way: earlier build 0 of 20
     "#]]
     .assert_eq(&trace);
 }
