--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -10,12 +10,11 @@
 use harrierdock::interface::TxnId;
 use harrierdock::time::{Point, Span};
 use harrierdock_http::{write, Fault, Intake, Progress, RequestHead};
+use harrierdock_net::{Connection, ConnectionNo, Filled, Flushed, Purse};
 use indexmap::IndexSet;
 use socket2::{Domain, Protocol, Socket, Type};
 
-use crate::connection::{Connection, Filled, Flushed, Purse};
 use crate::counters::Count;
-use crate::dues::ConnectionNo;
 use crate::gateway::Gateway;
 use crate::request::{asked, Request};
 use crate::room::{Asked, Body, Notice, Room};
@@ -231,7 +230,7 @@
         if let (Door::Open, Some(token)) = (self.door, &self.token) {
             self.door = Door::Paused;
             if let Err(e) = room.handle.disable(token) {
-                log::warn!("the listener cannot be paused: {e}");
+                tracing::warn!("the listener cannot be paused: {e}");
             }
         }
     }
@@ -244,7 +243,7 @@
         if let (Door::Paused, Some(token)) = (self.door, &self.token) {
             self.door = Door::Open;
             if let Err(e) = room.handle.enable(token) {
-                log::warn!("the listener cannot be resumed: {e}");
+                tracing::warn!("the listener cannot be resumed: {e}");
             }
         }
     }
--- a/crates/gateway/src/command_line.rs
+++ b/crates/gateway/src/command_line.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use log::LevelFilter;
+use harrierdock_net::logging::{Form, Level};
 
 /// The gateway that routes txns and votes on staged releases.
 #[derive(Bpaf, Clone, Debug)]
@@ -13,8 +13,11 @@
     #[bpaf(command)]
     Serve {
         /// The least that is logged: error, warn, info, debug or trace; or off
-        #[bpaf(long("log"), argument("LEVEL"), fallback(LevelFilter::Info))]
-        log: LevelFilter,
+        #[bpaf(long("log"), argument("LEVEL"), fallback(Level::INFO))]
+        log: Level,
+        /// How log lines are written: plain, or json (one object a line)
+        #[bpaf(long("log-form"), argument("FORM"), fallback(Form::Plain))]
+        form: Form,
         /// The configuration, instead of the file that LB_CONFIG names
         #[bpaf(long("config"), argument("FILE"))]
         config: Option<PathBuf>,
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -103,7 +103,7 @@
         debug_assert!(holds, "{what}");
         if !holds {
             self.add(Count::Broken);
-            log::error!("broken: {what}");
+            tracing::error!("broken: {what}");
         }
     }
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,12 +6,11 @@
 use calloop::Readiness;
 use harrierdock::interface::{Event, Lifecycle, Listed, Scope, ServerIx};
 use harrierdock::time::{Point, Span};
+use harrierdock_net::{Asking, Clock, Feed, Heard};
 use harrierdock_terms::{mark, Names};
 use serde::Deserialize;
 
-use crate::clock::Clock;
 use crate::counters::Count;
-use crate::feed::{Asking, Feed, Heard};
 use crate::gateway::Gateway;
 use crate::room::{Notice, Room};
 use crate::servers::{Machine, Servers};
@@ -157,7 +156,7 @@
             }
             Heard::Refused => {
                 // Guards against asking for ever for what follows a version that discovery no longer knows.
-                log::warn!("discovery: refuses, the whole list is fetched");
+                tracing::warn!("discovery: refuses, the whole list is fetched");
                 self.revision = None;
                 return true;
             }
@@ -168,7 +167,7 @@
             Ok(list) => list,
             Err(e) => {
                 room.counters.add(Count::LinesRefused);
-                log::warn!("discovery: a line cannot be read, the watch is renewed: {e}");
+                tracing::warn!("discovery: a line cannot be read, the watch is renewed: {e}");
                 // The list held stays true up to its version, from which the next watch goes on.
                 self.renew(room);
                 return false;
@@ -209,7 +208,7 @@
         for server in absent {
             servers.place(room, server, None);
         }
-        log::debug!("discovery: list {} with {} lines", list.revision, lines.len());
+        tracing::debug!("discovery: list {} with {} lines", list.revision, lines.len());
         room.inbox.push_back((now, Notice::Event(Event::Roster { scope, lines })));
     }
 }
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -10,7 +10,7 @@
 
 use crate::clients::Answer;
 use crate::counters::Count;
-use crate::dues::Due;
+use crate::due::Due;
 use crate::gateway::Gateway;
 use crate::room::{Asked, Notice};
 
--- /dev/null
+++ b/crates/gateway/src/due.rs
@@ -0,0 +1,22 @@
+//! The kinds of what falls due in a gateway.
+
+use harrierdock::interface::TxnId;
+use harrierdock_net::ConnectionNo;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// The module asked to be woken.
+    Wake,
+    /// A submission has waited for its connection or its answer for as long as it may.
+    Submission(ConnectionNo),
+    /// A vote has waited for its answer for as long as it may.
+    Vote(ConnectionNo),
+    /// A txn must have been answered by now.
+    Txn(TxnId),
+    /// Connections, streams and descriptors are looked after.
+    Tend,
+    /// The counters are logged.
+    Report,
+    /// Told to end, the gateway looks whether it can.
+    End,
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,16 +5,15 @@
 use calloop::signals::{Event, Signal, Signals};
 use calloop::EventLoop;
 use harrierdock::time::{Point, Span};
+use harrierdock_net::{logging, Descriptors, Net, Pool};
 
 use crate::clients::{Clients, Serving, UNUSED};
 use crate::counters::Count;
 use crate::discovery::Discovery;
 use crate::driver::Driver;
-use crate::dues::Due;
-use crate::logger;
+use crate::due::Due;
 use crate::peers::Peers;
 use crate::platform::Platform;
-use crate::pool::{Descriptors, Pool};
 use crate::room::Room;
 use crate::servers::Servers;
 use crate::told::{RolloutsTold, Told};
@@ -25,6 +24,10 @@
 const LONGEST_WAIT: Span = Span(3_000_000);
 /// The shortest pause of periodic work, whatever is told.
 const LEAST: Span = Span(1_000);
+/// Kept aside: standard streams (3), the loop's own (3), signals, listener, peers, discovery, the platform's
+/// stream, as many again for those being replaced, and votes.
+const RESERVE: usize = 24;
+
 const REPORT: Span = Span(10_000_000);
 
 pub struct Gateway {
@@ -54,7 +57,7 @@
         EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
     let mut gateway = Gateway::new(told, &event_loop)?;
     let address = gateway.clients.address().map_err(|e| format!("no address: {e}"))?;
-    log::info!("{} serves on {address}", told.name);
+    tracing::info!("{} serves on {address}", told.name);
     while !gateway.over {
         let wait = gateway.room.dues.next().map(|at| gateway.room.clock.until(at));
         // Guards against one socket's trouble ending them all: the loop goes on.
@@ -64,7 +67,7 @@
         gateway.fall_due();
     }
     gateway.report();
-    log::info!("{} ends", told.name);
+    tracing::info!("{} ends", told.name);
     Ok(())
 }
 
@@ -74,9 +77,9 @@
         let limits = &terms.limits;
         let (connect, idle, tick) = (limits.connect, limits.idle, terms.tick.max(LEAST));
         let longest = terms.products.iter().map(|p| p.expiry).max().unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
-        let pool = Pool::new(&told.limits);
-        let descriptors = Descriptors::new(&told.limits);
-        let mut room = Room::new(event_loop.handle(), pool, descriptors);
+        let pool = Pool::new(told.limits.memory_mb);
+        let descriptors = Descriptors::new(told.limits.sockets, RESERVE);
+        let mut room = Room::new(Net::new(event_loop.handle(), pool, descriptors));
         let listens = |e| format!("cannot listen on {}: {e}", told.listen);
         let tending = connect.clamp(LEAST, UNUSED / 4.0);
         let (products, sockets) = (names.products.clone(), told.limits.sockets);
@@ -155,7 +158,7 @@
         if let Some(platform) = &mut self.platform {
             platform.tend(room);
         }
-        log::logger().flush();
+        logging::flush();
         self.room.due_in(self.tending, Due::Tend);
     }
 
@@ -200,9 +203,9 @@
     fn reload(&mut self) {
         let told = match Told::read_again(&self.path) {
             Ok(told) => told,
-            Err(e) => return log::warn!("told to reload, nothing changes: {e}"),
+            Err(e) => return tracing::warn!("told to reload, nothing changes: {e}"),
         };
-        log::info!("told to reload");
+        tracing::info!("told to reload");
         self.discovery.turn_to(&mut self.room, told.discovery);
         if let Some(RolloutsTold { address, .. }) = told.rollouts {
             let new = || Platform::new(address, self.vote_wait, self.tending);
@@ -216,7 +219,7 @@
             self.over = true;
             return;
         }
-        log::info!("told to end");
+        tracing::info!("told to end");
         self.ending = Some(self.room.now());
         self.room.due_in(COMING, Due::End);
         self.clients.turn(Serving::Ending);
@@ -224,9 +227,11 @@
 
     fn report(&mut self) {
         let room = &mut self.room;
-        room.counters.set(Count::LogLinesLost, logger::lost());
-        room.counters.set(Count::PoolBroken, room.pool.broken);
+        room.counters.set(Count::LogLinesLost, logging::lost());
+        room.counters.set(Count::PoolBroken, room.net.pool.broken);
+        room.counters.set(Count::NoBuffer, room.net.no_buffer);
+        room.counters.set(Count::StreamsOpened, room.net.streams_opened);
         let (held, lent) = (room.descriptors.held, room.pool.lent);
-        log::info!("counts: {} open={held} lent={lent} owed={}", room.counters, self.driver.owed());
+        tracing::info!("counts: {} open={held} lent={lent} owed={}", room.counters, self.driver.owed());
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,19 +2,14 @@
 //! alone speaks with the module.
 
 mod clients;
-mod clock;
 mod command_line;
-mod connection;
 mod counters;
 mod discovery;
 mod driver;
-mod dues;
-mod feed;
+mod due;
 mod gateway;
-mod logger;
 mod peers;
 mod platform;
-mod pool;
 mod request;
 mod room;
 mod servers;
@@ -23,6 +18,8 @@
 use std::io::{self, Write};
 use std::process::ExitCode;
 
+use harrierdock_net::logging;
+
 use command_line::{command_line, Command};
 use told::Told;
 
@@ -32,8 +29,8 @@
 
 fn run(command: Command) -> Result<(), String> {
     match command {
-        Command::Serve { log, config } => {
-            logger::start(log);
+        Command::Serve { log, form, config } => {
+            logging::start(log, form);
             gateway::serve(&Told::read(config)?)
         }
         Command::Check { config } => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -32,7 +32,7 @@
         let Some(address) = told.peer_listen else { return Ok(None) };
         let socket = UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
-        log::info!("{} hears peers on {}", told.name, socket.local_addr()?);
+        tracing::info!("{} hears peers on {}", told.name, socket.local_addr()?);
         let socket = Rc::new(socket);
         let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
         let call = |_, _: &mut _, gateway: &mut Gateway| {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -7,13 +7,12 @@
 use harrierdock::interface::{Build, Event, Phase, StageNews, Verdict, Word};
 use harrierdock::time::{Point, Span};
 use harrierdock_http::{write, AnswerHead, Intake, Progress};
+use harrierdock_net::{Asking, Connection, ConnectionNo, Feed, Filled, Flushed, Heard, Purse};
 use harrierdock_terms::Names;
 use serde::Deserialize;
 
-use crate::connection::{Connection, Filled, Flushed, Purse};
 use crate::counters::Count;
-use crate::dues::{ConnectionNo, Due};
-use crate::feed::{Asking, Feed, Heard};
+use crate::due::Due;
 use crate::gateway::Gateway;
 use crate::room::{Notice, Room};
 
@@ -145,7 +144,7 @@
             room.counters.add(Count::NewsPassedOver);
         }
         if held.is_none() || answers_vote {
-            log::debug!("platform: {told:?}, answers a vote: {answers_vote}");
+            tracing::debug!("platform: {told:?}, answers a vote: {answers_vote}");
             room.inbox.push_back((now, Notice::Event(Event::Stage(news))));
         }
     }
@@ -166,7 +165,7 @@
                 return false;
             }
             Heard::Refused => {
-                log::warn!("platform: refuses its stream");
+                tracing::warn!("platform: refuses its stream");
                 return true;
             }
             Heard::Line(line) | Heard::Once(line) => line,
@@ -189,7 +188,7 @@
             Err(e) => {
                 // Guards against a stream that goes on after such a line, though nothing true comes on it.
                 room.counters.add(Count::LinesRefused);
-                log::warn!("platform: a line cannot be read, the stream is renewed: {e}");
+                tracing::warn!("platform: a line cannot be read, the stream is renewed: {e}");
                 self.renew(room);
                 return false;
             }
@@ -220,7 +219,7 @@
             Verdict::Hold => "wait",
             Verdict::Back => "reject",
         };
-        log::info!("votes {opinion} on build {build} in stage {stage}");
+        tracing::info!("votes {opinion} on build {build} in stage {stage}");
         let body = format!(r#"{{"image":{build},"ring":{stage},"opinion":"{opinion}"}}"#);
         let no = room.next_connection();
         let call = move |gateway: &mut Gateway, readiness| on_call(gateway, no, readiness);
@@ -243,7 +242,7 @@
     /// A vote that brought back no state.
     fn settle_vote(&mut self, room: &mut Room, word: Word) {
         room.counters.add(Count::VotesRefused);
-        log::info!("a vote got no state: {word:?}");
+        tracing::info!("a vote got no state: {word:?}");
         let (phase, cap, age) = (Phase::Trial, 0.0, Span::ZERO);
         let news = StageNews { build: 0, stage: 0, phase, cap, word, answers_vote: true, age };
         room.tell(Notice::Event(Event::Stage(news)));
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -1,18 +1,16 @@
-//! What all parts of a gateway share: the loop, the clock, buffers and descriptors, counters, what is due, and
-//! the notices that wait for the driver.
+//! What all parts of a gateway share: what stands on sockets, counters, what is due, and the notices that wait
+//! for the driver.
 
 use std::collections::VecDeque;
+use std::ops::{Deref, DerefMut};
 
-use calloop::LoopHandle;
 use harrierdock::interface::{Event, Key, Outcome, ProductIx, TxnId};
 use harrierdock::time::{Point, Span};
-use harrierdock_http::BUFFER;
+use harrierdock_net::{Buffer, Dues, Net};
 
-use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::dues::{ConnectionNo, Due, Dues};
+use crate::due::Due;
 use crate::gateway::Gateway;
-use crate::pool::{Buffer, Descriptors, Pool};
 
 /// A txn as a client wrote it, to be passed on unchanged.
 pub struct Asked<'a> {
@@ -38,37 +36,31 @@
 }
 
 pub struct Room {
-    pub handle: LoopHandle<'static, Gateway>,
-    pub clock: Clock,
-    pub pool: Pool,
-    pub descriptors: Descriptors,
+    pub net: Net<Gateway>,
     pub counters: Counters,
-    pub dues: Dues,
+    pub dues: Dues<Due>,
     pub inbox: VecDeque<(Point, Notice)>,
-    /// Where what is passed over goes.
-    pub sink: Vec<u8>,
-    last_connection: ConnectionNo,
     last_txn: u64,
 }
 
-impl Room {
-    pub fn new(handle: LoopHandle<'static, Gateway>, pool: Pool, descriptors: Descriptors) -> Room {
-        Room {
-            handle,
-            clock: Clock::start(),
-            pool,
-            descriptors,
-            counters: Counters::default(),
-            dues: Dues::default(),
-            inbox: VecDeque::new(),
-            sink: vec![0; BUFFER],
-            last_connection: 0,
-            last_txn: 0,
-        }
+/// The sockets' side of it is used as though it were the room's own.
+impl Deref for Room {
+    type Target = Net<Gateway>;
+    fn deref(&self) -> &Net<Gateway> {
+        &self.net
+    }
+}
+
+impl DerefMut for Room {
+    fn deref_mut(&mut self) -> &mut Net<Gateway> {
+        &mut self.net
     }
+}
 
-    pub fn now(&self) -> Point {
-        self.clock.now()
+impl Room {
+    pub fn new(net: Net<Gateway>) -> Room {
+        let (counters, dues, inbox) = (Counters::default(), Dues::default(), VecDeque::new());
+        Room { net, counters, dues, inbox, last_txn: 0 }
     }
 
     /// Tells the driver, as of now.
@@ -83,11 +75,6 @@
         at
     }
 
-    pub fn next_connection(&mut self) -> ConnectionNo {
-        self.last_connection += 1;
-        self.last_connection
-    }
-
     pub fn next_txn(&mut self) -> TxnId {
         self.last_txn += 1;
         TxnId(self.last_txn)
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -7,10 +7,10 @@
 use harrierdock::interface::{Event, Load, Outcome, ServerIx, TxnId};
 use harrierdock::time::{Point, Span};
 use harrierdock_http::{write, AnswerHead, Intake, Progress};
+use harrierdock_net::{Connection, ConnectionNo, Filled, Flushed, Purse};
 
-use crate::connection::{Connection, Filled, Flushed, Purse};
 use crate::counters::Count;
-use crate::dues::{ConnectionNo, Due};
+use crate::due::Due;
 use crate::gateway::Gateway;
 use crate::room::{Asked, Body, Notice, Room};
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -14,9 +14,8 @@
 use rustix::net::{recv, RecvFlags};
 use socket2::{Domain, Protocol, Socket, Type};
 
-use crate::gateway::Gateway;
+use crate::net::Net;
 use crate::pool::Buffer;
-use crate::room::Room;
 
 /// A socket in the loop, whose interest can be changed from outside.
 struct Watched {
@@ -96,31 +95,31 @@
 }
 
 impl Connection {
-    pub fn adopt(
-        room: &mut Room,
+    pub fn adopt<D>(
+        net: &mut Net<D>,
         stream: TcpStream,
         interest: Interest,
         purse: Purse,
-        on_ready: impl Fn(&mut Gateway, Readiness) + 'static,
+        on_ready: impl Fn(&mut D, Readiness) + 'static,
     ) -> io::Result<Connection> {
         let (stream, interest) = (Rc::new(stream), Rc::new(Cell::new(interest)));
         let socket = Generic::new(stream.clone(), interest.get(), Mode::Level);
         let watched = Watched { socket, interest: interest.clone() };
-        let call = move |readiness, _: &mut (), gateway: &mut Gateway| on_ready(gateway, readiness);
-        let token = room.handle.insert_source(watched, call).map_err(|e| io::Error::other(e.error))?;
+        let call = move |readiness, _: &mut (), data: &mut D| on_ready(data, readiness);
+        let token = net.handle.insert_source(watched, call).map_err(|e| io::Error::other(e.error))?;
         if purse != Purse::Reserve {
-            room.descriptors.held += 1;
+            net.descriptors.held += 1;
         }
         let (input, output) = (Buffer::new(), Buffer::new());
         Ok(Connection { stream, interest, token, purse, input, output, written: 0 })
     }
 
     /// Begins to connect; the callback comes once it is up or has failed.
-    pub fn dial(
-        room: &mut Room,
+    pub fn dial<D>(
+        net: &mut Net<D>,
         address: SocketAddr,
         purse: Purse,
-        on_ready: impl Fn(&mut Gateway, Readiness) + 'static,
+        on_ready: impl Fn(&mut D, Readiness) + 'static,
     ) -> io::Result<Connection> {
         let kind = Type::STREAM.nonblocking().cloexec();
         let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
@@ -131,7 +130,7 @@
             }
             _ => {}
         }
-        Connection::adopt(room, socket.into(), Interest::WRITE, purse, on_ready)
+        Connection::adopt(net, socket.into(), Interest::WRITE, purse, on_ready)
     }
 
     /// Whether a connection that was dialled has come up.
@@ -140,10 +139,10 @@
     }
 
     /// Reads once, so that a busy socket gives way to the others.
-    pub fn fill(&mut self, room: &mut Room) -> Filled {
+    pub fn fill<D>(&mut self, net: &mut Net<D>) -> Filled {
         if self.input.capacity() == 0 {
-            let Some(buffer) = room.pool.lend(self.purse) else {
-                room.counters.add(crate::counters::Count::NoBuffer);
+            let Some(buffer) = net.pool.lend(self.purse) else {
+                net.no_buffer += 1;
                 return Filled::Full;
             };
             self.input = buffer;
@@ -158,13 +157,13 @@
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Filled::Nothing,
             Err(_) => Filled::Failed,
         };
-        self.release_empty(room);
+        self.release_empty(net);
         filled
     }
 
     /// Reads once what is of no use any more, without a buffer of its own.
-    pub fn pass_over(&mut self, room: &mut Room) -> Filled {
-        match recv(&self.stream, &mut room.sink[..], RecvFlags::empty()) {
+    pub fn pass_over<D>(&mut self, net: &mut Net<D>) -> Filled {
+        match recv(&self.stream, &mut net.sink[..], RecvFlags::empty()) {
             Ok((0, _)) => Filled::Ended,
             Ok(_) => Filled::Some,
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Filled::Nothing,
@@ -173,20 +172,20 @@
     }
 
     /// Gives back buffers that hold nothing.
-    pub fn release_empty(&mut self, room: &mut Room) {
+    pub fn release_empty<D>(&mut self, net: &mut Net<D>) {
         if self.input.is_empty() {
-            room.pool.give_back(&mut self.input);
+            net.pool.give_back(&mut self.input);
         }
         if self.output.is_empty() {
-            room.pool.give_back(&mut self.output);
+            net.pool.give_back(&mut self.output);
         }
     }
 
     /// The buffer for what goes out, if one is to be had.
-    pub fn out(&mut self, room: &mut Room) -> Option<&mut Buffer> {
+    pub fn out<D>(&mut self, net: &mut Net<D>) -> Option<&mut Buffer> {
         if self.output.capacity() == 0 {
-            let Some(buffer) = room.pool.lend(Purse::Server) else {
-                room.counters.add(crate::counters::Count::NoBuffer);
+            let Some(buffer) = net.pool.lend(Purse::Server) else {
+                net.no_buffer += 1;
                 return None;
             };
             self.output = buffer;
@@ -194,7 +193,7 @@
         Some(&mut self.output)
     }
 
-    pub fn flush(&mut self, room: &mut Room) -> Flushed {
+    pub fn flush<D>(&mut self, net: &mut Net<D>) -> Flushed {
         while self.written < self.output.len() {
             match (&*self.stream).write(&self.output[self.written..]) {
                 Ok(0) => return Flushed::Failed,
@@ -206,7 +205,7 @@
         }
         self.written = 0;
         self.output.clear();
-        self.release_empty(room);
+        self.release_empty(net);
         Flushed::All
     }
 
@@ -217,12 +216,12 @@
         matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
-    pub fn wants(&self, room: &Room, readable: bool, writable: bool) {
+    pub fn wants<D>(&self, net: &Net<D>, readable: bool, writable: bool) {
         let wanted = Interest { readable, writable };
         let now = self.interest.replace(wanted);
         if (now.readable, now.writable) != (readable, writable) {
-            if let Err(e) = room.handle.update(&self.token) {
-                log::warn!("a socket cannot be watched: {e}");
+            if let Err(e) = net.handle.update(&self.token) {
+                tracing::warn!("a socket cannot be watched: {e}");
             }
         }
     }
@@ -237,12 +236,12 @@
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 
-    pub fn close(mut self, room: &mut Room) {
-        room.handle.remove(self.token);
-        room.pool.give_back(&mut self.input);
-        room.pool.give_back(&mut self.output);
+    pub fn close<D>(mut self, net: &mut Net<D>) {
+        net.handle.remove(self.token);
+        net.pool.give_back(&mut self.input);
+        net.pool.give_back(&mut self.output);
         if self.purse != Purse::Reserve {
-            room.descriptors.held = room.descriptors.held.saturating_sub(1);
+            net.descriptors.held = net.descriptors.held.saturating_sub(1);
         }
     }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -8,9 +8,7 @@
 use harrierdock_http::{write, AnswerHead, Intake, Progress, BODY_MOST};
 
 use crate::connection::{Connection, Filled, Flushed, Purse};
-use crate::counters::Count;
-use crate::gateway::Gateway;
-use crate::room::Room;
+use crate::net::Net;
 
 /// What is asked for on the connection.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -61,13 +59,13 @@
     }
 
     /// Turns to another address. Gives back whether it is another one, which is then to be opened.
-    pub fn turn_to(&mut self, room: &mut Room, address: SocketAddr) -> bool {
+    pub fn turn_to<D>(&mut self, net: &mut Net<D>, address: SocketAddr) -> bool {
         if self.address == address {
             return false;
         }
-        log::info!("{}: now at {address}", self.name);
+        tracing::info!("{}: now at {address}", self.name);
         self.address = address;
-        self.close(room);
+        self.close(net);
         true
     }
 
@@ -82,90 +80,90 @@
         let silent = now - self.heard > if self.up { self.silence } else { connect };
         let silent = silent || self.begun.is_some_and(|since| now - since > connect);
         if silent && self.connection.is_some() {
-            log::warn!("{}: silent, renewed", self.name);
+            tracing::warn!("{}: silent, renewed", self.name);
         }
         silent && self.connection.is_some()
     }
 
-    pub fn open(
+    pub fn open<D>(
         &mut self,
-        room: &mut Room,
+        net: &mut Net<D>,
         target: &str,
         asking: Asking,
-        on_ready: impl Fn(&mut Gateway, Readiness) + 'static,
+        on_ready: impl Fn(&mut D, Readiness) + 'static,
     ) {
-        self.close(room);
-        (self.tried, self.heard) = (room.now(), room.now());
-        match Connection::dial(room, self.address, Purse::Reserve, on_ready) {
+        self.close(net);
+        (self.tried, self.heard) = (net.now(), net.now());
+        match Connection::dial(net, self.address, Purse::Reserve, on_ready) {
             Ok(connection) => {
-                room.counters.add(Count::StreamsOpened);
+                net.streams_opened += 1;
                 self.connection = Some(connection);
-                self.ask(room, target, asking);
+                self.ask(net, target, asking);
             }
-            Err(e) => log::warn!("{}: cannot connect: {e}", self.name),
+            Err(e) => tracing::warn!("{}: cannot connect: {e}", self.name),
         }
     }
 
     /// Writes a request, the first or one that follows a whole answer.
-    pub fn ask(&mut self, room: &mut Room, target: &str, asking: Asking) {
+    pub fn ask<D>(&mut self, net: &mut Net<D>, target: &str, asking: Asking) {
         let Some(connection) = &mut self.connection else { return };
         (self.intake, self.asking) = (Intake::default(), asking);
-        let Some(out) = connection.out(room) else { return self.close(room) };
+        let Some(out) = connection.out(net) else { return self.close(net) };
         write::request_line(out, "GET", target);
         write::field(out, "Host", self.address);
         write::end(out);
         if self.up {
-            self.send(room);
+            self.send(net);
         }
     }
 
-    fn send(&mut self, room: &mut Room) -> bool {
+    fn send<D>(&mut self, net: &mut Net<D>) -> bool {
         let Some(connection) = &mut self.connection else { return false };
-        let flushed = connection.flush(room);
-        connection.wants(room, true, flushed == Flushed::Part);
+        let flushed = connection.flush(net);
+        connection.wants(net, true, flushed == Flushed::Part);
         flushed != Flushed::Failed
     }
 
-    pub fn close(&mut self, room: &mut Room) {
+    pub fn close<D>(&mut self, net: &mut Net<D>) {
         (self.up, self.begun) = (false, None);
         if let Some(connection) = self.connection.take() {
-            connection.close(room);
+            connection.close(net);
         }
     }
 
     /// What came in. After `Broken` the connection is gone.
-    pub fn serve(&mut self, room: &mut Room, readiness: Readiness) -> Vec<Heard> {
+    pub fn serve<D>(&mut self, net: &mut Net<D>, readiness: Readiness) -> Vec<Heard> {
         let mut heard = Vec::new();
-        if !self.take_in(room, readiness, &mut heard) {
+        if !self.take_in(net, readiness, &mut heard) {
             if self.up {
-                log::warn!("{}: broken off", self.name);
+                tracing::warn!("{}: broken off", self.name);
             }
-            self.close(room);
+            self.close(net);
             heard.push(Heard::Broken);
         }
         heard
     }
 
-    fn take_in(&mut self, room: &mut Room, readiness: Readiness, heard: &mut Vec<Heard>) -> bool {
+    fn take_in<D>(&mut self, net: &mut Net<D>, readiness: Readiness, heard: &mut Vec<Heard>) -> bool {
         let Some(connection) = &mut self.connection else { return true };
         if readiness.writable {
             if !self.up && connection.is_up().is_err() {
                 return false;
             }
             if !std::mem::replace(&mut self.up, true) {
-                log::info!("{}: reached", self.name);
+                tracing::info!("{}: reached", self.name);
             }
-            if !self.send(room) {
+            if !self.send(net) {
                 return false;
             }
         }
         let Some(connection) = self.connection.as_mut().filter(|_| readiness.readable) else { return true };
-        let going = match connection.fill(room) {
+        let going = match connection.fill(net) {
             Filled::Some => true,
             Filled::Nothing => return true,
             Filled::Full | Filled::Ended | Filled::Failed => false,
         };
-        self.heard = room.now();
+        self.heard = net.now();
         let reads = self.read(heard);
         let in_part = self.connection.as_ref().is_some_and(|c| self.intake.is_in_part(&c.input));
         self.begun = in_part.then(|| self.begun.unwrap_or(self.heard));
--- a/crates/gateway/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -3,7 +3,6 @@
 use harrierdock_http::BUFFER;
 
 use crate::connection::Purse;
-use crate::told::LimitsTold;
 
 /// A buffer without room is none: nothing was lent.
 pub type Buffer = Vec<u8>;
@@ -24,8 +23,9 @@
 const SPARE_MOST: usize = 64;
 
 impl Pool {
-    pub fn new(told: &LimitsTold) -> Pool {
-        let bytes = told.memory_mb.saturating_mul(1 << 20) / 100 * BUFFER_PERCENT;
+    /// Buffers within the told memory, in MB.
+    pub fn new(memory_mb: usize) -> Pool {
+        let bytes = memory_mb.saturating_mul(1 << 20) / 100 * BUFFER_PERCENT;
         Pool { spare: Vec::new(), lent: 0, broken: 0, most: bytes / BUFFER }
     }
 
@@ -61,13 +61,10 @@
     most: usize,
 }
 
-/// Kept aside: standard streams (3), the loop's own (3), signals, listener, peers, discovery, the platform's
-/// stream, as many again for those being replaced, and votes.
-const RESERVE: usize = 24;
-
 impl Descriptors {
-    pub fn new(told: &LimitsTold) -> Descriptors {
-        Descriptors { held: 0, most: told.sockets.saturating_sub(RESERVE).max(2) }
+    /// Descriptors for connections within all that a process may hold, `reserve` of them kept aside.
+    pub fn new(all: usize, reserve: usize) -> Descriptors {
+        Descriptors { held: 0, most: all.saturating_sub(reserve).max(2) }
     }
 
     pub fn spare(&self) -> usize {
