--- /dev/null
+++ b/crates/gateway/src/across.rs
@@ -0,0 +1,460 @@
+//! Between two sites on sockets: the link's UDP socket, the letters on it, and the txns that cross. What is to
+//! cross, and what becomes of it, is decided in `crates/sites`; this file obeys.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use harrierdock::interface::{Event as ModuleEvent, Lifecycle, TxnId};
+use harrierdock::time::{Point, Span};
+use harrierdock_letters::{self as letters, Handover, Letter, Party, Verdict};
+use harrierdock_link::{Heard, Link, RoadNo};
+use harrierdock_net::Purse;
+use harrierdock_sites::{status, Action, Change, Event, Hand, InwardNo, Place, Product, Sites};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::clients::Answer;
+use crate::counters::Count;
+use crate::due::Due;
+use crate::gateway::Gateway;
+use crate::room::{Asked, Body, Notice, Room};
+use crate::told::Told;
+use crate::with::With;
+
+/// The longest datagram that is read, and how many in one go, so that a flood of them gives way to txns.
+const DATAGRAM_MOST: usize = 2048;
+const READ_MOST: usize = 64;
+/// What the socket may hold for us meanwhile.
+const SOCKET_BUFFER: usize = 1 << 20;
+/// The part of the told memory that remembered answers may take: one in this many.
+const MEMORY_PART: usize = 32;
+const MEGABYTE: usize = 1 << 20;
+
+pub struct Across {
+    pub sites: Sites,
+    link: Link,
+    own: Party,
+    other_site: String,
+    socket: Rc<UdpSocket>,
+    /// Those that were dialled and have not come up.
+    dialled: BTreeMap<RoadNo, Party>,
+    /// The txns taken in from the other site, as they were written there.
+    held: BTreeMap<TxnId, (InwardNo, Handover)>,
+    inward: BTreeMap<InwardNo, TxnId>,
+    link_due: Option<Point>,
+    sites_due: Option<Point>,
+    refused: u64,
+    refused_told: Option<Point>,
+}
+
+/// How often it is said that strangers were turned away.
+const REFUSED_EVERY: Span = Span(10_000_000);
+
+fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    let kind = Type::DGRAM.nonblocking().cloexec();
+    let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::UDP))?;
+    // The system may grant less; then more is lost and sent again.
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
+    socket.bind(&address.into())?;
+    Ok(socket.into())
+}
+
+impl Across {
+    /// None where the file names no other site.
+    pub fn open(room: &Room, told: &Told, with: &With) -> Result<Option<Across>, String> {
+        let Some(between) = &with.sites else { return Ok(None) };
+        let (terms, names) = told.terms()?;
+        let own = between.own(&told.name);
+        let credentials = with.credentials(&own)?;
+        let link = Link::new(&credentials, &between.other.site).map_err(|e| format!("sites.keys: {e}"))?;
+        let listens = |e: io::Error| format!("sites.listen: {}: {e}", between.listen);
+        let socket = Rc::new(bind(between.listen).map_err(listens)?);
+        let address = socket.local_addr().map_err(listens)?;
+        let product = |(name, told): (&String, &harrierdock::interface::ProductTerms)| Product {
+            name: name.clone(),
+            repeat: told.repeat,
+            sla: told.sla,
+            expiry: told.expiry,
+            revenue: told.revenue,
+            spans: between.groups_spanning.contains(name),
+        };
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let place = Place {
+            own: own.clone(),
+            address: Some(between.reached_at.unwrap_or(address)),
+            // Unix time serves only to stand above this gateway's earlier starts.
+            incarnation: unix.as_micros() as u64,
+            other_site: between.other.site.clone(),
+            seeds: between.seeds(),
+            products: names.products.iter().zip(&terms.products).map(product).collect(),
+            warm: terms.rules.ramp,
+            tick: terms.tick,
+            retry_after: terms.limits.retry_after,
+            memory: told.limits.memory_mb * MEGABYTE / MEMORY_PART,
+            seed: told.seed(),
+        };
+        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+        let call = |_, _: &mut _, gateway: &mut Gateway| {
+            if let Some(across) = &mut gateway.across {
+                across.hear();
+            }
+            gateway.settle();
+            Ok(PostAction::Continue)
+        };
+        room.handle.insert_source(source, call).map_err(|e| format!("sites: {}", e.error))?;
+        tracing::info!("sites: {own} listens on {address} for gateways of {}", between.other.site);
+        Ok(Some(Across {
+            sites: Sites::new(room.now(), place),
+            link,
+            own,
+            other_site: between.other.site.clone(),
+            socket,
+            dialled: BTreeMap::new(),
+            held: BTreeMap::new(),
+            inward: BTreeMap::new(),
+            link_due: None,
+            sites_due: None,
+            refused: 0,
+            refused_told: None,
+        }))
+    }
+
+    fn hear(&mut self) {
+        let mut bytes = [0_u8; DATAGRAM_MOST];
+        for _ in 0..READ_MOST {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((size, from)) => self.link.datagram(Instant::now(), from, &bytes[..size]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // An earlier datagram's word of failure.
+                Err(_) => continue,
+            }
+        }
+    }
+
+    /// A txn taken in, as its client wrote it at the other site.
+    pub fn asked<T>(&self, id: TxnId, with: impl FnOnce(Asked) -> T) -> Option<T> {
+        let (_, handover) = self.held.get(&id)?;
+        Some(with(Asked {
+            method: &handover.method,
+            target: &handover.target,
+            txn: &handover.txn,
+            reference: handover.reference.as_deref(),
+            body: &handover.body,
+        }))
+    }
+
+    fn send(&mut self, room: &mut Room, road: RoadNo, letter: &Letter) -> bool {
+        match letters::write(letter) {
+            Ok(bytes) => self.link.send(Instant::now(), road, bytes, matches!(letter, Letter::Beat(_))),
+            Err(e) => {
+                room.counters.must(false, &format!("a letter can be written: {e}"));
+                false
+            }
+        }
+    }
+
+    /// Sends what the link has for the socket, and notes when it wants to be called.
+    fn flush(&mut self, room: &mut Room) {
+        while let Some((to, bytes)) = self.link.next_out() {
+            // A datagram may be lost on its way as well.
+            let _ = self.socket.send_to(&bytes, to);
+        }
+        let after = |at: Instant| Span(at.saturating_duration_since(Instant::now()).as_micros() as i64);
+        let due = self.link.next_timeout().map(|at| room.now() + after(at));
+        // A little earlier or later is the same time.
+        let same = self.link_due.zip(due).is_some_and(|(a, b)| (a - b).0.abs() < 1000);
+        if !same && self.link_due != due {
+            self.link_due.into_iter().for_each(|at| room.dues.clear(at, Due::Link));
+            due.into_iter().for_each(|at| room.dues.set(at, Due::Link));
+            self.link_due = due;
+        }
+    }
+
+    pub fn renew(&mut self, with: &With) -> Result<(), String> {
+        let credentials = with.credentials(&self.own)?;
+        self.link.renew(&credentials).map_err(|e| format!("sites.keys: {e}"))
+    }
+}
+
+fn plain(change: &Change) -> String {
+    match change {
+        Change::Joined { party } => format!("{party} is known"),
+        Change::Member { party, standing, back, reborn } => {
+            let word = format!("{standing:?}").to_lowercase();
+            let more = match (back, reborn) {
+                (_, true) => ", started anew",
+                (true, _) => ", returned",
+                _ => "",
+            };
+            format!("{party} is {word}{more}")
+        }
+        Change::Home { home, why } => {
+            let home = status::home(*home);
+            format!("traffic is {home}: {}", status::why(*why))
+        }
+        Change::Strange { letters } => format!("{letters} answers matched no crossing"),
+    }
+}
+
+impl Gateway {
+    /// Tells `crates/sites`, and does what it asks for.
+    pub fn sites(&mut self, now: Point, event: Event) {
+        let Some(across) = &mut self.across else { return };
+        for action in across.sites.take(now, event) {
+            self.obey_sites(now, action);
+        }
+    }
+
+    /// Lets the link speak and be heard, until nothing more is to be done for now.
+    pub fn pump(&mut self) {
+        while let Some(heard) = self.across.as_mut().and_then(|a| a.link.next_heard()) {
+            let now = self.room.now();
+            self.link_heard(now, heard);
+        }
+        if let Some(across) = &mut self.across {
+            across.flush(&mut self.room);
+        }
+    }
+
+    pub fn link_due(&mut self) {
+        if let Some(across) = &mut self.across {
+            across.link_due = None;
+            across.link.timeout(Instant::now());
+        }
+    }
+
+    pub fn sites_due(&mut self) {
+        let now = self.room.now();
+        if let Some(across) = &mut self.across {
+            across.sites_due = None;
+        }
+        self.sites(now, Event::Wake);
+    }
+
+    fn link_heard(&mut self, now: Point, heard: Heard) {
+        let Some(across) = &mut self.across else { return };
+        match heard {
+            Heard::Up { road, peer } => {
+                across.dialled.remove(&road);
+                tracing::info!("sites: linked with {peer}");
+                self.sites(now, Event::Up { road, peer });
+            }
+            Heard::Down { road, peer, why } => {
+                let dialled = across.dialled.remove(&road);
+                match (dialled, peer) {
+                    (Some(peer), _) => {
+                        tracing::debug!("sites: {peer} cannot be reached: {why}");
+                        if why.contains("certificate") {
+                            tracing::warn!("sites: {peer} refused: {why}");
+                        }
+                        self.sites(now, Event::Unreachable { peer });
+                    }
+                    (None, peer) => {
+                        let peer = peer.map_or("a gateway".to_string(), |p| p.to_string());
+                        tracing::info!("sites: link with {peer} is down: {why}");
+                        self.sites(now, Event::Down { road });
+                    }
+                }
+            }
+            Heard::Refused { remote, why } => {
+                across.refused += 1;
+                // Guards against a log full of strangers: one line in a while says how many there were.
+                if across.refused_told.is_none_or(|at| now - at >= REFUSED_EVERY) {
+                    let many = std::mem::take(&mut across.refused);
+                    across.refused_told = Some(now);
+                    tracing::warn!("sites: {many} refused lately, the last from {remote}: {why}");
+                }
+            }
+            Heard::Letter { road, bytes } => match letters::read(&bytes) {
+                Ok(letter) => self.sites(now, Event::Heard { road, letter }),
+                Err(e) => {
+                    self.room.counters.add(Count::LettersRefused);
+                    tracing::debug!("sites: a letter cannot be read: {e}");
+                }
+            },
+        }
+    }
+
+    fn obey_sites(&mut self, now: Point, action: Action) {
+        match action {
+            Action::Here { id, left } => self.hand_in(now, id, left),
+            Action::Across { id, road, crossing, to, left } => {
+                self.hand_over(now, id, road, crossing, to, left)
+            }
+            Action::Settle { id, body, build } => self.settled_across(now, id, &body, build),
+            Action::Decline { id, retry_after } => self.answer(id, Answer::Declined { retry_after }),
+            Action::Void { id } => self.answer(id, Answer::Voided),
+            Action::TakeIn { inward, product, key, left, handover } => {
+                let id = self.room.next_txn();
+                let (again, least) = (handover.again, handover.least_build);
+                if let Some(across) = &mut self.across {
+                    across.held.insert(id, (inward, handover));
+                    across.inward.insert(inward, id);
+                }
+                self.room.counters.add(Count::TakenIn);
+                if let Some(key) = key.filter(|_| least > 0) {
+                    let pinned = ModuleEvent::Pinned { key, build: least };
+                    self.room.tell(Notice::Event(pinned));
+                }
+                self.room.tell(Notice::Taken { id, product, key, again, left, inward: Some(inward) });
+            }
+            Action::Abandon { inward } => {
+                if let Some(id) = self.across.as_ref().and_then(|a| a.inward.get(&inward)).copied() {
+                    self.room.tell(Notice::Left { id });
+                }
+            }
+            Action::Dial { peer, address } => {
+                let Some(across) = &mut self.across else { return };
+                match across.link.dial(Instant::now(), address, &peer) {
+                    Ok(road) => {
+                        across.dialled.insert(road, peer);
+                    }
+                    Err(e) => {
+                        tracing::debug!("sites: {peer} cannot be dialled: {e}");
+                        self.sites(now, Event::Unreachable { peer });
+                    }
+                }
+            }
+            Action::HangUp { road } => {
+                if let Some(across) = &mut self.across {
+                    across.link.hang_up(Instant::now(), road, "no road");
+                }
+            }
+            Action::Send { road, letter } => {
+                let Gateway { across, room, .. } = self;
+                if let Some(across) = across {
+                    across.send(room, road, &letter);
+                }
+            }
+            Action::Changed(change) => match change {
+                Change::Joined { .. } => tracing::debug!("sites: {}", plain(&change)),
+                Change::Home { .. } | Change::Strange { .. } => tracing::warn!("sites: {}", plain(&change)),
+                Change::Member { .. } => tracing::info!("sites: {}", plain(&change)),
+            },
+            Action::Wake { after } => {
+                let Gateway { across, room, .. } = self;
+                if let Some(across) = across {
+                    let at = now + after;
+                    across.sites_due.into_iter().for_each(|before| room.dues.clear(before, Due::Sites));
+                    room.dues.set(at, Due::Sites);
+                    across.sites_due = Some(at);
+                }
+            }
+        }
+    }
+
+    /// Writes a client's txn to the other site.
+    fn hand_over(&mut self, now: Point, id: TxnId, road: RoadNo, crossing: u64, to: u64, left: Span) {
+        let Some((product, key, again)) = self.crosses(id) else { return };
+        let least_build = key.map_or(0, |key| self.driver.pin_of(key));
+        let Gateway { across, room, clients, driver, .. } = self;
+        let Some(across) = across else { return };
+        let from = across.sites.incarnation();
+        let name = driver.names.products.get_index(product).cloned().unwrap_or_default();
+        let write = |asked: Asked<'_>| Handover {
+            crossing,
+            from,
+            to,
+            product: name,
+            left_ms: (left.0 / 1000).clamp(0, i64::from(u32::MAX)) as u32,
+            again,
+            key: key.map(|k| k.0),
+            least_build,
+            method: asked.method.into(),
+            target: asked.target.into(),
+            txn: asked.txn.into(),
+            reference: asked.reference.map(str::to_string),
+            body: asked.body.to_vec(),
+        };
+        // One whose client has gone is told as left, and nothing is sent for it.
+        let Some(handover) = clients.asked(id, write) else { return };
+        room.counters.add(Count::HandedOver);
+        if !across.send(room, road, &Letter::Handover(handover)) {
+            // Not sent, so not taken, for certain.
+            let verdict = Verdict::NotTaken;
+            let answer = letters::Answer { crossing, to: from, verdict, build: None, body: Vec::new() };
+            self.sites(now, Event::Heard { road, letter: Letter::Answer(answer) });
+        }
+    }
+
+    fn settled_across(&mut self, now: Point, id: TxnId, body: &[u8], build: Option<u32>) {
+        // One that has its answer already takes no buffer.
+        let Some((_, key, _)) = self.crosses(id) else { return };
+        if let Some((key, build)) = key.zip(build) {
+            self.take(now, ModuleEvent::Pinned { key, build });
+        }
+        let answer = match self.room.pool.lend(Purse::Server) {
+            Some(mut buffer) if body.len() <= buffer.capacity() => {
+                buffer.extend_from_slice(body);
+                Answer::Settled(Body { buffer, body: 0..body.len() })
+            }
+            Some(mut buffer) => {
+                self.room.pool.give_back(&mut buffer);
+                Answer::Voided
+            }
+            None => Answer::Voided,
+        };
+        self.answer(id, answer);
+    }
+
+    /// A txn that was taken in has had its answer here.
+    pub fn answer_across(
+        &mut self,
+        now: Point,
+        id: TxnId,
+        verdict: Verdict,
+        build: Option<u32>,
+        body: Vec<u8>,
+    ) {
+        let Some(across) = &mut self.across else { return };
+        let Some((inward, _)) = across.held.remove(&id) else { return };
+        across.inward.remove(&inward);
+        self.sites(now, Event::Answered { inward, verdict, build, body });
+    }
+
+    /// Discovery's list has changed.
+    pub fn look_home(&mut self, now: Point) {
+        if self.across.is_some() {
+            let ready = self.driver.count(Lifecycle::Ready);
+            self.sites(now, Event::Home { ready });
+        }
+    }
+
+    /// An operator's word on the control socket. Gives back one line.
+    pub fn by_hand(&mut self, word: &str) -> String {
+        let now = self.room.now();
+        let hand = match word {
+            "drain" => Some(Hand::Drain),
+            "resume" => Some(Hand::Resume),
+            "status" => None,
+            odd => return format!("{{\"error\":\"unknown word '{}'\"}}\n", odd.escape_default()),
+        };
+        if let Some(hand) = hand {
+            tracing::warn!("sites: told by hand to {word}");
+            self.sites(now, Event::Hand(hand));
+            self.settle();
+        }
+        let status = self.across.as_ref().map(|a| serde_json::to_string(&a.sites.status()));
+        format!(
+            "{}\n",
+            status.and_then(Result::ok).unwrap_or_else(|| r#"{"error":"no other site is told"}"#.into())
+        )
+    }
+
+    /// New keys and certificates for the links that come up from now on.
+    pub fn renew_keys(&mut self, with: &With) {
+        let Some(across) = &mut self.across else { return };
+        if with.sites.as_ref().is_some_and(|s| s.other.site != across.other_site) {
+            return tracing::warn!("sites: another other site counts from the next start on");
+        }
+        match across.renew(with) {
+            Ok(()) => tracing::info!("sites: keys are read again"),
+            Err(e) => tracing::warn!("sites: the keys held stay: {e}"),
+        }
+    }
+}
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -384,7 +384,7 @@
                 self.open.insert(name.to_string());
                 self.asking.insert(id, Asker { no, name: name.to_string() });
                 room.counters.add(Count::Taken);
-                return room.tell(Notice::Taken { id, product, key, again, left });
+                return room.tell(Notice::Taken { id, product, key, again, left, inward: None });
             }
             Request::Ready if self.serving == Serving::Ready => (200, None, String::new()),
             Request::Ready => (503, None, String::new()),
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -35,6 +35,9 @@
     MailSent,
     MailHeard,
     MailRefused,
+    HandedOver,
+    TakenIn,
+    LettersRefused,
     NoDescriptor,
     NoBuffer,
     LogLinesLost,
@@ -43,7 +46,7 @@
     Broken,
 }
 
-const NAMES: [(Count, &str); 35] = [
+const NAMES: [(Count, &str); 38] = [
     (Count::Taken, "taken"),
     (Count::Settled, "settled"),
     (Count::Declined, "declined"),
@@ -74,6 +77,9 @@
     (Count::MailSent, "mail-sent"),
     (Count::MailHeard, "mail-heard"),
     (Count::MailRefused, "mail-refused"),
+    (Count::HandedOver, "handed-over"),
+    (Count::TakenIn, "taken-in"),
+    (Count::LettersRefused, "letters-refused"),
     (Count::NoDescriptor, "no-descriptor"),
     (Count::NoBuffer, "no-buffer"),
     (Count::LogLinesLost, "log-lines-lost"),
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -6,6 +6,8 @@
 use harrierdock::interface::*;
 use harrierdock::policy;
 use harrierdock::time::{Point, Span};
+use harrierdock_letters::Verdict;
+use harrierdock_sites::{Ending, Event as Crossing};
 use harrierdock_terms::Names;
 
 use crate::clients::Answer;
@@ -18,15 +20,41 @@
     server: ServerIx,
     at: Point,
     out: bool,
+    /// It never ran, for certain.
+    never_ran: bool,
+}
+
+/// Where a txn is, of those two sites may have.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Whereabouts {
+    /// Nobody has been asked yet.
+    AtTheDoor,
+    Here,
+    Across,
+    /// Here, after it was across.
+    Back,
 }
 
 struct Entry {
+    product: ProductIx,
+    key: Option<Key>,
+    again: bool,
+    taken: Point,
     expiry: Point,
     overdue: Point,
     answered: bool,
+    whereabouts: Whereabouts,
+    /// The other site has handed it over.
+    inward: bool,
     sent: Vec<Sent>,
 }
 
+impl Entry {
+    fn may_have_run(&self) -> bool {
+        self.sent.iter().any(|s| !s.never_ran)
+    }
+}
+
 pub struct Driver {
     module: policy::Gateway,
     pub names: Names,
@@ -41,6 +69,16 @@
         Driver { module: policy::Gateway::new(terms, seed), names, book: BTreeMap::new(), attempts, tick }
     }
 
+    /// The build that this key stays with.
+    pub fn pin_of(&self, key: Key) -> Build {
+        self.module.pin_of(key)
+    }
+
+    /// How many servers are listed like this.
+    pub fn count(&self, lifecycle: Lifecycle) -> usize {
+        self.module.servers.values().filter(|s| s.listed.lifecycle == lifecycle).count()
+    }
+
     /// How many txns have not had their answer.
     pub fn owed(&self) -> usize {
         self.book.values().filter(|e| !e.answered).count()
@@ -63,8 +101,14 @@
 impl Gateway {
     /// Tells the module all that is waiting for it, and does what it asks for.
     pub fn settle(&mut self) {
-        while let Some((at, notice)) = self.room.inbox.pop_front() {
-            self.notice(at, notice);
+        loop {
+            while let Some((at, notice)) = self.room.inbox.pop_front() {
+                self.notice(at, notice);
+            }
+            self.pump();
+            if self.room.inbox.is_empty() {
+                break;
+            }
         }
         self.clients.trim(&mut self.room);
         // Guards against names of servers that pile up as these come and go; asked only once the module has heard
@@ -77,16 +121,39 @@
 
     fn notice(&mut self, now: Point, notice: Notice) {
         match notice {
-            Notice::Event(event) => self.take(now, event),
-            Notice::Taken { id, product, key, again, left } => {
+            Notice::Event(event) => {
+                let listed = matches!(event, Event::Roster { .. });
+                self.take(now, event);
+                if listed {
+                    self.look_home(now);
+                }
+            }
+            Notice::Taken { id, product, key, again, left, inward } => {
                 let (expiry, overdue) = (now + left, now + left + self.driver.tick);
-                let entry = Entry { expiry, overdue, answered: false, sent: Vec::new() };
+                let entry = Entry {
+                    product,
+                    key,
+                    again,
+                    taken: now,
+                    expiry,
+                    overdue,
+                    answered: false,
+                    whereabouts: Whereabouts::AtTheDoor,
+                    inward: inward.is_some(),
+                    sent: Vec::new(),
+                };
                 self.driver.book.insert(id, entry);
                 self.room.dues.set(overdue, Due::Txn(id));
-                self.take(now, Event::Txn { id, product, tenant: None, key, again, left, cost: None });
+                if self.across.is_some() && inward.is_none() {
+                    self.sites(now, Crossing::Txn { id, product, left });
+                } else {
+                    self.hand_in(now, id, left);
+                }
             }
             Notice::Left { id } => {
-                if self.close_txn(id) {
+                if self.close_txn(id, Ending::Left) {
+                    self.answer_across(now, id, Verdict::Voided, None, Vec::new());
+                    self.sites(now, Crossing::Left { id });
                     self.take(now, Event::Left { id });
                     self.strike(id);
                 }
@@ -98,12 +165,18 @@
                 self.room.counters.must(sent.is_some(), "a submission ends once");
                 let Some(sent) = sent else { return };
                 sent.out = false;
+                sent.never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
                 let (server, took) = (sent.server, now - sent.at);
                 if let Some(mut told) = told {
-                    if self.close_txn(id) {
-                        self.clients.answer(&mut self.room, id, Answer::Settled(told));
-                    } else {
+                    if !self.close_txn(id, Ending::Settled) {
+                        self.room.pool.give_back(&mut told.buffer);
+                    } else if self.is_inward(id) {
+                        let body = told.buffer[told.body.clone()].to_vec();
                         self.room.pool.give_back(&mut told.buffer);
+                        let build = self.driver.module.servers.get(&server).map(|s| s.listed.build);
+                        self.answer_across(now, id, Verdict::Settled, build, body);
+                    } else {
+                        self.clients.answer(&mut self.room, id, Answer::Settled(told));
                     }
                 }
                 let ended = self.driver.book.get(&id).is_none_or(|e| e.answered);
@@ -115,13 +188,55 @@
     }
 
     /// The txn has its answer, or needs none any more. Gives back whether it had none before.
-    fn close_txn(&mut self, id: TxnId) -> bool {
+    fn close_txn(&mut self, id: TxnId, ending: Ending) -> bool {
         let Some(entry) = self.driver.book.get_mut(&id).filter(|e| !e.answered) else { return false };
         entry.answered = true;
         self.room.dues.clear(entry.overdue, Due::Txn(id));
+        let (product, taken, whereabouts) = (entry.product, entry.taken, entry.whereabouts);
+        if self.across.is_some() && matches!(whereabouts, Whereabouts::Here | Whereabouts::Back) {
+            let now = self.room.now();
+            self.sites(now, Crossing::Ended { product, ending, took: now - taken });
+        }
         true
     }
 
+    fn is_inward(&self, id: TxnId) -> bool {
+        self.driver.book.get(&id).is_some_and(|e| e.inward)
+    }
+
+    /// The module is to serve it, within what is left.
+    pub fn hand_in(&mut self, now: Point, id: TxnId, left: Span) {
+        let Some(entry) = self.driver.book.get_mut(&id).filter(|e| !e.answered) else { return };
+        let across = entry.whereabouts == Whereabouts::Across;
+        entry.whereabouts = if across { Whereabouts::Back } else { Whereabouts::Here };
+        // Guards the time in which a referenced repeat is dropped: what has come back is sent no later.
+        entry.expiry = entry.expiry.min(now + left);
+        let (product, key, again) = (entry.product, entry.key, entry.again);
+        self.take(now, Event::Txn { id, product, tenant: None, key, again, left, cost: None });
+    }
+
+    /// A txn that is to cross: its product, its key, and whether it is a client's repeat.
+    pub fn crosses(&mut self, id: TxnId) -> Option<(ProductIx, Option<Key>, bool)> {
+        let entry = self.driver.book.get_mut(&id).filter(|e| !e.answered)?;
+        entry.whereabouts = Whereabouts::Across;
+        Some((entry.product, entry.key, entry.again))
+    }
+
+    /// The module declines it. What never ran here, and was not across yet, may be of use to the other site.
+    fn declined(&mut self, now: Point, id: TxnId, retry_after: Option<Span>) {
+        let entry = self.driver.book.get(&id).filter(|e| !e.answered && !e.inward);
+        let spared = entry.filter(|e| e.whereabouts == Whereabouts::Here && !e.may_have_run());
+        match spared.map(|e| (e.product, e.expiry - now)).filter(|_| self.across.is_some()) {
+            Some((product, left)) => {
+                if let Some(entry) = self.driver.book.get_mut(&id) {
+                    entry.whereabouts = Whereabouts::AtTheDoor;
+                }
+                self.sites(now, Crossing::Spared { id, product, left });
+            }
+            None => self.answer(id, Answer::Declined { retry_after }),
+        }
+    }
+
     /// Takes a txn out of the book once nothing of it is left.
     fn strike(&mut self, id: TxnId) {
         let over = |e: &Entry| e.answered && e.sent.iter().all(|s| !s.out);
@@ -130,7 +245,7 @@
         }
     }
 
-    fn take(&mut self, now: Point, event: Event) {
+    pub fn take(&mut self, now: Point, event: Event) {
         for action in self.driver.module.take(now, event) {
             self.obey(now, action);
         }
@@ -140,7 +255,7 @@
         match action {
             Action::Submit { id, server, timeout } => self.submit(now, id, server, timeout),
             Action::Recall { id, attempt } => self.servers.recall(&mut self.room, id, attempt),
-            Action::Decline { id, retry_after } => self.answer(id, Answer::Declined { retry_after }),
+            Action::Decline { id, retry_after } => self.declined(now, id, retry_after),
             Action::Void { id } => self.answer(id, Answer::Voided),
             Action::Vote { build, stage, verdict } => {
                 if let Some(platform) = &mut self.platform {
@@ -159,11 +274,28 @@
         }
     }
 
-    fn answer(&mut self, id: TxnId, answer: Answer) {
-        if self.close_txn(id) {
+    pub fn answer(&mut self, id: TxnId, answer: Answer) {
+        let ran = self.driver.book.get(&id).is_some_and(Entry::may_have_run);
+        let ending = match &answer {
+            Answer::Settled(_) => Ending::Settled,
+            Answer::Declined { .. } if !ran => Ending::Declined,
+            Answer::Declined { .. } | Answer::Voided => Ending::Failed,
+        };
+        if !self.close_txn(id, ending) {
+            return;
+        }
+        if self.is_inward(id) {
+            let verdict = match ending {
+                Ending::Declined => Verdict::NotTaken,
+                _ if matches!(answer, Answer::Declined { .. }) => Verdict::Declined { ran },
+                _ => Verdict::Voided,
+            };
+            let now = self.room.now();
+            self.answer_across(now, id, verdict, None, Vec::new());
+        } else {
             self.clients.answer(&mut self.room, id, answer);
-            self.strike(id);
         }
+        self.strike(id);
     }
 
     fn submit(&mut self, now: Point, id: TxnId, server: ServerIx, timeout: Span) {
@@ -171,16 +303,21 @@
             return self.room.counters.must(false, "a submission is of a txn in the book");
         };
         let attempt = entry.sent.len();
-        entry.sent.push(Sent { server, at: now, out: true });
+        entry.sent.push(Sent { server, at: now, out: true, never_ran: false });
         let left = entry.expiry - self.room.clock.now();
         let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
         let spent = entry.answered || attempt >= self.driver.attempts || wait <= Span::ZERO;
         if !spent && self.room.descriptors.spare() == 0 && !self.servers.keeps(server) {
             self.make_room();
         }
-        let Gateway { clients, servers, room, .. } = self;
+        let inward = self.is_inward(id);
+        let Gateway { clients, servers, room, across, .. } = self;
         let submit = |asked: Asked<'_>| servers.submit(room, (id, attempt), server, wait, &asked);
-        let sent = if spent { None } else { clients.asked(id, submit) };
+        let sent = match across {
+            _ if spent => None,
+            Some(across) if inward => across.asked(id, submit),
+            _ => clients.asked(id, submit),
+        };
         if let Err(outcome) = sent.unwrap_or(Err(Outcome::Moot)) {
             self.room.tell(Notice::Closed { id, attempt, outcome, told: None });
         }
@@ -191,6 +328,7 @@
         self.room.counters.must(false, "a txn has its answer by its expiry");
         self.answer(id, Answer::Voided);
         let now = self.room.now();
+        self.sites(now, Crossing::Left { id });
         self.take(now, Event::Left { id });
     }
 
--- a/crates/gateway/src/due.rs
+++ b/crates/gateway/src/due.rs
@@ -13,6 +13,10 @@
     Vote(ConnectionNo),
     /// A txn must have been answered by now.
     Txn(TxnId),
+    /// The link to the other site has something due.
+    Link,
+    /// What goes between the sites is looked after.
+    Sites,
     /// Connections, streams and descriptors are looked after.
     Tend,
     /// The counters are logged.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,9 @@
 use harrierdock::time::{Point, Span};
 use harrierdock_net::{logging, Descriptors, Net, Pool};
 
+use crate::across::Across;
 use crate::clients::{Clients, Serving, UNUSED};
+use crate::control::Control;
 use crate::counters::Count;
 use crate::discovery::Discovery;
 use crate::driver::Driver;
@@ -17,6 +19,7 @@
 use crate::room::Room;
 use crate::servers::Servers;
 use crate::told::{RolloutsTold, Told};
+use crate::with::With;
 
 /// How long after a signal to end new requests may still come.
 const COMING: Span = Span(700_000);
@@ -28,6 +31,8 @@
 /// stream, as many again for those being replaced, and votes.
 const RESERVE: usize = 24;
 
+/// Kept aside beside those where another site is told: the link's socket, the control socket and its callers.
+const SITES_RESERVE: usize = 6;
 const REPORT: Span = Span(10_000_000);
 
 pub struct Gateway {
@@ -38,6 +43,11 @@
     pub discovery: Discovery,
     pub platform: Option<Platform>,
     pub peers: Option<Peers>,
+    /// The other site, where one is told.
+    pub across: Option<Across>,
+    pub control: Option<Control>,
+    /// The file of our own that a reload reads again.
+    with: Option<PathBuf>,
     /// The file that a reload reads again.
     path: PathBuf,
     vote_wait: Span,
@@ -52,10 +62,10 @@
 }
 
 /// Serves until it is told to end.
-pub fn serve(told: &Told) -> Result<(), String> {
+pub fn serve(told: &Told, with: Option<PathBuf>) -> Result<(), String> {
     let mut event_loop: EventLoop<Gateway> =
         EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
-    let mut gateway = Gateway::new(told, &event_loop)?;
+    let mut gateway = Gateway::new(told, with, &event_loop)?;
     let address = gateway.clients.address().map_err(|e| format!("no address: {e}"))?;
     tracing::info!("{} serves on {address}", told.name);
     while !gateway.over {
@@ -72,19 +82,31 @@
 }
 
 impl Gateway {
-    fn new(told: &Told, event_loop: &EventLoop<'static, Gateway>) -> Result<Gateway, String> {
+    fn new(
+        told: &Told,
+        with_path: Option<PathBuf>,
+        event_loop: &EventLoop<'static, Gateway>,
+    ) -> Result<Gateway, String> {
+        let with = With::read(with_path.as_deref())?;
+        told.check_with(with_path.as_deref(), &with)?;
         let (terms, names) = told.terms()?;
         let limits = &terms.limits;
         let (connect, idle, tick) = (limits.connect, limits.idle, terms.tick.max(LEAST));
         let longest = terms.products.iter().map(|p| p.expiry).max().unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
         let pool = Pool::new(told.limits.memory_mb);
-        let descriptors = Descriptors::new(told.limits.sockets, RESERVE);
+        let descriptors = Descriptors::new(
+            told.limits.sockets,
+            RESERVE + if with.sites.is_some() { SITES_RESERVE } else { 0 },
+        );
         let mut room = Room::new(Net::new(event_loop.handle(), pool, descriptors));
         let listens = |e| format!("cannot listen on {}: {e}", told.listen);
         let tending = connect.clamp(LEAST, UNUSED / 4.0);
         let (products, sockets) = (names.products.clone(), told.limits.sockets);
         let clients = Clients::new(told.listen, products, idle, tending, sockets).map_err(listens)?;
         let peers = Peers::open(&room, told, terms.ordinal).map_err(|e| format!("cannot hear peers: {e}"))?;
+        let across = Across::open(&room, told, &with)?;
+        let control = with.sites.as_ref().and_then(|s| s.control.as_ref()).map(|path| with.path(path));
+        let control = control.map(|path| Control::open(&room.handle, path)).transpose()?;
         let vote_wait = terms.release.vote_wait;
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
         let discovery = Discovery::new(told.discovery, connect);
@@ -105,6 +127,9 @@
             discovery,
             platform,
             peers,
+            across,
+            control,
+            with: with_path,
             path: told.path.clone(),
             vote_wait,
             tending,
@@ -118,6 +143,8 @@
         if let (Some(platform), Some(news)) = (platform, told.rollouts.as_ref().and_then(|r| r.news)) {
             platform.learn(room, news, false);
         }
+        let now = gateway.room.now();
+        gateway.sites(now, harrierdock_sites::Event::Wake);
         gateway.settle();
         gateway.look_ready();
         gateway.clients.open(&gateway.room)?;
@@ -136,6 +163,8 @@
                     }
                 }
                 Due::Txn(id) => self.overdue(id),
+                Due::Link => self.link_due(),
+                Due::Sites => self.sites_due(),
                 Due::Tend => self.tend(),
                 Due::End => self.try_to_end(),
                 Due::Report => {
@@ -158,6 +187,9 @@
         if let Some(platform) = &mut self.platform {
             platform.tend(room);
         }
+        if let Some(control) = &mut self.control {
+            control.tend(&room.handle, room.net.now());
+        }
         logging::flush();
         self.room.due_in(self.tending, Due::Tend);
     }
@@ -206,6 +238,12 @@
             Err(e) => return tracing::warn!("told to reload, nothing changes: {e}"),
         };
         tracing::info!("told to reload");
+        if self.with.is_some() {
+            match With::read(self.with.as_deref()) {
+                Ok(with) => self.renew_keys(&with),
+                Err(e) => tracing::warn!("told to reload, the keys held stay: {e}"),
+            }
+        }
         self.discovery.turn_to(&mut self.room, told.discovery);
         if let Some(RolloutsTold { address, .. }) = told.rollouts {
             let new = || Platform::new(address, self.vote_wait, self.tending);
@@ -223,6 +261,8 @@
         self.ending = Some(self.room.now());
         self.room.due_in(COMING, Due::End);
         self.clients.turn(Serving::Ending);
+        let now = self.room.now();
+        self.sites(now, harrierdock_sites::Event::Ending);
     }
 
     fn report(&mut self) {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,26 +1,30 @@
 //! `harrierdock`: the decision module as a gateway on sockets. `gateway` holds its parts and its loop; `driver`
 //! alone speaks with the module.
 
+mod across;
 mod clients;
 mod command_line;
+mod control;
 mod counters;
 mod discovery;
 mod driver;
 mod due;
 mod gateway;
+mod keys;
 mod peers;
 mod platform;
 mod request;
 mod room;
 mod servers;
 mod told;
+mod with;
 
 use std::io::{self, Write};
 use std::process::ExitCode;
 
 use harrierdock_net::logging;
 
-use command_line::{command_line, Command};
+use command_line::{command_line, Command, Keys};
 use told::Told;
 
 fn say(mut to: impl Write, line: &str) -> Result<(), String> {
@@ -28,16 +32,26 @@
 }
 
 fn run(command: Command) -> Result<(), String> {
+    let print = |text: String| say(io::stdout(), &text);
     match command {
-        Command::Serve { log, form, config } => {
+        Command::Serve { log, form, config, with } => {
             logging::start(log, form);
-            gateway::serve(&Told::read(config)?)
+            gateway::serve(&Told::read(config)?, with)
         }
-        Command::Check { config } => {
+        Command::Check { config, with } => {
             let told = Told::read(config)?;
-            say(io::stdout(), &told.summary()?)
+            print(told.checked(with.as_deref())?)
         }
-        Command::Version => say(io::stdout(), concat!("harrierdock ", env!("CARGO_PKG_VERSION"))),
+        Command::Schema => print(with::schema()),
+        Command::Keys(Keys::Authority { name, days, folder }) => {
+            print(keys::make_authority(&folder, &name, days)?)
+        }
+        Command::Keys(Keys::Issue { days, folder, gateways }) => {
+            print(keys::issue_all(&folder, &gateways, days)?)
+        }
+        Command::Keys(Keys::Show { file }) => print(keys::show_file(&file)?),
+        Command::Site { word, control } => print(control::say(&control, word.as_str())?),
+        Command::Version => print(concat!("harrierdock ", env!("CARGO_PKG_VERSION")).into()),
     }
 }
 
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -7,6 +7,7 @@
 use harrierdock::interface::{Event, Key, Outcome, ProductIx, TxnId};
 use harrierdock::time::{Point, Span};
 use harrierdock_net::{Buffer, Dues, Net};
+use harrierdock_sites::InwardNo;
 
 use crate::counters::Counters;
 use crate::due::Due;
@@ -29,9 +30,24 @@
 
 /// What the parts tell the driver.
 pub enum Notice {
-    Taken { id: TxnId, product: ProductIx, key: Option<Key>, again: bool, left: Span },
-    Left { id: TxnId },
-    Closed { id: TxnId, attempt: usize, outcome: Outcome, told: Option<Body> },
+    Taken {
+        id: TxnId,
+        product: ProductIx,
+        key: Option<Key>,
+        again: bool,
+        left: Span,
+        /// It was handed over by the other site.
+        inward: Option<InwardNo>,
+    },
+    Left {
+        id: TxnId,
+    },
+    Closed {
+        id: TxnId,
+        attempt: usize,
+        outcome: Outcome,
+        told: Option<Body>,
+    },
     Event(Event),
 }
 
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -10,6 +10,7 @@
 
 use crate::discovery::ListTold;
 use crate::platform::NewsTold;
+use crate::with::With;
 
 #[derive(Deserialize)]
 pub struct Told {
@@ -96,6 +97,25 @@
         u64::from_str_radix(&self.seed, 16).unwrap_or_else(|_| harrierdock_terms::hash(&self.seed))
     }
 
+    /// What the configuration and the file beside it hold, in a line each.
+    pub fn checked(&self, with: Option<&Path>) -> Result<String, String> {
+        let held = With::read(with)?;
+        self.check_with(with, &held)?;
+        let summary = self.summary()?;
+        let Some(sites) = &held.sites else { return Ok(summary) };
+        let (own, other) = (sites.own(&self.name), &sites.other);
+        let more = format!("{own} links on {} with {} of {}", sites.listen, other.gateways.len(), other.site);
+        Ok(format!("{summary}\n{more}"))
+    }
+
+    /// Refuses a file that does not go with the configuration.
+    pub fn check_with(&self, path: Option<&Path>, with: &With) -> Result<(), String> {
+        let (_, names) = self.terms()?;
+        let products: Vec<&str> = names.products.iter().map(String::as_str).collect();
+        let file = path.map_or(String::new(), |p| format!("{}: ", p.display()));
+        with.check(&self.name, &products).map_err(|e| format!("{file}{e}"))
+    }
+
     /// What the configuration holds, in one line.
     pub fn summary(&self) -> Result<String, String> {
         let (terms, names) = self.terms()?;
--- /dev/null
+++ b/crates/gateway/src/with.rs
@@ -0,0 +1,155 @@
+//! The file of our own that `--with` names: what this installation has beyond the platform's configuration.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use harrierdock_letters::Party;
+use harrierdock_link::{keys, Credentials};
+use schemars::JsonSchema;
+use serde::Deserialize;
+
+/// What an installation has beyond the platform's configuration. Without the file, or with nothing in it, the
+/// gateway is what it is without.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct With {
+    /// Another site that txns may cross to.
+    pub sites: Option<Between>,
+    /// The folder that paths in the file are relative to.
+    #[serde(skip)]
+    folder: PathBuf,
+}
+
+/// This gateway's place between two sites.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Between {
+    /// This site's name: small letters, digits and inner hyphens.
+    pub site: String,
+    /// This gateway's name in its site; by default the configuration's name.
+    pub gateway: Option<String>,
+    /// Where the link listens (UDP).
+    pub listen: SocketAddr,
+    /// Where the other site's gateways reach it, if that is another address.
+    pub reached_at: Option<SocketAddr>,
+    pub other: OtherSite,
+    pub keys: KeyFiles,
+    /// A Unix socket for `harrierdock site`.
+    pub control: Option<PathBuf>,
+    /// Referenced products whose repeats one group of servers drops across both sites.
+    #[serde(default)]
+    pub groups_spanning: Vec<String>,
+}
+
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct OtherSite {
+    pub site: String,
+    /// Some of its gateways, one at least; the rest is learned from them.
+    pub gateways: Vec<GatewayTold>,
+}
+
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayTold {
+    pub gateway: String,
+    /// Where its link listens (UDP).
+    pub address: SocketAddr,
+}
+
+/// PEM files, relative to this file's folder.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct KeyFiles {
+    /// The certificate of the authority that both sites believe.
+    pub authority: PathBuf,
+    pub certificate: PathBuf,
+    pub key: PathBuf,
+}
+
+impl With {
+    /// Reads the file, if one is named.
+    ///
+    /// # Errors
+    /// One line with the file, the field and the reason.
+    pub fn read(path: Option<&Path>) -> Result<With, String> {
+        let Some(path) = path else { return Ok(With::default()) };
+        let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+        let text = std::fs::read_to_string(path).map_err(|e| wrong(&e))?;
+        let mut reader = serde_json::Deserializer::from_str(&text);
+        let with: With = serde_path_to_error::deserialize(&mut reader).map_err(|e| wrong(&e))?;
+        reader.end().map_err(|e| wrong(&e))?;
+        let folder = path.parent().map(Path::to_path_buf).unwrap_or_default();
+        Ok(With { folder, ..with })
+    }
+
+    /// What is wrong with the file beside the configuration that it goes with.
+    ///
+    /// # Errors
+    /// The field and the reason, in one line.
+    pub fn check(&self, name: &str, products: &[&str]) -> Result<(), String> {
+        let Some(sites) = &self.sites else { return Ok(()) };
+        let own = sites.own(name);
+        let field = |field: &str, e: String| format!("sites.{field}: {e}");
+        keys::label(&own.site).map_err(|e| field("site", e))?;
+        keys::label(&own.gateway).map_err(|e| field("gateway", e))?;
+        keys::label(&sites.other.site).map_err(|e| field("other.site", e))?;
+        if sites.other.site == own.site {
+            return Err(field("other.site", format!("'{}' is this site's own name", own.site)));
+        }
+        if sites.other.gateways.is_empty() {
+            return Err(field("other.gateways", "names none, and one at least is needed to begin".into()));
+        }
+        for (at, told) in sites.other.gateways.iter().enumerate() {
+            keys::label(&told.gateway).map_err(|e| field(&format!("other.gateways[{at}].gateway"), e))?;
+        }
+        if let Some(odd) = sites.groups_spanning.iter().find(|p| !products.contains(&p.as_str())) {
+            return Err(field("groups_spanning", format!("'{odd}' is no product of the configuration")));
+        }
+        self.credentials(&own).map(|_| ())
+    }
+
+    /// A path in the file.
+    pub fn path(&self, path: &Path) -> PathBuf {
+        self.folder.join(path)
+    }
+
+    /// Reads the key files.
+    ///
+    /// # Errors
+    /// The field and the reason, in one line.
+    pub fn credentials(&self, own: &Party) -> Result<Credentials, String> {
+        let files = &self.sites.as_ref().ok_or("no sites")?.keys;
+        let read = |field: &str, file: &Path| {
+            let path = self.path(file);
+            std::fs::read(&path).map_err(|e| format!("sites.keys.{field}: {}: {e}", path.display()))
+        };
+        let (authority, certificate) =
+            (read("authority", &files.authority)?, read("certificate", &files.certificate)?);
+        let key = read("key", &files.key)?;
+        let credentials =
+            Credentials::read(&authority, &certificate, &key).map_err(|e| format!("sites.keys.{e}"))?;
+        if credentials.party != *own {
+            return Err(format!("sites.keys.certificate: names {}, not {own}", credentials.party));
+        }
+        Ok(credentials)
+    }
+}
+
+impl Between {
+    pub fn own(&self, name: &str) -> Party {
+        Party { site: self.site.clone(), gateway: self.gateway.clone().unwrap_or_else(|| name.into()) }
+    }
+
+    pub fn seeds(&self) -> Vec<(Party, SocketAddr)> {
+        let site = &self.other.site;
+        let seed =
+            |told: &GatewayTold| (Party { site: site.clone(), gateway: told.gateway.clone() }, told.address);
+        self.other.gateways.iter().map(seed).collect()
+    }
+}
+
+/// The file's schema (JSON Schema, draft 2020-12).
+pub fn schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(With)).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/sites/src/custody.rs
@@ -0,0 +1,271 @@
+//! What was handed over and is owed an answer, and what was taken in and owes one. One table of each, bounded
+//! by what is live and by the longest expiry.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use harrierdock::interface::{Build, ProductIx, Repeat, TxnId};
+use harrierdock::time::{Point, Span};
+use harrierdock_letters::{Party, Verdict};
+
+use crate::{InwardNo, Members, RoadNo};
+
+/// Longest expiries for which the ending of one taken in is remembered, against copies that come late.
+const REMEMBERED: f64 = 2.0;
+/// Crossings taken in and not yet over, at the most.
+const MOST_RUNNING: usize = 4096;
+/// Endings remembered at the most; beyond, the oldest are forgotten.
+const MOST_DONE: usize = 65_536;
+
+/// One handed over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Out {
+    pub id: TxnId,
+    pub product: ProductIx,
+    pub peer: Party,
+    /// The incarnation that it was handed to.
+    pub to: u64,
+    pub sent: Point,
+    /// When it is voided if no answer has come.
+    pub expiry: Point,
+    /// The module here had turned it away.
+    pub spared: bool,
+    pub repeat: Repeat,
+    pub spans: bool,
+    pub road: Option<RoadNo>,
+}
+
+/// What follows for one handed over when its road is lost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum After {
+    /// It may run again here, within this.
+    Here { left: Span },
+    /// Only a late answer can settle it.
+    Wait,
+}
+
+impl Out {
+    /// Whether a further try of the client's is harmless though this one may have run.
+    pub fn may_try_again(&self) -> bool {
+        match self.repeat {
+            Repeat::InquiryLike => true,
+            Repeat::Referenced { .. } => self.spans,
+            Repeat::OnceOnly => false,
+        }
+    }
+
+    /// Guards rule 2 across a cut: what may have run there is run here only if it may run again, a referenced
+    /// one only where one group drops its repeats at both sites, and only while repeats are remembered.
+    pub fn after_loss(&self, now: Point, tick: Span) -> After {
+        let left = match self.repeat {
+            Repeat::InquiryLike => self.expiry - now,
+            Repeat::Referenced { memory, .. } if self.spans => {
+                (self.expiry - now).min(self.sent + memory - tick - now)
+            }
+            Repeat::Referenced { .. } | Repeat::OnceOnly => return After::Wait,
+        };
+        if left > tick {
+            After::Here { left }
+        } else {
+            After::Wait
+        }
+    }
+}
+
+/// Which crossing: who handed it over, in which incarnation, under which number.
+pub type Place = (Party, u64, u64);
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Inward {
+    Running { inward: InwardNo, road: RoadNo },
+    Done { verdict: Verdict, build: Option<Build>, body: Vec<u8>, at: Point },
+}
+
+pub enum Due {
+    Expired(Out),
+    /// An ending was remembered for long enough.
+    Forgotten,
+}
+
+pub struct Custody {
+    last_out: u64,
+    out: BTreeMap<u64, Out>,
+    by_txn: BTreeMap<TxnId, u64>,
+    expiries: BTreeSet<(Point, u64)>,
+    last_in: InwardNo,
+    inward: BTreeMap<Place, Inward>,
+    running: BTreeMap<InwardNo, Place>,
+    done: BTreeSet<(Point, Place)>,
+    remembered: Span,
+    bytes: usize,
+    most_bytes: usize,
+    /// Those whose bodies are held, oldest first.
+    bodies: VecDeque<Place>,
+}
+
+impl Custody {
+    pub fn new(longest: Span, most_bytes: usize) -> Custody {
+        Custody {
+            last_out: 0,
+            out: BTreeMap::new(),
+            by_txn: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            last_in: 0,
+            inward: BTreeMap::new(),
+            running: BTreeMap::new(),
+            done: BTreeSet::new(),
+            remembered: longest * REMEMBERED,
+            bytes: 0,
+            most_bytes,
+            bodies: VecDeque::new(),
+        }
+    }
+
+    // ---- handed over ----
+
+    pub fn hand_over(&mut self, out: Out) -> u64 {
+        self.last_out += 1;
+        let crossing = self.last_out;
+        self.expiries.insert((out.expiry, crossing));
+        self.by_txn.insert(out.id, crossing);
+        self.out.insert(crossing, out);
+        crossing
+    }
+
+    /// A crossing is over; only by the gateway that has it, and once.
+    pub fn end(&mut self, crossing: u64, peer: &Party) -> Option<Out> {
+        self.out.get(&crossing).filter(|o| o.peer == *peer)?;
+        self.remove(crossing)
+    }
+
+    fn remove(&mut self, crossing: u64) -> Option<Out> {
+        let out = self.out.remove(&crossing)?;
+        self.expiries.remove(&(out.expiry, crossing));
+        self.by_txn.remove(&out.id);
+        Some(out)
+    }
+
+    pub fn left(&mut self, id: TxnId) -> Option<(u64, Out)> {
+        let crossing = *self.by_txn.get(&id)?;
+        Some((crossing, self.remove(crossing)?))
+    }
+
+    /// Those that this gateway has and has not answered, with the incarnation each was handed to.
+    pub fn owed_by(&self, peer: &Party) -> Vec<(u64, u64)> {
+        self.out.iter().filter(|(_, o)| o.peer == *peer).map(|(no, o)| (*no, o.to)).collect()
+    }
+
+    /// A road is lost. Takes out those whose gateway no whole road leads to any more and that need not wait.
+    pub fn cut(&mut self, road: RoadNo, members: &Members, now: Point, tick: Span) -> Vec<(Out, After)> {
+        let on_it = self.out.iter().filter(|(_, o)| o.road == Some(road) && !members.hears(&o.peer));
+        let after = on_it.map(|(no, o)| (*no, o.after_loss(now, tick)));
+        let over: Vec<(u64, After)> = after.filter(|(_, after)| *after != After::Wait).collect();
+        over.into_iter().filter_map(|(no, after)| Some((self.remove(no)?, after))).collect()
+    }
+
+    /// Those handed to an earlier incarnation of a gateway that has started anew.
+    pub fn taken_to_the_grave(&mut self, peer: &Party, incarnation: u64) -> Vec<Out> {
+        let lost = self.out.iter().filter(|(_, o)| o.peer == *peer && o.to < incarnation);
+        let lost: Vec<u64> = lost.map(|(no, _)| *no).collect();
+        lost.into_iter().filter_map(|no| self.remove(no)).collect()
+    }
+
+    // ---- taken in ----
+
+    pub fn is_full(&self) -> bool {
+        self.running.len() >= MOST_RUNNING
+    }
+
+    pub fn inward(&self, place: &Place) -> Option<&Inward> {
+        self.inward.get(place)
+    }
+
+    pub fn take_in(&mut self, _now: Point, place: Place, road: RoadNo) -> InwardNo {
+        self.last_in += 1;
+        let inward = self.last_in;
+        self.running.insert(inward, place.clone());
+        self.inward.insert(place, Inward::Running { inward, road });
+        inward
+    }
+
+    /// Its client went away there.
+    pub fn cancel(&mut self, place: &Place) -> Option<InwardNo> {
+        match self.inward.get(place) {
+            Some(Inward::Running { inward, .. }) => Some(*inward),
+            _ => None,
+        }
+    }
+
+    /// One taken in has ended. Gives back whose it is, and the road it came on.
+    pub fn answered(
+        &mut self,
+        now: Point,
+        inward: InwardNo,
+        verdict: Verdict,
+        build: Option<Build>,
+        body: Vec<u8>,
+    ) -> Option<(Place, RoadNo)> {
+        let place = self.running.remove(&inward)?;
+        let Some(Inward::Running { road, .. }) = self.inward.get(&place) else { return None };
+        let road = *road;
+        self.close(now, place.clone(), verdict, build, body);
+        Some((place, road))
+    }
+
+    /// Notes an ending, also of one that was never taken, so that no copy is.
+    pub fn close(&mut self, now: Point, place: Place, verdict: Verdict, build: Option<Build>, body: Vec<u8>) {
+        self.bytes += body.len();
+        self.done.insert((now, place.clone()));
+        if !body.is_empty() {
+            self.bodies.push_back(place.clone());
+        }
+        self.inward.insert(place, Inward::Done { verdict, build, body, at: now });
+        // Guards against answers that fill the memory: the oldest lose their bodies, and then may only be
+        // said to have run.
+        while self.bytes > self.most_bytes {
+            let Some(place) = self.bodies.pop_front() else { break };
+            if let Some(Inward::Done { verdict, body, .. }) = self.inward.get_mut(&place) {
+                self.bytes -= body.len();
+                (*verdict, *body) = (Verdict::Unknown, Vec::new());
+            }
+        }
+        while self.done.len() > MOST_DONE {
+            self.forget_first();
+        }
+    }
+
+    fn forget_first(&mut self) {
+        let Some((_, place)) = self.done.pop_first() else { return };
+        if self.bodies.front() == Some(&place) {
+            self.bodies.pop_front();
+        }
+        if let Some(Inward::Done { body, .. }) = self.inward.remove(&place) {
+            self.bytes -= body.len();
+        }
+    }
+
+    /// Those that an earlier incarnation handed over and that still run.
+    pub fn orphans(&self, peer: &Party, incarnation: u64) -> Vec<InwardNo> {
+        let of_peer = self.running.iter().filter(|(_, p)| p.0 == *peer && p.1 < incarnation);
+        of_peer.map(|(no, _)| *no).collect()
+    }
+
+    // ---- time ----
+
+    pub fn next(&self) -> Option<Point> {
+        let forgotten = self.done.first().map(|d| d.0 + self.remembered);
+        self.expiries.first().map(|e| e.0).into_iter().chain(forgotten).min()
+    }
+
+    pub fn due(&mut self, now: Point) -> Option<Due> {
+        if let Some((_, crossing)) = self.expiries.first().filter(|e| e.0 <= now).copied() {
+            return self.remove(crossing).map(Due::Expired);
+        }
+        self.done.first().filter(|d| d.0 + self.remembered <= now)?;
+        self.forget_first();
+        Some(Due::Forgotten)
+    }
+
+    pub fn owed(&self) -> (usize, usize) {
+        (self.out.len(), self.running.len())
+    }
+}
--- /dev/null
+++ b/crates/sites/src/lib.rs
@@ -0,0 +1,711 @@
+//! Between two sites: which txn goes across, what was handed over and what became of it, and who serves there.
+//! `Sites::new` makes one gateway's part; `take(now, event)` tells it one event and gives back what it asks
+//! for, in order. No I/O, no clock of its own, chance by the told seed. `members` knows who is there,
+//! `bearing` what this gateway lends to the other site, `crossing` what it sends there, `custody` what is owed.
+
+mod bearing;
+mod crossing;
+mod custody;
+mod members;
+pub mod status;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use harrierdock::interface::{Build, Key, ProductIx, Repeat, TxnId};
+use harrierdock::time::{Point, Span};
+use harrierdock_letters::{Answer, Handover, Letter, Party, Record, Standing, Verdict};
+
+use bearing::Bearing;
+use crossing::Crossings;
+use custody::{Custody, Due, Inward};
+pub use members::{Asked, Members, Road};
+pub use status::{MemberStatus, Status};
+
+/// The pause between two beats on a road. Credit ages within five of them, a road is none after seven.
+pub const ROUND: Span = Span(100_000);
+
+/// The number of a link between two gateways, never used twice.
+pub type RoadNo = u64;
+
+/// The number of a crossing that was taken in, never used twice.
+pub type InwardNo = u64;
+
+/// One product as told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Product {
+    pub name: String,
+    pub repeat: Repeat,
+    pub sla: Span,
+    pub expiry: Span,
+    pub revenue: f64,
+    /// The group that drops its repeats spans both sites.
+    pub spans: bool,
+}
+
+/// What a gateway is told of its place between the sites.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub own: Party,
+    /// Where the other site's gateways reach it.
+    pub address: Option<SocketAddr>,
+    /// Another one for each start, higher than any before.
+    pub incarnation: u64,
+    pub other_site: String,
+    pub seeds: Vec<(Party, SocketAddr)>,
+    pub products: Vec<Product>,
+    /// How long a server takes to be warm, and the loop's tick.
+    pub warm: Span,
+    pub tick: Span,
+    pub retry_after: Option<Span>,
+    /// Bytes that remembered answers may take.
+    pub memory: usize,
+    pub seed: u64,
+}
+
+/// What an operator says by hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hand {
+    Drain,
+    Resume,
+}
+
+/// How a txn ended that this gateway's own module was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Settled,
+    /// Nothing of it ever ran.
+    Declined,
+    /// Anything else: voided, or declined after it may have run.
+    Failed,
+    /// Its client went away.
+    Left,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A client's txn.
+    Txn {
+        id: TxnId,
+        product: ProductIx,
+        left: Span,
+    },
+    /// The module would decline a client's txn of which nothing has run.
+    Spared {
+        id: TxnId,
+        product: ProductIx,
+        left: Span,
+    },
+    Left {
+        id: TxnId,
+    },
+    /// A txn that the module was given has ended, be it a client's or one taken in.
+    Ended {
+        product: ProductIx,
+        ending: Ending,
+        took: Span,
+    },
+    /// One that was taken in has had its answer here.
+    Answered {
+        inward: InwardNo,
+        verdict: Verdict,
+        build: Option<Build>,
+        body: Vec<u8>,
+    },
+    /// How many servers discovery lists as ready.
+    Home {
+        ready: usize,
+    },
+    Up {
+        road: RoadNo,
+        peer: Party,
+    },
+    Down {
+        road: RoadNo,
+    },
+    Unreachable {
+        peer: Party,
+    },
+    Heard {
+        road: RoadNo,
+        letter: Letter,
+    },
+    Hand(Hand),
+    /// The gateway was told to end.
+    Ending,
+    Wake,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// The module serves it, within what is left.
+    Here {
+        id: TxnId,
+        left: Span,
+    },
+    /// It is handed over on this road, under this number, to this incarnation.
+    Across {
+        id: TxnId,
+        road: RoadNo,
+        crossing: u64,
+        to: u64,
+        left: Span,
+    },
+    Settle {
+        id: TxnId,
+        body: Vec<u8>,
+        build: Option<Build>,
+    },
+    Decline {
+        id: TxnId,
+        retry_after: Option<Span>,
+    },
+    Void {
+        id: TxnId,
+    },
+    /// A crossing is to be served here, through the module.
+    TakeIn {
+        inward: InwardNo,
+        product: ProductIx,
+        key: Option<Key>,
+        left: Span,
+        handover: Handover,
+    },
+    /// Nobody waits for this one any more.
+    Abandon {
+        inward: InwardNo,
+    },
+    Dial {
+        peer: Party,
+        address: SocketAddr,
+    },
+    HangUp {
+        road: RoadNo,
+    },
+    Send {
+        road: RoadNo,
+        letter: Letter,
+    },
+    Changed(Change),
+    Wake {
+        after: Span,
+    },
+}
+
+/// What operators are told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Joined {
+        party: Party,
+    },
+    Member {
+        party: Party,
+        standing: Standing,
+        back: bool,
+        reborn: bool,
+    },
+    /// Where this gateway's traffic goes, and why.
+    Home {
+        home: Home,
+        why: Why,
+    },
+    /// So many letters matched nothing since the last word on it.
+    Strange {
+        letters: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Home {
+    Here,
+    Away,
+    Returning,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    ByHand,
+    NoServers,
+    NothingSettles,
+    Settles,
+    Warm,
+}
+
+/// What was counted so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub handed_over: u64,
+    /// Handed over and not taken, or declined there.
+    pub refused: u64,
+    pub settled_there: u64,
+    pub voided_unanswered: u64,
+    pub served_here_after: u64,
+    pub taken_in: u64,
+    pub turned_away: u64,
+    pub copies: u64,
+    pub strange: u64,
+    pub moves: u64,
+}
+
+/// One gateway's part between the sites.
+pub struct Sites {
+    place: Place,
+    now: Point,
+    members: Members,
+    bearing: Bearing,
+    crossings: Crossings,
+    custody: Custody,
+    tally: Tally,
+    by_name: BTreeMap<String, ProductIx>,
+    /// Operators drained this site, or the gateway ends.
+    drained: bool,
+    ending: bool,
+    ready: usize,
+    round: Point,
+    armed: Option<Point>,
+    strange_told: (u64, Point),
+    out: Vec<Action>,
+}
+
+/// How often operators are told of letters that match nothing.
+const STRANGE_EVERY: Span = Span(10_000_000);
+
+impl Sites {
+    pub fn new(now: Point, place: Place) -> Sites {
+        let own = Record {
+            party: place.own.clone(),
+            address: place.address,
+            incarnation: place.incarnation,
+            version: 1,
+            standing: Standing::Serving,
+        };
+        let members = Members::new(own, place.other_site.clone(), &place.seeds, place.seed);
+        let longest = place.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
+        Sites {
+            now,
+            members,
+            bearing: Bearing::new(&place.products),
+            crossings: Crossings::new(&place.products, place.warm, place.seed),
+            custody: Custody::new(longest, place.memory),
+            tally: Tally::default(),
+            by_name: place.products.iter().enumerate().map(|(ix, p)| (p.name.clone(), ix)).collect(),
+            drained: false,
+            ending: false,
+            ready: 0,
+            round: now,
+            armed: None,
+            strange_told: (0, now),
+            out: Vec::new(),
+            place,
+        }
+    }
+
+    pub fn take(&mut self, now: Point, event: Event) -> Vec<Action> {
+        self.now = now;
+        match event {
+            Event::Txn { id, product, left } => self.txn(id, product, left),
+            Event::Spared { id, product, left } => self.spared(id, product, left),
+            Event::Left { id } => self.left(id),
+            Event::Ended { product, ending, took } => {
+                let late = took > self.place.products.get(product).map_or(took, |p| p.sla);
+                self.bearing.ended(ending, late);
+                self.crossings.ended(now, ending);
+            }
+            Event::Answered { inward, verdict, build, body } => self.answered(inward, verdict, build, body),
+            Event::Home { ready } => {
+                self.ready = ready;
+                self.crossings.home(now, ready);
+            }
+            Event::Up { road, peer } => {
+                let mut asked = Vec::new();
+                self.members.up(now, road, peer, &mut asked);
+                self.obey(asked);
+                self.beat();
+            }
+            Event::Down { road } => {
+                let mut asked = Vec::new();
+                self.members.down(now, road, &mut asked);
+                self.obey(asked);
+            }
+            Event::Unreachable { peer } => {
+                let mut asked = Vec::new();
+                self.members.unreachable(now, &peer, &mut asked);
+                self.obey(asked);
+            }
+            Event::Heard { road, letter } => self.heard(road, letter),
+            Event::Hand(hand) => {
+                self.drained = hand == Hand::Drain;
+                self.crossings.by_hand(now, self.drained);
+                self.stand();
+            }
+            Event::Ending => {
+                self.ending = true;
+                self.stand();
+            }
+            Event::Wake => {}
+        }
+        self.fall_due();
+        self.emit()
+    }
+
+    // ---- what comes from clients ----
+
+    /// A txn goes across only where this site's own servers are not to have it; the module sees all others.
+    fn txn(&mut self, id: TxnId, product: ProductIx, left: Span) {
+        let Some(told) = self.place.products.get(product) else {
+            return self.out.push(Action::Here { id, left });
+        };
+        // Guards against a site that nobody looks at again because none of its products may run twice.
+        let mut products = self.place.products.iter();
+        let probes = told.repeat == Repeat::InquiryLike || products.all(|p| p.repeat != Repeat::InquiryLike);
+        if !self.crossings.goes_away(self.now, probes) || !self.cross(id, product, left, false) {
+            self.out.push(Action::Here { id, left });
+        }
+    }
+
+    /// What the module would decline may cross, while there is time; otherwise it is declined at once.
+    fn spared(&mut self, id: TxnId, product: ProductIx, left: Span) {
+        self.crossings.ended(self.now, Ending::Declined);
+        self.bearing.ended(Ending::Declined, false);
+        if !self.cross(id, product, left, true) {
+            self.decline(id);
+        }
+    }
+
+    fn cross(&mut self, id: TxnId, product: ProductIx, left: Span, spared: bool) -> bool {
+        let Some(told) = self.place.products.get(product) else { return false };
+        if self.ending {
+            return false;
+        }
+        let Some(no) = self.crossings.road(self.now, &self.members, product, left) else { return false };
+        let Some(road) = self.members.roads.get(&no) else { return false };
+        let (peer, to) = (road.peer.clone(), road.incarnation);
+        // The answer must be back before the client's time is up.
+        let margin = self.place.tick + road.round_trip;
+        let out = custody::Out {
+            id,
+            product,
+            peer,
+            to,
+            sent: self.now,
+            expiry: self.now + left - self.place.tick,
+            spared,
+            repeat: told.repeat,
+            spans: told.spans,
+            road: Some(no),
+        };
+        let crossing = self.custody.hand_over(out);
+        self.crossings.handed_over(no, product);
+        self.tally.handed_over += 1;
+        let left = Span((left - margin).0.max(1000));
+        self.out.push(Action::Across { id, road: no, crossing, to, left });
+        true
+    }
+
+    fn decline(&mut self, id: TxnId) {
+        self.out.push(Action::Decline { id, retry_after: self.place.retry_after });
+    }
+
+    fn left(&mut self, id: TxnId) {
+        if let Some((crossing, out)) = self.custody.left(id) {
+            if let Some(road) = self.road_to(&out.peer, out.road) {
+                let from = self.members.own().incarnation;
+                self.out.push(Action::Send { road, letter: Letter::Cancel { crossing, from } });
+            }
+        }
+    }
+
+    /// A whole road to this gateway, the one it was on if that still is.
+    fn road_to(&self, peer: &Party, road: Option<RoadNo>) -> Option<RoadNo> {
+        let whole = |no: &RoadNo| self.members.roads.get(no).is_some_and(|r| r.whole && r.peer == *peer);
+        let other = || self.members.roads.keys().copied().find(whole);
+        road.filter(whole).or_else(other)
+    }
+
+    // ---- what comes from the other site ----
+
+    fn heard(&mut self, road: RoadNo, letter: Letter) {
+        match letter {
+            Letter::Beat(beat) => {
+                let mut asked = Vec::new();
+                self.members.hear(self.now, road, &beat, &mut asked);
+                self.obey(asked);
+                let by_name = |told: &[(String, u16)]| -> Vec<(ProductIx, f64)> {
+                    let known =
+                        told.iter().filter_map(|(name, n)| Some((*self.by_name.get(name)?, f64::from(*n))));
+                    known.collect()
+                };
+                let (grants, wants) = (by_name(&beat.grants), by_name(&beat.wants));
+                self.crossings.granted(self.now, road, &grants);
+                self.bearing.wanted(road, &wants);
+            }
+            Letter::Handover(handover) => self.taken_over(road, handover),
+            Letter::Answer(answer) => self.answer(road, answer),
+            Letter::Inquiry { crossing, from, to } => self.inquiry(road, crossing, from, to),
+            Letter::Cancel { crossing, from } => {
+                let Some(peer) = self.members.roads.get(&road).map(|r| r.peer.clone()) else { return };
+                if let Some(inward) = self.custody.cancel(&(peer, from, crossing)) {
+                    self.out.push(Action::Abandon { inward });
+                }
+            }
+        }
+    }
+
+    /// A txn is handed over to us. It is taken once, whatever copies come; what is not taken never runs.
+    fn taken_over(&mut self, road: RoadNo, handover: Handover) {
+        let Some(peer) = self.members.roads.get(&road).map(|r| r.peer.clone()) else { return };
+        let (crossing, from) = (handover.crossing, handover.from);
+        let place = (peer, from, crossing);
+        if let Some(held) = self.custody.inward(&place) {
+            self.tally.copies += 1;
+            if let Inward::Done { verdict, build, body, .. } = held {
+                let answer =
+                    Answer { crossing, to: from, verdict: *verdict, build: *build, body: body.clone() };
+                self.out.push(Action::Send { road, letter: Letter::Answer(answer) });
+            }
+            return;
+        }
+        // What was meant for an earlier start may have run then.
+        let verdict = if handover.to != self.members.own().incarnation {
+            Some(Verdict::Unknown)
+        } else if self.drained || self.ending || self.ready == 0 || self.custody.is_full() {
+            Some(Verdict::NotTaken)
+        } else {
+            None
+        };
+        let product = self.by_name.get(&handover.product).copied();
+        // Guards against a peer that does not keep to its credit; a little beyond, what was on its way counts.
+        let admitted = verdict.is_none() && product.is_some_and(|p| self.bearing.admits(road, p));
+        let (Some(product), true) = (product, admitted) else {
+            self.tally.turned_away += 1;
+            let verdict = verdict.unwrap_or(Verdict::NotTaken);
+            self.custody.close(self.now, place, verdict, None, Vec::new());
+            let answer = Answer { crossing, to: from, verdict, build: None, body: Vec::new() };
+            return self.out.push(Action::Send { road, letter: Letter::Answer(answer) });
+        };
+        self.tally.taken_in += 1;
+        let inward = self.custody.take_in(self.now, place, road);
+        let left = Span(i64::from(handover.left_ms) * 1000);
+        let key = handover.key.map(Key);
+        self.out.push(Action::TakeIn { inward, product, key, left, handover });
+    }
+
+    fn answered(&mut self, inward: InwardNo, verdict: Verdict, build: Option<Build>, body: Vec<u8>) {
+        let Some((place, road)) = self.custody.answered(self.now, inward, verdict, build, body.clone())
+        else {
+            return;
+        };
+        let (peer, from, crossing) = place;
+        let answer = Answer { crossing, to: from, verdict, build, body };
+        if let Some(road) = self.road_to(&peer, Some(road)) {
+            self.out.push(Action::Send { road, letter: Letter::Answer(answer) });
+        }
+    }
+
+    fn inquiry(&mut self, road: RoadNo, crossing: u64, from: u64, to: u64) {
+        let Some(peer) = self.members.roads.get(&road).map(|r| r.peer.clone()) else { return };
+        let place = (peer, from, crossing);
+        let (verdict, build, body) = match self.custody.inward(&place) {
+            Some(Inward::Running { .. }) => return,
+            Some(Inward::Done { verdict, build, body, .. }) => (*verdict, *build, body.clone()),
+            None if to == self.members.own().incarnation => {
+                // It has not come, and from now on it is not taken any more, however late it comes.
+                self.custody.close(self.now, place, Verdict::NotTaken, None, Vec::new());
+                (Verdict::NotTaken, None, Vec::new())
+            }
+            None => (Verdict::Unknown, None, Vec::new()),
+        };
+        let answer = Answer { crossing, to: from, verdict, build, body };
+        self.out.push(Action::Send { road, letter: Letter::Answer(answer) });
+    }
+
+    /// What the other site says of a crossing. Only the first word on it counts.
+    fn answer(&mut self, road: RoadNo, answer: Answer) {
+        let from = self.members.roads.get(&road).map(|r| &r.peer);
+        let matches = answer.to == self.members.own().incarnation;
+        let Some(out) = from.filter(|_| matches).and_then(|peer| self.custody.end(answer.crossing, peer))
+        else {
+            self.tally.strange += 1;
+            return;
+        };
+        let (id, took) = (out.id, self.now - out.sent);
+        let taken = matches!(answer.verdict, Verdict::Settled | Verdict::Voided);
+        self.crossings.came_back(self.now, road, out.product, taken, took);
+        self.tally.refused += u64::from(!taken);
+        let left = out.expiry - self.now;
+        match answer.verdict {
+            Verdict::Settled => {
+                self.tally.settled_there += 1;
+                self.out.push(Action::Settle { id, body: answer.body, build: answer.build });
+            }
+            // Never run, so this site's servers may have it, if the module has not turned it away already.
+            Verdict::NotTaken if !out.spared && left > Span::ZERO => self.out.push(Action::Here { id, left }),
+            Verdict::NotTaken => self.decline(id),
+            // Guards against a client whose next try meets other servers than those that drop its repeat.
+            Verdict::Declined { ran } if ran && !out.may_try_again() => self.out.push(Action::Void { id }),
+            Verdict::Declined { .. } => self.decline(id),
+            Verdict::Voided => self.out.push(Action::Void { id }),
+            Verdict::Unknown => self.uncertain(out),
+        }
+    }
+
+    /// A crossing of which nothing more will be known.
+    fn uncertain(&mut self, out: custody::Out) {
+        let id = out.id;
+        match out.after_loss(self.now, self.place.tick) {
+            custody::After::Here { left } if !out.spared => {
+                self.tally.served_here_after += 1;
+                self.out.push(Action::Here { id, left });
+            }
+            custody::After::Here { .. } => self.decline(id),
+            custody::After::Wait => {
+                self.tally.voided_unanswered += 1;
+                self.out.push(Action::Void { id });
+            }
+        }
+    }
+
+    // ---- time, and what follows from membership ----
+
+    fn fall_due(&mut self) {
+        while let Some(due) = self.custody.due(self.now) {
+            match due {
+                Due::Expired(out) => {
+                    self.tally.voided_unanswered += 1;
+                    // Guards against a road on which nothing comes back: it counts as refused, not as slow.
+                    if let Some(road) = out.road {
+                        self.crossings.came_back(self.now, road, out.product, false, Span::ZERO);
+                    }
+                    self.out.push(Action::Void { id: out.id });
+                }
+                Due::Forgotten => {}
+            }
+        }
+        if self.now >= self.round {
+            // Rounds that were missed are not made up for.
+            self.round = self.now + ROUND;
+            self.go_round();
+        }
+    }
+
+    fn go_round(&mut self) {
+        let changes = self.crossings.judge(self.now, self.ready);
+        self.tally.moves = self.crossings.moves();
+        self.out.extend(changes.into_iter().map(Action::Changed));
+        let open = !self.drained && !self.ending && self.ready > 0 && !self.crossings.is_away();
+        let roads: Vec<RoadNo> =
+            self.members.roads.iter().filter(|(_, r)| r.whole).map(|(no, _)| *no).collect();
+        self.bearing.round(&roads, open);
+        self.crossings.round(&roads);
+        self.beat();
+        if self.tally.strange > self.strange_told.0 && self.now - self.strange_told.1 >= STRANGE_EVERY {
+            let letters = self.tally.strange - self.strange_told.0;
+            self.strange_told = (self.tally.strange, self.now);
+            self.out.push(Action::Changed(Change::Strange { letters }));
+        }
+    }
+
+    fn beat(&mut self) {
+        let mut asked = Vec::new();
+        let beats = self.members.round(self.now, &mut asked);
+        self.obey(asked);
+        let name = |(p, n): (ProductIx, u16)| Some((self.place.products.get(p)?.name.clone(), n));
+        for (road, mut beat) in beats {
+            beat.grants = self.bearing.grants(road).into_iter().filter_map(name).collect();
+            beat.wants = self.crossings.wants(road).into_iter().filter_map(name).collect();
+            self.out.push(Action::Send { road, letter: Letter::Beat(beat) });
+        }
+    }
+
+    fn stand(&mut self) {
+        let standing = match (self.ending, self.drained) {
+            (true, _) => Standing::Leaving,
+            (_, true) => Standing::Draining,
+            _ => Standing::Serving,
+        };
+        self.members.stand(standing);
+        // Told at once: what was granted before counts no more.
+        let roads: Vec<RoadNo> = self.members.roads.keys().copied().collect();
+        self.bearing.round(&roads, false);
+        self.beat();
+    }
+
+    fn obey(&mut self, asked: Vec<Asked>) {
+        for asked in asked {
+            match asked {
+                Asked::Dial { peer, address } => self.out.push(Action::Dial { peer, address }),
+                Asked::HangUp { road } => {
+                    self.forget_road(road);
+                    self.out.push(Action::HangUp { road });
+                }
+                Asked::Changed(change) => self.out.push(Action::Changed(change)),
+                Asked::Whole { road } => self.whole(road),
+                Asked::Broken { road } => self.broken(road),
+                Asked::Reborn { peer, incarnation } => self.reborn(&peer, incarnation),
+            }
+        }
+    }
+
+    fn forget_road(&mut self, road: RoadNo) {
+        self.crossings.forget(road);
+        self.bearing.forget(road);
+    }
+
+    /// A road is whole again: what is owed from its other end is asked for.
+    fn whole(&mut self, road: RoadNo) {
+        let Some(peer) = self.members.roads.get(&road).map(|r| r.peer.clone()) else { return };
+        let from = self.members.own().incarnation;
+        for (crossing, to) in self.custody.owed_by(&peer) {
+            let letter = Letter::Inquiry { crossing, from, to };
+            self.out.push(Action::Send { road, letter });
+        }
+    }
+
+    /// A road is none any more. What went on it and may run again is served here; the rest waits for a late
+    /// answer until its time is up.
+    fn broken(&mut self, road: RoadNo) {
+        self.forget_road(road);
+        for (out, after) in self.custody.cut(road, &self.members, self.now, self.place.tick) {
+            match after {
+                custody::After::Here { left } if !out.spared => {
+                    self.tally.served_here_after += 1;
+                    self.out.push(Action::Here { id: out.id, left });
+                }
+                _ => self.decline(out.id),
+            }
+        }
+    }
+
+    /// Another start: what an earlier one had taken will never be answered, and for what it had handed over
+    /// nobody waits.
+    fn reborn(&mut self, peer: &Party, incarnation: u64) {
+        for out in self.custody.taken_to_the_grave(peer, incarnation) {
+            self.uncertain(out);
+        }
+        for inward in self.custody.orphans(peer, incarnation) {
+            self.out.push(Action::Abandon { inward });
+        }
+    }
+
+    fn emit(&mut self) -> Vec<Action> {
+        let next = self.custody.next().map_or(self.round, |at| at.min(self.round)).max(self.now + Span(1));
+        if self.armed.is_none_or(|at| at <= self.now || next < at) {
+            self.armed = Some(next);
+            self.out.push(Action::Wake { after: next - self.now });
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn incarnation(&self) -> u64 {
+        self.members.own().incarnation
+    }
+
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// How many crossings are owed an answer, in either direction.
+    pub fn owed(&self) -> (usize, usize) {
+        self.custody.owed()
+    }
+}
--- /dev/null
+++ b/crates/sites/src/members.rs
@@ -0,0 +1,433 @@
+//! Membership: who serves at either site, and on which roads both ends hear each other. Records of gateways
+//! spread from neighbour to neighbour over the roads between the sites; a road is a link on which beats and
+//! their echoes come back. Nothing here knows of txns.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use harrierdock::time::{Point, Span};
+use harrierdock_letters::{Beat, Party, Record, Standing};
+use nanorand::{Rng, WyRand};
+
+use crate::{Change, RoadNo, ROUND};
+
+/// Roads that a gateway opens of itself; as many again are opened to it, in the mean.
+pub const OPENED: usize = 3;
+/// Rounds without a beat, or without an echo, after which a road is none.
+const MISSED: f64 = 7.0;
+/// Rounds after which a suspicion that nobody has refuted is a loss.
+const REFUTE: f64 = 25.0;
+/// Rounds to wait before another try to open a road, doubled with each that failed, and the most.
+const RETRY: f64 = 2.0;
+const RETRY_MOST: f64 = 32.0;
+/// Fresh records in one beat at the most, and old ones repeated beside them, so that none is missed for good.
+const FRESH: usize = 10;
+const OLD: usize = 2;
+/// How often a fresh record is told on each road, beyond the logarithm of how many there are.
+const RETOLD: u32 = 4;
+/// Rounds for which the sending of beats is remembered.
+const BEATS: usize = 64;
+/// Rounds for which one that is lost is still remembered.
+const FORGET: f64 = 3000.0;
+/// Roads held at the most, opened by either end.
+const MOST_ROADS: usize = 8 * OPENED;
+/// Records kept at the most; those of strangers beyond are passed over.
+const MOST: usize = 4096;
+
+struct Member {
+    record: Record,
+    /// How often its record has been told since it last changed.
+    told: u32,
+    /// Since when it stands so.
+    since: Point,
+    tries: u32,
+    next_try: Point,
+    dialling: bool,
+}
+
+pub struct Road {
+    pub peer: Party,
+    pub since: Point,
+    pub heard: Option<Point>,
+    /// When the newest beat was sent of which the other end has said that it came.
+    pub echoed: Option<Point>,
+    pub incarnation: u64,
+    /// Both ends hear each other.
+    pub whole: bool,
+    their_beat: u32,
+    /// The time a beat and its echo take, without what they wait at the other end.
+    pub round_trip: Span,
+}
+
+pub struct Members {
+    own: Record,
+    told: u32,
+    other_site: String,
+    chance: WyRand,
+    known: BTreeMap<Party, Member>,
+    pub roads: BTreeMap<RoadNo, Road>,
+    beat: u32,
+    sent: [Point; BEATS],
+    /// Where the repeating of old records stands.
+    next_old: Option<Party>,
+}
+
+/// FNV-1a over both ends, so that each end ranks the other's gateways alike and evenly.
+fn rank(a: &Party, b: &Party) -> u64 {
+    let (a, b) = if a < b { (a, b) } else { (b, a) };
+    let bytes = [&a.site, &a.gateway, &b.site, &b.gateway].into_iter().flat_map(|s| s.bytes().chain([0]));
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+    // The last bytes need mixing into the high bits, by which hashes are compared.
+    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
+/// What membership asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Asked {
+    Dial {
+        peer: Party,
+        address: SocketAddr,
+    },
+    HangUp {
+        road: RoadNo,
+    },
+    Changed(Change),
+    /// A road has come to be whole, or is no more.
+    Whole {
+        road: RoadNo,
+    },
+    Broken {
+        road: RoadNo,
+    },
+    /// Whoever had this incarnation is gone for good.
+    Reborn {
+        peer: Party,
+        incarnation: u64,
+    },
+}
+
+impl Members {
+    /// `seeds` are gateways of the other site that are known from the start.
+    pub fn new(own: Record, other_site: String, seeds: &[(Party, SocketAddr)], seed: u64) -> Members {
+        let member = |(party, address): &(Party, SocketAddr)| {
+            let (party, address) = (party.clone(), Some(*address));
+            let record = Record {
+                party: party.clone(),
+                address,
+                incarnation: 0,
+                version: 0,
+                standing: Standing::Serving,
+            };
+            (party, Member::new(record, Point(0)))
+        };
+        Members {
+            own,
+            told: 0,
+            other_site,
+            chance: WyRand::new_seed(seed),
+            known: seeds.iter().map(member).collect(),
+            roads: BTreeMap::new(),
+            beat: 0,
+            sent: [Point(0); BEATS],
+            next_old: None,
+        }
+    }
+
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// All records held, with since when each stands as it does.
+    pub fn records(&self) -> impl Iterator<Item = (&Record, Point)> {
+        self.known.values().map(|m| (&m.record, m.since))
+    }
+
+    pub fn standing(&self, party: &Party) -> Option<Standing> {
+        self.known.get(party).map(|m| m.record.standing)
+    }
+
+    pub fn record(&self, party: &Party) -> Option<&Record> {
+        self.known.get(party).map(|m| &m.record)
+    }
+
+    /// This gateway stands otherwise now, and says so.
+    pub fn stand(&mut self, standing: Standing) {
+        if self.own.standing != standing {
+            self.own.standing = standing;
+            self.own.version += 1;
+            self.told = 0;
+        }
+    }
+
+    /// A link has come up, opened by either end.
+    pub fn up(&mut self, now: Point, no: RoadNo, peer: Party, asked: &mut Vec<Asked>) {
+        // Guards against strangers, or a site gone wild, that open roads without end.
+        if self.roads.len() >= MOST_ROADS {
+            return asked.push(Asked::HangUp { road: no });
+        }
+        if let Some(member) = self.known.get_mut(&peer) {
+            (member.dialling, member.tries) = (false, 0);
+        }
+        let road = Road {
+            peer,
+            since: now,
+            heard: None,
+            echoed: None,
+            incarnation: 0,
+            whole: false,
+            their_beat: 0,
+            round_trip: Span::ZERO,
+        };
+        self.roads.insert(no, road);
+    }
+
+    pub fn down(&mut self, now: Point, no: RoadNo, asked: &mut Vec<Asked>) {
+        let Some(road) = self.roads.remove(&no) else { return };
+        if road.whole {
+            asked.push(Asked::Broken { road: no });
+        }
+        if !self.hears(&road.peer) {
+            self.suspect(now, &road.peer, asked);
+        }
+    }
+
+    /// Whether a whole road leads to this gateway.
+    pub fn hears(&self, peer: &Party) -> bool {
+        self.roads.values().any(|r| r.whole && r.peer == *peer)
+    }
+
+    /// An attempt to open a link has failed.
+    pub fn unreachable(&mut self, now: Point, peer: &Party, asked: &mut Vec<Asked>) {
+        let Some(member) = self.known.get_mut(peer) else { return };
+        let wait = ROUND * (RETRY * f64::powi(2.0, member.tries.min(16) as i32)).min(RETRY_MOST);
+        let jitter = 0.5 + self.chance.generate::<f64>();
+        (member.dialling, member.tries, member.next_try) = (false, member.tries + 1, now + wait * jitter);
+        self.suspect(now, peer, asked);
+    }
+
+    /// Guards against a site's gateway that is gone, or does not hear us, being taken for a road: it is
+    /// suspected until it says otherwise itself.
+    fn suspect(&mut self, now: Point, peer: &Party, asked: &mut Vec<Asked>) {
+        let Some(member) = self.known.get_mut(peer) else { return };
+        if member.record.standing < Standing::Leaving {
+            let record = Record { standing: Standing::Suspected, ..member.record.clone() };
+            member.put(now, record, asked);
+        }
+    }
+
+    /// Takes in what the other end of a road says.
+    pub fn hear(&mut self, now: Point, no: RoadNo, beat: &Beat, asked: &mut Vec<Asked>) {
+        let Some(road) = self.roads.get_mut(&no) else { return };
+        // Guards against beats out of order, or said again: an older one tells nothing.
+        if beat.incarnation < road.incarnation
+            || (beat.incarnation == road.incarnation && beat.beat <= road.their_beat)
+        {
+            return;
+        }
+        (road.heard, road.their_beat, road.incarnation) = (Some(now), beat.beat, beat.incarnation);
+        let age = self.beat.wrapping_sub(beat.echo);
+        if beat.echo > 0 && (age as usize) < BEATS {
+            let at = self.sent[beat.echo as usize % BEATS];
+            if road.echoed.is_none_or(|e| e < at) {
+                road.echoed = Some(at);
+                let took = now - at - Span(i64::from(beat.held_ms) * 1000);
+                road.round_trip = Span(took.0.max(0));
+            }
+        }
+        for record in &beat.records {
+            self.learn(now, record, asked);
+        }
+    }
+
+    /// Takes in a record that a neighbour tells.
+    fn learn(&mut self, now: Point, record: &Record, asked: &mut Vec<Asked>) {
+        if record.party == self.own.party {
+            // Guards against being given up while alive, and against an earlier start that others still believe
+            // in, or a clock that was set back: what is put about of us is refuted by standing above it.
+            if record.incarnation > self.own.incarnation {
+                self.own.incarnation = record.incarnation + 1;
+                self.told = 0;
+            } else if record.order() > self.own.order() {
+                self.own.version = record.version + 1;
+                self.told = 0;
+            }
+            return;
+        }
+        let room = self.known.len() < MOST;
+        match self.known.get_mut(&record.party) {
+            Some(member) if record.order() > member.record.order() => {
+                let before = member.record.incarnation;
+                if before != 0 && record.incarnation > before {
+                    asked.push(Asked::Reborn { peer: record.party.clone(), incarnation: record.incarnation });
+                }
+                // Suspicion without an address keeps the address held.
+                let address = record.address.or(member.record.address);
+                if member.record.address != address {
+                    (member.tries, member.next_try) = (0, now);
+                }
+                member.put(now, Record { address, ..record.clone() }, asked);
+            }
+            Some(_) => {}
+            None if room && record.standing < Standing::Lost => {
+                let mut member = Member::new(record.clone(), now);
+                member.told = 0;
+                self.known.insert(record.party.clone(), member);
+                asked.push(Asked::Changed(Change::Joined { party: record.party.clone() }));
+            }
+            None => {}
+        }
+    }
+
+    /// A round: judges roads, opens and closes them, and gives back the beat for each road.
+    pub fn round(&mut self, now: Point, asked: &mut Vec<Asked>) -> Vec<(RoadNo, Beat)> {
+        self.judge(now, asked);
+        self.open(now, asked);
+        self.beat += 1;
+        self.sent[self.beat as usize % BEATS] = now;
+        let records = self.news();
+        let beats = self.roads.iter().map(|(no, road)| {
+            let held = road.heard.map_or(Span::ZERO, |at| now - at);
+            let beat = Beat {
+                incarnation: self.own.incarnation,
+                beat: self.beat,
+                echo: road.their_beat,
+                held_ms: (held.0 / 1000).min(i64::from(u32::MAX)) as u32,
+                records: records.clone(),
+                ..Beat::default()
+            };
+            (*no, beat)
+        });
+        beats.collect()
+    }
+
+    fn judge(&mut self, now: Point, asked: &mut Vec<Asked>) {
+        let missed = ROUND * MISSED;
+        let mut deaf = Vec::new();
+        for (no, road) in &mut self.roads {
+            let fresh = |at: Option<Point>| at.is_some_and(|at| now - at <= missed);
+            let whole = fresh(road.heard) && fresh(road.echoed);
+            if whole != std::mem::replace(&mut road.whole, whole) {
+                asked.push(if whole { Asked::Whole { road: *no } } else { Asked::Broken { road: *no } });
+            }
+            // One that never came to be whole is not waited for longer than one that broke.
+            let silent = road.heard.unwrap_or(road.since).max(road.echoed.unwrap_or(road.since));
+            if !whole && now - silent > missed && now - road.since > missed {
+                deaf.push((*no, road.peer.clone(), now - silent > ROUND * REFUTE));
+            }
+        }
+        for (no, peer, over) in deaf {
+            if !self.hears(&peer) {
+                self.suspect(now, &peer, asked);
+            }
+            if over {
+                self.roads.remove(&no);
+                asked.push(Asked::HangUp { road: no });
+            }
+        }
+        // Each end may have opened a road to the other at once; one of the two, the same always, parts with one.
+        let double = self.roads.iter().filter(|(no, r)| {
+            let lower = self.own.party < r.peer;
+            lower && r.whole && self.roads.range(..*no).any(|(_, o)| o.whole && o.peer == r.peer)
+        });
+        if let Some(no) = double.map(|(no, _)| *no).next() {
+            self.roads.remove(&no);
+            asked.extend([Asked::Broken { road: no }, Asked::HangUp { road: no }]);
+        }
+        let refute = ROUND * REFUTE;
+        for member in self.known.values_mut() {
+            if member.record.standing == Standing::Suspected && now - member.since > refute {
+                let record = Record { standing: Standing::Lost, ..member.record.clone() };
+                member.put(now, record, asked);
+            }
+        }
+        // Guards against keeping all that ever were: names come and go.
+        let held: Vec<&Party> = self.roads.values().map(|r| &r.peer).collect();
+        self.known.retain(|party, m| {
+            m.record.standing < Standing::Leaving
+                || m.record.incarnation == 0
+                || now - m.since < ROUND * FORGET
+                || held.contains(&party)
+        });
+    }
+
+    /// The gateways of the other site that this one opens roads to: the first by rendezvous hashing of those
+    /// that are not lost, and of the lost ones in turn where there are too few.
+    fn open(&mut self, now: Point, asked: &mut Vec<Asked>) {
+        let own = &self.own.party;
+        let there = self.known.values().filter(|m| m.record.party.site == self.other_site);
+        let mut ranked: Vec<(bool, u64, &Party)> = there
+            .map(|m| (m.record.standing >= Standing::Leaving, rank(own, &m.record.party), &m.record.party))
+            .collect();
+        ranked.sort();
+        // Lost ones do not count as roads wanted, yet are tried, so that a site cut off is found again.
+        let (mut wanted, mut well) = (Vec::new(), 0);
+        for (gone, _, party) in ranked {
+            if well >= OPENED || wanted.len() >= 2 * OPENED {
+                break;
+            }
+            well += usize::from(!gone);
+            wanted.push(party.clone());
+        }
+        for party in wanted {
+            if self.roads.values().any(|r| r.peer == party) {
+                continue;
+            }
+            let Some(member) = self.known.get_mut(&party) else { continue };
+            let Some(address) = member.record.address else { continue };
+            if !member.dialling && member.next_try <= now {
+                member.dialling = true;
+                asked.push(Asked::Dial { peer: party, address });
+            }
+        }
+    }
+
+    /// The records that the beats of this round tell: its own, those told least often, a few old ones.
+    fn news(&mut self) -> Vec<Record> {
+        let all = self.known.len() as u32 + 2;
+        let enough = all.ilog2() + RETOLD;
+        let mut records = Vec::new();
+        if self.told < enough || self.beat.is_multiple_of(8) {
+            self.told += 1;
+            records.push(self.own.clone());
+        }
+        let fresh = self.known.values().filter(|m| m.told < enough && m.record.incarnation > 0);
+        let mut fresh: Vec<(u32, &Party)> = fresh.map(|m| (m.told, &m.record.party)).collect();
+        fresh.sort();
+        fresh.truncate(FRESH);
+        let mut named: Vec<Party> = fresh.into_iter().map(|f| f.1.clone()).collect();
+        let after = self.next_old.take();
+        let later = self
+            .known
+            .range(after.clone().unwrap_or(Party { site: String::new(), gateway: String::new() })..);
+        let old =
+            later.chain(self.known.iter()).filter(|(p, m)| m.record.incarnation > 0 && !named.contains(p));
+        let old: Vec<Party> = old.take((OLD + 1).min(self.known.len())).map(|(p, _)| p.clone()).collect();
+        self.next_old = old.get(OLD).cloned();
+        named.extend(old.into_iter().take(OLD));
+        named.dedup();
+        for party in named {
+            if let Some(member) = self.known.get_mut(&party) {
+                member.told = member.told.saturating_add(1);
+                records.push(member.record.clone());
+            }
+        }
+        records
+    }
+}
+
+impl Member {
+    fn new(record: Record, since: Point) -> Member {
+        Member { record, told: u32::MAX, since, tries: 0, next_try: Point(0), dialling: false }
+    }
+
+    fn put(&mut self, now: Point, record: Record, asked: &mut Vec<Asked>) {
+        let (before, after) = (self.record.standing, record.standing);
+        let reborn = record.incarnation != self.record.incarnation && self.record.incarnation != 0;
+        if before != after || reborn {
+            let (party, back) = (record.party.clone(), before >= Standing::Suspected);
+            asked.push(Asked::Changed(Change::Member { party, standing: after, back, reborn }));
+            self.since = now;
+        }
+        (self.record, self.told) = (record, 0);
+    }
+}
--- /dev/null
+++ b/crates/sites/src/status.rs
@@ -0,0 +1,101 @@
+//! What operators are shown on asking.
+
+use serde::Serialize;
+
+use crate::{Home, Sites, Why};
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct MemberStatus {
+    pub gateway: String,
+    pub standing: String,
+    pub since_s: f64,
+    /// A road on which both ends hear each other.
+    pub road: bool,
+    pub round_trip_ms: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Status {
+    pub gateway: String,
+    pub standing: String,
+    pub home: String,
+    pub why: String,
+    pub ready_servers: usize,
+    pub members: Vec<MemberStatus>,
+    /// How many txns of each product may cross at this moment.
+    pub credit: Vec<(String, f64)>,
+    pub owed_by_them: usize,
+    pub owed_to_them: usize,
+    pub handed_over: u64,
+    pub refused: u64,
+    pub settled_there: u64,
+    pub voided_unanswered: u64,
+    pub served_here_after: u64,
+    pub taken_in: u64,
+    pub turned_away: u64,
+    pub copies: u64,
+    pub strange: u64,
+    pub moves: u64,
+}
+
+fn word(of: impl std::fmt::Debug) -> String {
+    format!("{of:?}").to_lowercase()
+}
+
+/// What a change of home is put down to, in words.
+pub fn why(why: Why) -> &'static str {
+    match why {
+        Why::ByHand => "by hand",
+        Why::NoServers => "no server is ready",
+        Why::NothingSettles => "nothing settles here",
+        Why::Settles => "txns settle here",
+        Why::Warm => "all traffic is home",
+    }
+}
+
+pub fn home(home: Home) -> String {
+    word(home)
+}
+
+impl Sites {
+    /// How things stand at the last event.
+    pub fn status(&self) -> Status {
+        let members = self.members.records().filter(|(r, _)| r.party.site == self.place.other_site);
+        let members = members.map(|(record, since)| {
+            let roads = self.members.roads.values().filter(|r| r.peer == record.party && r.whole);
+            let round_trip = roads.map(|r| r.round_trip).min();
+            MemberStatus {
+                gateway: record.party.to_string(),
+                standing: if record.incarnation == 0 { "unheard".into() } else { word(record.standing) },
+                since_s: if since.0 > 0 { (self.now - since).as_secs() } else { 0.0 },
+                road: round_trip.is_some(),
+                round_trip_ms: round_trip.map(|t| t.as_secs() * 1000.0),
+            }
+        });
+        let (home_is, why_is, _) = self.crossings.home_is();
+        let credit = self.crossings.credit(self.now).into_iter().enumerate();
+        let (owed_by_them, owed_to_them) = self.owed();
+        let t = self.tally;
+        Status {
+            gateway: self.place.own.to_string(),
+            standing: word(self.members.own().standing),
+            home: home(home_is),
+            why: why(why_is).into(),
+            ready_servers: self.ready,
+            members: members.collect(),
+            credit: credit.map(|(p, c)| (self.place.products[p].name.clone(), c)).collect(),
+            owed_by_them,
+            owed_to_them,
+            handed_over: t.handed_over,
+            refused: t.refused,
+            settled_there: t.settled_there,
+            voided_unanswered: t.voided_unanswered,
+            served_here_after: t.served_here_after,
+            taken_in: t.taken_in,
+            turned_away: t.turned_away,
+            copies: t.copies,
+            strange: t.strange,
+            moves: t.moves,
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -316,6 +316,11 @@
         from: PeerIx,
         message: Message,
     },
+    /// A build has answered this key elsewhere, so no earlier one may here.
+    Pinned {
+        key: Key,
+        build: Build,
+    },
     Wake,
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -82,12 +82,17 @@
             Event::Stage(news) => self.stage(news),
             Event::Mail { from, message } => self.mail(from, message),
             Event::Wake => self.wake(),
+            // Guards a key that a newer build has answered at another site (departure J).
+            Event::Pinned { key, build } if self.terms.release.one_way => {
+                let held = self.pins.get(&key).copied().unwrap_or(0);
+                self.pins.insert(key, build.max(held));
+            }
             Event::Complaint { server, product, .. } => {
                 let Some(listed) = self.servers.get(&server).map(|s| &s.listed) else { return self.emit() };
                 let (mark, build) = (listed.mark, listed.build);
                 self.pass_on(Hearsay { mark, build, product, fate: Fate::Complaint, lag: 0.0 });
             }
-            Event::Probed { .. } | Event::Tally { .. } => {}
+            Event::Probed { .. } | Event::Tally { .. } | Event::Pinned { .. } => {}
         }
         self.emit()
     }
@@ -240,7 +245,13 @@
 
     /// The build that a key stays with: one that has answered it, or whose answer may be on its way by now.
     fn pin(&self, txn: &Txn) -> Build {
-        let Some(key) = txn.key.filter(|_| self.terms.release.one_way) else { return 0 };
+        txn.key.map_or(0, |key| self.pin_of(key))
+    }
+
+    pub fn pin_of(&self, key: Key) -> Build {
+        if !self.terms.release.one_way {
+            return 0;
+        }
         let same = self.txns.values().filter(|t| t.key == Some(key)).flat_map(|t| &t.attempts);
         let back = self.news.as_ref().filter(|n| matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
         let until = back.map_or(Build::MAX, |n| n.build);
