--- /dev/null
+++ b/crates/rehearse/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for all that a gateway meets, and rehearsals made of them. Everything stays on loopback.
+
+pub mod core;
