--- a/crates/gateway/src/across.rs
+++ b/crates/gateway/src/across.rs
@@ -244,7 +244,7 @@
                 tracing::info!("sites: linked with {peer}");
                 self.sites(now, Event::Up { road, peer });
             }
-            Heard::Down { road, peer, why } => {
+            Heard::Down { road, peer, orderly, why } => {
                 let dialled = across.dialled.remove(&road);
                 match (dialled, peer) {
                     (Some(peer), _) => {
@@ -257,7 +257,7 @@
                     (None, peer) => {
                         let peer = peer.map_or("a gateway".to_string(), |p| p.to_string());
                         tracing::info!("sites: link with {peer} is down: {why}");
-                        self.sites(now, Event::Down { road });
+                        self.sites(now, Event::Down { road, orderly });
                     }
                 }
             }
@@ -283,8 +283,9 @@
     fn obey_sites(&mut self, now: Point, action: Action) {
         match action {
             Action::Here { id, left } => self.hand_in(now, id, left),
-            Action::Across { id, road, crossing, to, left } => {
-                self.hand_over(now, id, road, crossing, to, left)
+            Action::Across { id, road, crossing, to, beat, left } => {
+                let blank = Handover { crossing, to, beat, ..Handover::default() };
+                self.hand_over(now, id, road, blank, left)
             }
             Action::Settle { id, body, build } => self.settled_across(now, id, &body, build),
             Action::Decline { id, retry_after } => self.answer(id, Answer::Declined { retry_after }),
@@ -349,17 +350,15 @@
     }
 
     /// Writes a client's txn to the other site.
-    fn hand_over(&mut self, now: Point, id: TxnId, road: RoadNo, crossing: u64, to: u64, left: Span) {
+    fn hand_over(&mut self, now: Point, id: TxnId, road: RoadNo, blank: Handover, left: Span) {
         let Some((product, key, again)) = self.crosses(id) else { return };
         let least_build = key.map_or(0, |key| self.driver.pin_of(key));
         let Gateway { across, room, clients, driver, .. } = self;
         let Some(across) = across else { return };
-        let from = across.sites.incarnation();
+        let (from, crossing) = (across.sites.incarnation(), blank.crossing);
         let name = driver.names.products.get_index(product).cloned().unwrap_or_default();
         let write = |asked: Asked<'_>| Handover {
-            crossing,
             from,
-            to,
             product: name,
             left_ms: (left.0 / 1000).clamp(0, i64::from(u32::MAX)) as u32,
             again,
@@ -370,6 +369,7 @@
             txn: asked.txn.into(),
             reference: asked.reference.map(str::to_string),
             body: asked.body.to_vec(),
+            ..blank
         };
         // One whose client has gone is told as left, and nothing is sent for it.
         let Some(handover) = clients.asked(id, write) else { return };
--- a/crates/letters/src/lib.rs
+++ b/crates/letters/src/lib.rs
@@ -75,6 +75,8 @@
     /// The incarnations of sender and receiver.
     pub from: u64,
     pub to: u64,
+    /// The newest beat that the sender had sent by then.
+    pub beat: u32,
     pub product: String,
     /// How long an answer is of use, in milliseconds.
     pub left_ms: u32,
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -10,9 +10,9 @@
 use quinn_proto::congestion::BbrConfig;
 use quinn_proto::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn_proto::{
-    ClientConfig, Connection, ConnectionHandle, DatagramEvent, Dir, Endpoint, EndpointConfig, Event,
-    FinishError, IdleTimeout, ReadError, ReadableError, ServerConfig, StreamEvent, StreamId, TransportConfig,
-    VarInt, WriteError,
+    ClientConfig, Connection, ConnectionError, ConnectionHandle, DatagramEvent, Dir, Endpoint,
+    EndpointConfig, Event, FinishError, IdleTimeout, ReadError, ReadableError, ServerConfig, StreamEvent,
+    StreamId, TransportConfig, VarInt, WriteError,
 };
 use rustls::server::WebPkiClientVerifier;
 use rustls::RootCertStore;
@@ -46,9 +46,11 @@
         peer: Party,
     },
     /// A link is gone, or one that was dialled never came up.
+    /// `orderly` where the other end said that it hangs up.
     Down {
         road: RoadNo,
         peer: Option<Party>,
+        orderly: bool,
         why: String,
     },
     /// Somebody was turned away before they were anybody.
@@ -340,7 +342,12 @@
                 let no = road.no;
                 if road.up || road.peer.is_some() {
                     let peer = road.peer.take();
-                    self.heard.push_back(Heard::Down { road: no, peer, why: "closed here".into() });
+                    self.heard.push_back(Heard::Down {
+                        road: no,
+                        peer,
+                        orderly: true,
+                        why: "closed here".into(),
+                    });
                 }
                 self.roads.remove(&ix);
                 self.by_no.remove(&no);
@@ -378,10 +385,11 @@
             Event::ConnectionLost { reason } => {
                 let remote = self.connection.remote_address();
                 let (up, peer) = (std::mem::take(&mut self.up), self.peer.take());
+                let orderly = matches!(&reason, ConnectionError::ApplicationClosed(c) if c.error_code == VarInt::from_u32(0));
                 let why = reason.to_string();
                 heard.push_back(match peer {
-                    Some(peer) => Heard::Down { road: self.no, peer: Some(peer), why },
-                    None if up => Heard::Down { road: self.no, peer: None, why },
+                    Some(peer) => Heard::Down { road: self.no, peer: Some(peer), orderly, why },
+                    None if up => Heard::Down { road: self.no, peer: None, orderly, why },
                     None => Heard::Refused { remote, why },
                 });
             }
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -1,3 +1,8 @@
 //! Stand-ins for all that a gateway meets, and rehearsals made of them. Everything stays on loopback.
 
 pub mod core;
+pub mod membership;
+pub mod processes;
+pub mod scripted;
+pub mod sites;
+pub mod world;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -5,7 +5,8 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use harrierdock_rehearse::core;
+use harrierdock_rehearse::sites::{self, At, Cut, Day};
+use harrierdock_rehearse::{core, membership};
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde::Serialize;
 
@@ -26,6 +27,66 @@
         #[bpaf(long("gateways"), argument("N"), fallback(3))]
         gateways: usize,
     },
+    /// Two sites with built gateways on sockets: kills, cuts, losses, drains; then the same with the link off.
+    #[bpaf(command)]
+    Sites {
+        #[bpaf(long("seed"), argument("N"), fallback(1))]
+        seed: u64,
+        /// How long clients come
+        #[bpaf(long("seconds"), argument("S"), fallback(20.0))]
+        seconds: f64,
+        /// Kill all gateways and servers of a site
+        #[bpaf(long("kill"), argument("A|B@T"))]
+        kill: Option<At>,
+        /// Kill its servers only
+        #[bpaf(long("servers-only"))]
+        servers_only: bool,
+        /// The killed site is back, cold, so much later
+        #[bpaf(long("back-after"), argument("S"))]
+        back_after: Option<f64>,
+        /// The part of the link's datagrams that is lost
+        #[bpaf(long("loss"), argument("P"), fallback(0.0))]
+        loss: f64,
+        /// Nothing passes from site A to site B
+        #[bpaf(long("one-way"))]
+        one_way: bool,
+        /// The link is cut for a while
+        #[bpaf(long("cut"), argument("T+S"))]
+        cut: Option<Cut>,
+        /// A site is drained by hand, and half of its servers by discovery
+        #[bpaf(long("drain"), argument("A|B@T"))]
+        drain: Option<At>,
+        /// Gateways are killed and started again, one after another
+        #[bpaf(long("rolling"), argument("T"))]
+        rolling: Option<f64>,
+        /// Gateways a site
+        #[bpaf(long("gateways"), argument("G"), fallback(2))]
+        gateways: usize,
+        /// Servers a site
+        #[bpaf(long("servers"), argument("K"), fallback(4))]
+        servers: usize,
+        /// Txns a second that come to each site
+        #[bpaf(long("rate"), argument("R"), fallback(150.0))]
+        rate: f64,
+        /// How many times as many come to site A
+        #[bpaf(long("skew"), argument("X"), fallback(1.0))]
+        skew: f64,
+        /// Each site's servers drop the repeats of payments for themselves
+        #[bpaf(long("no-span"))]
+        no_span: bool,
+    },
+    /// Membership without sockets: rounds and bytes until a change is known to all, at 0, 10 and 30% loss.
+    #[bpaf(command)]
+    Membership {
+        #[bpaf(long("seed"), argument("N"), fallback(1))]
+        seed: u64,
+        /// Gateways a site
+        #[bpaf(long("gateways"), argument("N"), fallback(200))]
+        gateways: usize,
+        /// Rounds within which one gateway's change must be known to all
+        #[bpaf(long("bound"), argument("ROUNDS"), fallback(20))]
+        bound: usize,
+    },
 }
 
 fn end(found: &impl Serialize, ok: bool) -> Result<bool, String> {
@@ -44,6 +105,56 @@
             let found = core::play(seed, seeds, gateways.max(1), |_| bar.inc(1));
             end(&found, found.ok)
         }
+        Command::Sites {
+            seed,
+            seconds,
+            kill,
+            servers_only,
+            back_after,
+            loss,
+            one_way,
+            cut,
+            drain,
+            rolling,
+            gateways,
+            servers,
+            rate,
+            skew,
+            no_span,
+        } => {
+            let spans = !no_span;
+            let day = Day {
+                seed,
+                seconds,
+                kill,
+                servers_only,
+                back_after,
+                loss,
+                one_way,
+                cut,
+                drain,
+                rolling,
+                gateways,
+                servers,
+                rate,
+                skew,
+                spans,
+            };
+            if !(0.0..=1.0).contains(&loss) || seconds <= 0.0 || rate <= 0.0 || gateways == 0 || servers == 0
+            {
+                return Err(
+                    "--loss is from 0 to 1; --seconds, --rate, --gateways and --servers are above 0".into()
+                );
+            }
+            let bar = bar(1000);
+            let found = sites::play(&day, |part| bar.set_position((part * 1000.0) as u64))?;
+            end(&found, found.ok)
+        }
+        Command::Membership { seed, gateways, bound } => {
+            let bar = bar(30);
+            let found = membership::play(gateways.max(1), seed, bound, || bar.inc(1));
+            end(&found, found.ok)
+        }
     }
 }
 
--- /dev/null
+++ b/crates/rehearse/src/sites.rs
@@ -0,0 +1,522 @@
+//! The rehearsal of two sites with built gateways: faults by the seed and the switches, then what crossed the
+//! sockets is checked against the rules, and set beside the same day with the link off.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::str::FromStr;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use calloop::EventLoop;
+use harrierdock::time::{Point, Span};
+use harrierdock_net::{Descriptors, Net, Pool};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use serde_json::{json, Value};
+
+use crate::processes::{program, Process};
+use crate::scripted::{discovery, list, Trace};
+use crate::world::*;
+
+/// A fault at a point: `A@3` or, for a cut, `3+10`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct At {
+    pub site: usize,
+    pub second: f64,
+}
+
+impl FromStr for At {
+    type Err = String;
+    fn from_str(text: &str) -> Result<At, String> {
+        let wrong = || format!("'{text}' is not SITE@SECOND, as A@3");
+        let (site, second) = text.split_once('@').ok_or_else(wrong)?;
+        let site = ["A", "B"].iter().position(|s| *s == site).ok_or_else(wrong)?;
+        Ok(At { site, second: second.parse().map_err(|_| wrong())? })
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cut {
+    pub second: f64,
+    pub seconds: f64,
+}
+
+impl FromStr for Cut {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Cut, String> {
+        let wrong = || format!("'{text}' is not SECOND+SECONDS, as 3+10");
+        let (second, seconds) = text.split_once('+').ok_or_else(wrong)?;
+        Ok(Cut {
+            second: second.parse().map_err(|_| wrong())?,
+            seconds: seconds.parse().map_err(|_| wrong())?,
+        })
+    }
+}
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub seed: u64,
+    pub seconds: f64,
+    pub kill: Option<At>,
+    pub servers_only: bool,
+    pub back_after: Option<f64>,
+    pub loss: f64,
+    pub one_way: bool,
+    pub cut: Option<Cut>,
+    pub drain: Option<At>,
+    /// Gateways restarted one after another, from this second on.
+    pub rolling: Option<f64>,
+    pub gateways: usize,
+    pub servers: usize,
+    /// Txns a second that come to each site.
+    pub rate: f64,
+    /// How much more comes to the first site.
+    pub skew: f64,
+    pub spans: bool,
+}
+
+#[derive(Debug, Default, Serialize)]
+pub struct Times {
+    pub p50: f64,
+    pub p99: f64,
+}
+
+#[derive(Debug, Default, Serialize)]
+pub struct Report {
+    pub taken: u64,
+    pub answered_once: u64,
+    pub answered_twice: u64,
+    pub unanswered: u64,
+    pub once_only_run_twice: u64,
+    pub repeats_outside_memory: u64,
+    pub after_drain: u64,
+    pub cold_pushed_over: u64,
+    pub broken_lines: u64,
+    pub crashes: u64,
+    pub crossed: u64,
+    pub crossed_refused: u64,
+    pub crossed_settled: u64,
+    pub moves: u64,
+    pub revenue_share: f64,
+    pub revenue_share_alone: f64,
+    pub revenue_ceiling: f64,
+    /// Times of answers to txns that ran at the other site, and at their own.
+    pub crossing_ms: Times,
+    pub home_ms: Times,
+    pub memory_mb: f64,
+    /// Processor time a txn, of the gateways that only took clients' txns, in ticks of the system.
+    pub cpu_a_txn: f64,
+    pub rig_late_ms: f64,
+    pub datagrams: u64,
+    pub datagrams_dropped: u64,
+    pub rules_kept: bool,
+    pub ok: bool,
+}
+
+fn settings(site: usize) -> Value {
+    let class = |name: &str, kind: &str, worth: f64| {
+        json!({"name": name, "aim": SLA.0, "give_up": EXPIRY.0, "idempotency": kind, "group": "all",
+            "memory_span": MEMORY.0, "worth": worth})
+    };
+    json!({
+        "az": SITES[site], "azs": SITES, "balancers": 1, "ordinal": 0, "tick": 5000,
+        "classes": [class("draft", "safe", 1.0), class("payment", "keyed", 5.0), class("lodge", "unsafe", 5.0)],
+        "family_info": {"exposure_caps": [1.0], "steps": [1.0], "counted_over": 2_000_000, "spare_tries": 1.0,
+            "vote_life": 4_000_000, "vote_wait": 400_000, "api_rate": 600.0, "decided_by": "majority"},
+        "limits": {"max_attempts": 3, "cancel": true, "may_tell": false, "retry_after": true,
+            "max_retry_after": 1_000_000, "connect_timeout": 250_000, "conn_idle": 30_000_000},
+        "safety": {"cold_from": COLD_FROM, "ramp_time": RAMP.0, "fall": FALL.0, "fall_multiple": FALL_MULTIPLE}})
+}
+
+struct Gateway {
+    name: String,
+    site: usize,
+    process: Option<Process>,
+    relay: Option<usize>,
+    discovery: SocketAddr,
+    say: Sender<String>,
+    spent: BTreeMap<&'static str, u64>,
+}
+
+struct Stage {
+    folder: PathBuf,
+    program: PathBuf,
+    gateways: Vec<Gateway>,
+    fronts: Vec<SocketAddr>,
+    linked: bool,
+    revision: u32,
+    day: Day,
+}
+
+/// A word on a gateway's control socket.
+fn say(path: &Path, word: &str) -> Option<Value> {
+    let mut stream = UnixStream::connect(path).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+    stream.write_all(word.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    serde_json::from_str(&answer).ok()
+}
+
+const COUNTED: [&str; 4] = ["handed_over", "refused", "settled_there", "moves"];
+
+impl Stage {
+    fn control(&self, gateway: usize) -> PathBuf {
+        self.folder.join(format!("{}.sock", self.gateways[gateway].name))
+    }
+
+    fn members(&self, world: &World, site: usize) -> Vec<Value> {
+        let of_site = world.servers.iter().enumerate().filter(|(_, s)| s.site == site);
+        let told = of_site.map(|(ix, server)| {
+            let phase = match (world.runs(ix), server.draining) {
+                (false, _) => "gone",
+                (true, Some(_)) => "draining",
+                (true, None) => "ready",
+            };
+            let since = server.started.map_or(0, |at| at.0 / 1000);
+            json!({"id": format!("s-{ix}"), "host_port": server.address, "locality": SITES[site], "flavor": "m",
+                "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": since, "revision_no": 41})
+        });
+        told.collect()
+    }
+
+    fn start(&mut self, world: &mut World, ix: usize) -> Result<(), String> {
+        let (name, site) = (self.gateways[ix].name.clone(), self.gateways[ix].site);
+        let members = self.members(world, site);
+        let seed = format!("{:016x}", self.day.seed.wrapping_mul(31).wrapping_add(ix as u64));
+        let told = json!({"name": name, "listen": "127.0.0.1:0", "discovery": self.gateways[ix].discovery,
+            "seed": seed, "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": list(self.revision, true, &members), "settings": settings(site)});
+        let other = self.gateways.iter().enumerate().filter(|(_, g)| g.site != site);
+        let seeds: Vec<Value> =
+            other.map(|(ix, g)| json!({"gateway": g.name, "address": self.fronts[ix]})).take(2).collect();
+        let with = self.linked.then(|| {
+            json!({"sites": {"site": SITES[site], "listen": "127.0.0.1:0", "reached_at": self.fronts[ix],
+                "other": {"site": SITES[1 - site], "gateways": seeds},
+                "keys": {"authority": "keys/authority.pem", "certificate": format!("keys/{}-{name}.pem", SITES[site]),
+                    "key": format!("keys/{}-{name}.key", SITES[site])},
+                "control": format!("{name}.sock"),
+                "groups_spanning": if self.day.spans { vec!["payment"] } else { vec![] }}})
+        });
+        let process = Process::start(&self.program, &self.folder, &name, &told, with.as_ref())?;
+        let door = &mut world.doors[ix];
+        (door.address, door.life, door.alive) = (Some(process.serves), door.life + 1, true);
+        if let Some((relay, links)) = self.gateways[ix].relay.zip(process.links) {
+            world.lead(relay, links);
+        }
+        self.gateways[ix].process = Some(process);
+        Ok(())
+    }
+
+    /// Adds what a gateway has counted to what its earlier lives had.
+    fn count(&mut self, ix: usize) {
+        let Some(status) = say(&self.control(ix), "status").filter(|_| self.linked) else { return };
+        for name in COUNTED {
+            *self.gateways[ix].spent.entry(name).or_default() += status[name].as_u64().unwrap_or(0);
+        }
+    }
+
+    fn kill(&mut self, world: &mut World, ix: usize) {
+        self.count(ix);
+        if let Some(process) = &mut self.gateways[ix].process {
+            process.kill();
+        }
+        world.doors[ix].alive = false;
+    }
+
+    /// Discovery tells a site's gateways of its servers.
+    fn tell(&mut self, world: &World, site: usize) {
+        self.revision += 1;
+        let line = list(self.revision, true, &self.members(world, site)).to_string();
+        for gateway in self.gateways.iter().filter(|g| g.site == site) {
+            let _ = gateway.say.send(line.clone());
+        }
+    }
+
+    fn step(&mut self, world: &mut World, step: Step) -> Result<bool, String> {
+        let now = world.now();
+        let mut after = |seconds: f64, step: Step| {
+            let at = now + Span::secs(seconds);
+            let place = world.steps.iter().position(|s| s.0 > at).unwrap_or(world.steps.len());
+            world.steps.insert(place, (at, step));
+            world.dues.set(at, Due::Step);
+        };
+        let of_site = |site: usize, gateways: &[Gateway]| -> Vec<usize> {
+            (0..gateways.len()).filter(|g| gateways[*g].site == site).collect()
+        };
+        match step {
+            Step::Kill { site, gateways } => {
+                after(1.0, Step::Tell { site });
+                let servers: Vec<usize> =
+                    (0..world.servers.len()).filter(|s| world.servers[*s].site == site).collect();
+                servers.into_iter().for_each(|ix| world.stop_server(ix));
+                if gateways {
+                    of_site(site, &self.gateways).into_iter().for_each(|ix| self.kill(world, ix));
+                    world.dues.set(now + Span::secs(1.0), Due::Front);
+                }
+            }
+            Step::Back { site } => {
+                after(1.0, Step::Tell { site });
+                let servers: Vec<usize> =
+                    (0..world.servers.len()).filter(|s| world.servers[*s].site == site).collect();
+                servers.into_iter().try_for_each(|ix| world.open_server(ix, true))?;
+                for ix in of_site(site, &self.gateways) {
+                    if !world.doors[ix].alive {
+                        self.start(world, ix)?;
+                    }
+                }
+                world.dues.set(now + Span::secs(0.5), Due::Front);
+            }
+            Step::Cut { cut } => world.faults.cut = cut,
+            Step::Drain { site } => {
+                after(1.0, Step::Tell { site });
+                for ix in of_site(site, &self.gateways) {
+                    if self.linked {
+                        say(&self.control(ix), "drain");
+                    }
+                }
+                // Half of its servers are drained as well, of which discovery tells a second later.
+                let half: Vec<usize> =
+                    (0..world.servers.len()).filter(|s| world.servers[*s].site == site).step_by(2).collect();
+                let told = world.now() + Span::secs(1.05);
+                half.into_iter().for_each(|ix| world.servers[ix].draining = Some(told));
+                if self.linked {
+                    world.drained[site] = Some(world.now());
+                }
+            }
+            Step::Tell { site } => self.tell(world, site),
+            Step::Restart { gateway } => {
+                self.kill(world, gateway);
+                self.start(world, gateway)?;
+                world.doors[gateway].open = true;
+            }
+            Step::StopArrivals => world.arriving = false,
+            Step::End => return Ok(true),
+        }
+        Ok(false)
+    }
+}
+
+/// The part of asked revenue that this capacity can serve at best, dearer products first.
+fn ceiling(capacity: f64, rates: [f64; 2]) -> f64 {
+    let demand: f64 = rates.iter().sum();
+    let (mut left, mut served, mut asked) = (capacity, 0.0, 0.0);
+    for (part, revenue) in [(0.4, 5.0), (0.6, 1.0)] {
+        let wanted = demand * part;
+        served += wanted.min(left) * revenue;
+        left -= wanted.min(left);
+        asked += wanted * revenue;
+    }
+    served / asked
+}
+
+fn times(values: &Histogram<u64>) -> Times {
+    Times {
+        p50: values.value_at_quantile(0.5) as f64 / 1000.0,
+        p99: values.value_at_quantile(0.99) as f64 / 1000.0,
+    }
+}
+
+fn folder(day: &Day, linked: bool) -> Result<PathBuf, String> {
+    let name = format!("harrierdock-rehearse-{}-{}-{}", std::process::id(), day.seed, u8::from(linked));
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    Ok(folder)
+}
+
+fn make_keys(program: &Path, folder: &Path, gateways: &[Gateway]) -> Result<(), String> {
+    let run = |arguments: &[String]| {
+        let output = Command::new(program).arg("keys").args(arguments).output().map_err(|e| e.to_string())?;
+        let said = String::from_utf8_lossy(&output.stderr).trim().to_string();
+        output.status.success().then_some(()).ok_or(said)
+    };
+    let keys = folder.join("keys").display().to_string();
+    run(&["authority".into(), keys.clone()])?;
+    let names = gateways.iter().map(|g| format!("{}/{}", SITES[g.site], g.name));
+    run(&["issue".to_string(), keys].into_iter().chain(names).collect::<Vec<_>>())
+}
+
+/// Plays a day once, with the link or without.
+fn once(day: &Day, linked: bool, progress: &mut dyn FnMut(f64)) -> Result<Report, String> {
+    let folder = folder(day, linked)?;
+    let played = on_stage(day, linked, &folder, progress);
+    if played.is_ok() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    played
+}
+
+fn on_stage(day: &Day, linked: bool, folder: &Path, progress: &mut dyn FnMut(f64)) -> Result<Report, String> {
+    let mut event_loop: EventLoop<World> = EventLoop::try_new().map_err(|e| e.to_string())?;
+    let net = Net::new(event_loop.handle(), Pool::new(2048), Descriptors::new(4096, 0));
+    let mut world = World::new(net, day.seed, day.spans);
+    world.rate = [day.rate * day.skew, day.rate];
+    let mut stage = Stage {
+        folder: folder.into(),
+        program: program()?,
+        gateways: Vec::new(),
+        fronts: Vec::new(),
+        linked,
+        revision: 1,
+        day: day.clone(),
+    };
+    for ix in 0..2 * day.servers {
+        world.add_server(ix % 2)?;
+    }
+    for ix in 0..2 * day.gateways {
+        let (discovery, say) = discovery(&Trace::default());
+        let name = format!("{}{}", ["h", "l"][ix % 2], ix / 2);
+        let (relay, front) = (world_relay(&mut world, ix)?, ix % 2);
+        stage.fronts.push(relay.1);
+        world.doors.push(Door { site: front, address: None, life: 0, alive: false, open: false });
+        let (process, spent) = (None, BTreeMap::new());
+        stage.gateways.push(Gateway {
+            name,
+            site: ix % 2,
+            process,
+            relay: Some(relay.0),
+            discovery,
+            say,
+            spent,
+        });
+    }
+    if linked {
+        make_keys(&stage.program, folder, &stage.gateways)?;
+    }
+    for ix in 0..stage.gateways.len() {
+        stage.start(&mut world, ix)?;
+        world.doors[ix].open = true;
+    }
+    // The links come up before clients do.
+    let from = world.now() + Span::secs(1.5);
+    let at = |second: f64| from + Span::secs(second);
+    let mut steps = vec![(at(day.seconds), Step::StopArrivals), (at(day.seconds + 2.5), Step::End)];
+    if let Some(kill) = day.kill {
+        steps.push((at(kill.second), Step::Kill { site: kill.site, gateways: !day.servers_only }));
+        if let Some(after) = day.back_after {
+            steps.push((at(kill.second + after), Step::Back { site: kill.site }));
+        }
+    }
+    if let Some(cut) = day.cut {
+        steps.push((at(cut.second), Step::Cut { cut: true }));
+        steps.push((at(cut.second + cut.seconds), Step::Cut { cut: false }));
+    }
+    if let Some(drain) = day.drain {
+        steps.push((at(drain.second), Step::Drain { site: drain.site }));
+    }
+    if let Some(second) = day.rolling {
+        for gateway in 0..stage.gateways.len() {
+            steps.push((at(second + 1.5 * gateway as f64), Step::Restart { gateway }));
+        }
+    }
+    steps.sort_by_key(|s| s.0);
+    steps.iter().for_each(|s| world.dues.set(s.0, Due::Step));
+    world.steps = steps.into();
+    (world.faults.loss, world.faults.one_way) = (day.loss, day.one_way);
+    world.arriving = true;
+    for site in 0..2 {
+        world.dues.set(from, Due::Arrival(site));
+    }
+    let mut over = false;
+    let mut memory: f64 = 0.0;
+    while !over {
+        let wait = world.dues.next().map(|at| world.net.clock.until(at));
+        event_loop.dispatch(wait, &mut world).map_err(|e| e.to_string())?;
+        for step in world.fall_due() {
+            over |= stage.step(&mut world, step)?;
+        }
+        progress((world.now() - from).as_secs() / (day.seconds + 2.5));
+    }
+    let mut report = judge(day, &world, from);
+    for ix in 0..stage.gateways.len() {
+        stage.count(ix);
+        let gateway = &mut stage.gateways[ix];
+        if let Some(process) = &mut gateway.process {
+            let (used, ticks) = process.use_of();
+            memory = memory.max(used);
+            report.cpu_a_txn += ticks;
+            process.listen();
+            report.broken_lines += process.broken.len() as u64;
+            report.crashes += u64::from(world.doors[ix].alive && !process.lives());
+            process.broken.iter().for_each(|line| eprintln!("{}: {line}", gateway.name));
+        }
+        let spent = |name: &str| gateway.spent.get(name).copied().unwrap_or(0);
+        report.crossed += spent("handed_over");
+        report.crossed_refused += spent("refused");
+        report.crossed_settled += spent("settled_there");
+        report.moves += spent("moves");
+    }
+    report.memory_mb = memory;
+    report.cpu_a_txn /= report.taken.max(1) as f64;
+    Ok(report)
+}
+
+fn world_relay(world: &mut World, ix: usize) -> Result<(usize, SocketAddr), String> {
+    Ok((ix, world.add_relay(ix % 2)?))
+}
+
+/// What crossed the sockets, against the rules.
+fn judge(day: &Day, world: &World, from: Point) -> Report {
+    let mut report = Report::default();
+    let new = || {
+        Histogram::<u64>::new(3).unwrap_or_else(|_| Histogram::new_with_max(60_000_000, 1).expect("bounds"))
+    };
+    let (mut crossing, mut home) = (new(), new());
+    let trouble = day.kill.map(|k| k.second).into_iter().chain(day.drain.map(|d| d.second));
+    let start = from + Span::secs(trouble.fold(0.0, f64::max) + 2.0);
+    let within = |at: Point| at >= start && at < start + Span::secs(10.0);
+    let (mut asked, mut earned) = (0.0, 0.0);
+    for txn in &world.txns {
+        if within(txn.asked) {
+            asked += txn.product.revenue();
+            let in_time = txn.answer.is_some_and(|(a, at)| a == Answer::Settled && at - txn.asked <= SLA);
+            earned += f64::from(in_time) * txn.product.revenue();
+        }
+        // Taken is what was written whole to a gateway that lived on.
+        let lived = txn.gateway.is_some_and(|(g, life)| world.doors[g].alive && world.doors[g].life == life);
+        if lived {
+            report.taken += 1;
+            report.answered_once += u64::from(txn.answer.is_some() && !txn.twice);
+            report.unanswered += u64::from(txn.answer.is_none());
+        }
+        report.answered_twice += u64::from(txn.twice);
+        if txn.product == Product::Lodge {
+            report.once_only_run_twice += u64::from(txn.runs.len() > 1);
+        }
+        if let (Some((Answer::Settled, at)), [(site, _)]) = (txn.answer, &txn.runs[..]) {
+            let took = (at - txn.asked).0.max(1) as u64;
+            let _ = if *site == txn.site { home.record(took) } else { crossing.record(took) };
+        }
+    }
+    report.revenue_share = if asked > 0.0 { earned / asked } else { 0.0 };
+    let dead = day.kill.map(|k| k.site).filter(|_| day.back_after.is_none_or(|b| b >= 12.0));
+    let sites = 2.0 - f64::from(u8::from(dead.is_some()));
+    let capacity = sites * day.servers as f64 * CORES as f64 / WORK.as_secs();
+    report.revenue_ceiling = ceiling(capacity, world.rate);
+    (report.crossing_ms, report.home_ms) = (times(&crossing), times(&home));
+    let found = &world.found;
+    report.repeats_outside_memory = found.repeats_outside_memory;
+    report.after_drain = found.after_drain;
+    report.cold_pushed_over = found.cold_pushed_over;
+    report.rig_late_ms = found.rig_late.as_secs() * 1000.0;
+    (report.datagrams, report.datagrams_dropped) = (found.datagrams, found.datagrams_dropped);
+    report
+}
+
+/// Plays a day with the link, then without it, and sets the two side by side.
+pub fn play(day: &Day, mut progress: impl FnMut(f64)) -> Result<Report, String> {
+    let mut report = once(day, true, &mut |part| progress(part / 2.0))?;
+    let alone = once(day, false, &mut |part| progress(0.5 + part / 2.0))?;
+    report.revenue_share_alone = alone.revenue_share;
+    let r = &report;
+    let broken = r.answered_twice + r.unanswered + r.once_only_run_twice + r.repeats_outside_memory;
+    let broken = broken + r.after_drain + r.cold_pushed_over + r.broken_lines + r.crashes;
+    report.rules_kept = broken == 0;
+    report.ok = report.rules_kept && report.taken > 0;
+    Ok(report)
+}
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -120,8 +120,10 @@
         road: RoadNo,
         peer: Party,
     },
+    /// `orderly` where the other end has said that it hangs up.
     Down {
         road: RoadNo,
+        orderly: bool,
     },
     Unreachable {
         peer: Party,
@@ -149,6 +151,8 @@
         road: RoadNo,
         crossing: u64,
         to: u64,
+        /// The newest beat sent by then.
+        beat: u32,
         left: Span,
     },
     Settle {
@@ -322,9 +326,9 @@
                 self.obey(asked);
                 self.beat();
             }
-            Event::Down { road } => {
+            Event::Down { road, orderly } => {
                 let mut asked = Vec::new();
-                self.members.down(now, road, &mut asked);
+                self.members.down(now, road, orderly, &mut asked);
                 self.obey(asked);
             }
             Event::Unreachable { peer } => {
@@ -398,7 +402,13 @@
         self.crossings.handed_over(no, product);
         self.tally.handed_over += 1;
         let left = Span((left - margin).0.max(1000));
-        self.out.push(Action::Across { id, road: no, crossing, to, left });
+        // Guards against a repeat there after one here, once the road is lost: both lie within one memory.
+        let left = match told.repeat {
+            Repeat::Referenced { memory, .. } => left.min(memory - margin),
+            _ => left,
+        };
+        let beat = self.members.beat_sent();
+        self.out.push(Action::Across { id, road: no, crossing, to, beat, left });
         true
     }
 
@@ -477,19 +487,36 @@
         // Guards against a peer that does not keep to its credit; a little beyond, what was on its way counts.
         let admitted = verdict.is_none() && product.is_some_and(|p| self.bearing.admits(road, p));
         let (Some(product), true) = (product, admitted) else {
-            self.tally.turned_away += 1;
-            let verdict = verdict.unwrap_or(Verdict::NotTaken);
-            self.custody.close(self.now, place, verdict, None, Vec::new());
-            let answer = Answer { crossing, to: from, verdict, build: None, body: Vec::new() };
-            return self.out.push(Action::Send { road, letter: Letter::Answer(answer) });
+            return self.turn_away(road, place, verdict.unwrap_or(Verdict::NotTaken));
         };
+        let left = Span(i64::from(handover.left_ms) * 1000);
+        // Guards against one that was under way for longer than repeats are remembered: it may have run at its
+        // own site meanwhile. Harms by refusing a few where many beats are lost.
+        let referenced = matches!(self.place.products[product].repeat, Repeat::Referenced { .. });
+        let age = if referenced {
+            self.members.age_at_most(self.now, road, handover.beat)
+        } else {
+            Some(Span::ZERO)
+        };
+        let left = age.map_or(Span::ZERO, |age| left - age);
+        if left <= self.place.tick {
+            return self.turn_away(road, place, Verdict::NotTaken);
+        }
         self.tally.taken_in += 1;
         let inward = self.custody.take_in(self.now, place, road);
-        let left = Span(i64::from(handover.left_ms) * 1000);
         let key = handover.key.map(Key);
         self.out.push(Action::TakeIn { inward, product, key, left, handover });
     }
 
+    /// It is not taken, neither now nor when a copy of it comes.
+    fn turn_away(&mut self, road: RoadNo, place: custody::Place, verdict: Verdict) {
+        let (to, crossing) = (place.1, place.2);
+        self.tally.turned_away += 1;
+        self.custody.close(self.now, place, verdict, None, Vec::new());
+        let answer = Answer { crossing, to, verdict, build: None, body: Vec::new() };
+        self.out.push(Action::Send { road, letter: Letter::Answer(answer) });
+    }
+
     fn answered(&mut self, inward: InwardNo, verdict: Verdict, build: Option<Build>, body: Vec<u8>) {
         let Some((place, road)) = self.custody.answered(self.now, inward, verdict, build, body.clone())
         else {
--- a/crates/sites/src/members.rs
+++ b/crates/sites/src/members.rs
@@ -2,7 +2,7 @@
 //! spread from neighbour to neighbour over the roads between the sites; a road is a link on which beats and
 //! their echoes come back. Nothing here knows of txns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use harrierdock::time::{Point, Span};
@@ -15,14 +15,19 @@
 pub const OPENED: usize = 3;
 /// Rounds without a beat, or without an echo, after which a road is none.
 const MISSED: f64 = 7.0;
+/// Rounds without a beat after which others are told of it. Guards against false alarms on a line that loses a
+/// third of all beats, where seven in a row are missed every few minutes.
+const SUSPECTED: f64 = 14.0;
 /// Rounds after which a suspicion that nobody has refuted is a loss.
 const REFUTE: f64 = 25.0;
 /// Rounds to wait before another try to open a road, doubled with each that failed, and the most.
 const RETRY: f64 = 2.0;
 const RETRY_MOST: f64 = 32.0;
 /// Fresh records in one beat at the most, and old ones repeated beside them, so that none is missed for good.
-const FRESH: usize = 10;
+const FRESH: usize = 16;
 const OLD: usize = 2;
+/// Records of the whole table in one beat on a road that has come up.
+const TABLE: usize = 32;
 /// How often a fresh record is told on each road, beyond the logarithm of how many there are.
 const RETOLD: u32 = 4;
 /// Rounds for which the sending of beats is remembered.
@@ -43,6 +48,8 @@
     tries: u32,
     next_try: Point,
     dialling: bool,
+    /// How this gateway ranks it among those it may open roads to.
+    rank: u64,
 }
 
 pub struct Road {
@@ -55,6 +62,12 @@
     /// Both ends hear each other.
     pub whole: bool,
     their_beat: u32,
+    /// When their latest beats were heard.
+    heard_at: VecDeque<(u32, Point)>,
+    /// This end has opened it.
+    ours: bool,
+    /// Up to where the whole table has been told on it, once it has come up.
+    told_to: Option<Party>,
     /// The time a beat and its echo take, without what they wait at the other end.
     pub round_trip: Span,
 }
@@ -110,7 +123,8 @@
     /// `seeds` are gateways of the other site that are known from the start.
     pub fn new(own: Record, other_site: String, seeds: &[(Party, SocketAddr)], seed: u64) -> Members {
         let member = |(party, address): &(Party, SocketAddr)| {
-            let (party, address) = (party.clone(), Some(*address));
+            let (rank, address) = (rank(&own.party, party), Some(*address));
+            let party = party.clone();
             let record = Record {
                 party: party.clone(),
                 address,
@@ -118,10 +132,10 @@
                 version: 0,
                 standing: Standing::Serving,
             };
-            (party, Member::new(record, Point(0)))
+            (party, Member::new(record, Point(0), rank))
         };
         Members {
-            own,
+            own: own.clone(),
             told: 0,
             other_site,
             chance: WyRand::new_seed(seed),
@@ -165,9 +179,8 @@
         if self.roads.len() >= MOST_ROADS {
             return asked.push(Asked::HangUp { road: no });
         }
-        if let Some(member) = self.known.get_mut(&peer) {
-            (member.dialling, member.tries) = (false, 0);
-        }
+        let member = self.known.get_mut(&peer);
+        let ours = member.is_some_and(|m| std::mem::take(&mut m.dialling));
         let road = Road {
             peer,
             since: now,
@@ -176,21 +189,40 @@
             incarnation: 0,
             whole: false,
             their_beat: 0,
+            heard_at: VecDeque::new(),
+            ours,
+            told_to: Some(Party { site: String::new(), gateway: String::new() }),
             round_trip: Span::ZERO,
         };
         self.roads.insert(no, road);
     }
 
-    pub fn down(&mut self, now: Point, no: RoadNo, asked: &mut Vec<Asked>) {
+    /// A link is gone, `orderly` where the other end has said so: that is no sign of trouble with it.
+    pub fn down(&mut self, now: Point, no: RoadNo, orderly: bool, asked: &mut Vec<Asked>) {
         let Some(road) = self.roads.remove(&no) else { return };
+        if road.ours {
+            self.back_off(now, &road.peer);
+        }
         if road.whole {
             asked.push(Asked::Broken { road: no });
         }
-        if !self.hears(&road.peer) {
+        if !orderly && !self.hears(&road.peer) {
             self.suspect(now, &road.peer, asked);
         }
     }
 
+    pub fn beat_sent(&self) -> u32 {
+        self.beat
+    }
+
+    /// How old what the other end sent after this beat of its can be at the most; none if that cannot be told.
+    /// No clock of the other end is needed: a beat that it had sent before was heard here at a known point.
+    pub fn age_at_most(&self, now: Point, no: RoadNo, beat: u32) -> Option<Span> {
+        let road = self.roads.get(&no)?;
+        let before = road.heard_at.iter().rev().find(|h| h.0 <= beat)?;
+        Some(now - before.1 + road.round_trip)
+    }
+
     /// Whether a whole road leads to this gateway.
     pub fn hears(&self, peer: &Party) -> bool {
         self.roads.values().any(|r| r.whole && r.peer == *peer)
@@ -198,11 +230,16 @@
 
     /// An attempt to open a link has failed.
     pub fn unreachable(&mut self, now: Point, peer: &Party, asked: &mut Vec<Asked>) {
+        self.back_off(now, peer);
+        self.suspect(now, peer, asked);
+    }
+
+    /// Guards against many gateways that dial one that is gone, or full, all at once and without end.
+    fn back_off(&mut self, now: Point, peer: &Party) {
         let Some(member) = self.known.get_mut(peer) else { return };
         let wait = ROUND * (RETRY * f64::powi(2.0, member.tries.min(16) as i32)).min(RETRY_MOST);
         let jitter = 0.5 + self.chance.generate::<f64>();
         (member.dialling, member.tries, member.next_try) = (false, member.tries + 1, now + wait * jitter);
-        self.suspect(now, peer, asked);
     }
 
     /// Guards against a site's gateway that is gone, or does not hear us, being taken for a road: it is
@@ -225,6 +262,10 @@
             return;
         }
         (road.heard, road.their_beat, road.incarnation) = (Some(now), beat.beat, beat.incarnation);
+        road.heard_at.push_back((beat.beat, now));
+        if road.heard_at.len() > BEATS {
+            road.heard_at.pop_front();
+        }
         let age = self.beat.wrapping_sub(beat.echo);
         if beat.echo > 0 && (age as usize) < BEATS {
             let at = self.sent[beat.echo as usize % BEATS];
@@ -269,8 +310,8 @@
             }
             Some(_) => {}
             None if room && record.standing < Standing::Lost => {
-                let mut member = Member::new(record.clone(), now);
-                member.told = 0;
+                let rank = rank(&self.own.party, &record.party);
+                let member = Member { told: 0, ..Member::new(record.clone(), now, rank) };
                 self.known.insert(record.party.clone(), member);
                 asked.push(Asked::Changed(Change::Joined { party: record.party.clone() }));
             }
@@ -285,14 +326,17 @@
         self.beat += 1;
         self.sent[self.beat as usize % BEATS] = now;
         let records = self.news();
-        let beats = self.roads.iter().map(|(no, road)| {
+        let known = &self.known;
+        let beats = self.roads.iter_mut().map(|(no, road)| {
+            let mut records = records.clone();
+            road.catch_up(known, &mut records);
             let held = road.heard.map_or(Span::ZERO, |at| now - at);
             let beat = Beat {
                 incarnation: self.own.incarnation,
                 beat: self.beat,
                 echo: road.their_beat,
                 held_ms: (held.0 / 1000).min(i64::from(u32::MAX)) as u32,
-                records: records.clone(),
+                records,
                 ..Beat::default()
             };
             (*no, beat)
@@ -309,10 +353,15 @@
             if whole != std::mem::replace(&mut road.whole, whole) {
                 asked.push(if whole { Asked::Whole { road: *no } } else { Asked::Broken { road: *no } });
             }
-            // One that never came to be whole is not waited for longer than one that broke.
-            let silent = road.heard.unwrap_or(road.since).max(road.echoed.unwrap_or(road.since));
-            if !whole && now - silent > missed && now - road.since > missed {
-                deaf.push((*no, road.peer.clone(), now - silent > ROUND * REFUTE));
+            if whole && now - road.since > ROUND * REFUTE {
+                if let Some(member) = self.known.get_mut(&road.peer) {
+                    member.tries = 0;
+                }
+            }
+            // Whoever is heard but does not hear us is no road, yet may be one for others.
+            let silent = now - road.heard.unwrap_or(road.since);
+            if silent > ROUND * SUSPECTED {
+                deaf.push((*no, road.peer.clone(), silent > ROUND * REFUTE));
             }
         }
         for (no, peer, over) in deaf {
@@ -353,20 +402,28 @@
     /// The gateways of the other site that this one opens roads to: the first by rendezvous hashing of those
     /// that are not lost, and of the lost ones in turn where there are too few.
     fn open(&mut self, now: Point, asked: &mut Vec<Asked>) {
-        let own = &self.own.party;
-        let there = self.known.values().filter(|m| m.record.party.site == self.other_site);
-        let mut ranked: Vec<(bool, u64, &Party)> = there
-            .map(|m| (m.record.standing >= Standing::Leaving, rank(own, &m.record.party), &m.record.party))
-            .collect();
-        ranked.sort();
+        let there = self.known.iter().filter(|(p, _)| p.site == self.other_site);
         // Lost ones do not count as roads wanted, yet are tried, so that a site cut off is found again.
-        let (mut wanted, mut well) = (Vec::new(), 0);
-        for (gone, _, party) in ranked {
-            if well >= OPENED || wanted.len() >= 2 * OPENED {
-                break;
+        let mut first: Vec<(bool, u64, &Party)> = Vec::new();
+        for (party, member) in there {
+            let place = (member.record.standing >= Standing::Leaving, member.rank, party);
+            if first.len() < 2 * OPENED || first.last().is_some_and(|last| place < *last) {
+                let at = first.partition_point(|f| *f < place);
+                first.insert(at, place);
+                first.truncate(2 * OPENED);
+            }
+        }
+        let well = first.iter().take_while(|f| !f.0).count().min(OPENED);
+        let enough = if well == OPENED { OPENED } else { first.len() };
+        let wanted: Vec<Party> = first.into_iter().take(enough).map(|f| f.2.clone()).collect();
+        // What this end opened before it knew better ones is given up once those stand, one a round.
+        if well == OPENED && wanted.iter().all(|party| self.hears(party)) {
+            let spare = self.roads.iter().find(|(_, r)| r.ours && !wanted.contains(&r.peer));
+            if let Some(no) = spare.map(|(no, _)| *no) {
+                let whole = self.roads.remove(&no).is_some_and(|r| r.whole);
+                asked.extend(whole.then_some(Asked::Broken { road: no }));
+                asked.push(Asked::HangUp { road: no });
             }
-            well += usize::from(!gone);
-            wanted.push(party.clone());
         }
         for party in wanted {
             if self.roads.values().any(|r| r.peer == party) {
@@ -415,9 +472,20 @@
     }
 }
 
+impl Road {
+    /// Guards against a gateway that has just started knowing nobody for long: a road that has come up is told
+    /// all records held, a part in each beat.
+    fn catch_up(&mut self, known: &BTreeMap<Party, Member>, records: &mut Vec<Record>) {
+        let Some(from) = self.told_to.take() else { return };
+        let mut rest = known.range(from..).filter(|(_, m)| m.record.incarnation > 0);
+        records.extend(rest.by_ref().take(TABLE).map(|(_, m)| m.record.clone()));
+        self.told_to = rest.next().map(|(party, _)| party.clone());
+    }
+}
+
 impl Member {
-    fn new(record: Record, since: Point) -> Member {
-        Member { record, told: u32::MAX, since, tries: 0, next_try: Point(0), dialling: false }
+    fn new(record: Record, since: Point, rank: u64) -> Member {
+        Member { record, told: u32::MAX, since, tries: 0, next_try: Point(0), dialling: false, rank }
     }
 
     fn put(&mut self, now: Point, record: Record, asked: &mut Vec<Asked>) {
