--- /dev/null
+++ b/crates/gateway/tests/with.rs
@@ -0,0 +1,197 @@
+//! The file of our own beside the configuration: what is refused and why, what is accepted, and what a gateway
+//! that has it does with its control socket, its keys and a reload.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use expect_test::expect;
+use harrierdock_rehearse::scripted::{list, settings, BOUND};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+
+fn harrierdock(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_harrierdock"));
+    command.args(arguments);
+    for variable in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"] {
+        command.env_remove(variable);
+    }
+    command
+}
+
+fn said(output: &Output) -> String {
+    let text = [&output.stdout[..], &output.stderr[..]].concat();
+    String::from_utf8(text).unwrap()
+}
+
+struct Files {
+    folder: PathBuf,
+}
+
+impl Files {
+    fn new(name: &str) -> Files {
+        let folder =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("with-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).unwrap();
+        let files = Files { folder };
+        let keys = files.path("keys");
+        assert!(harrierdock(&["keys", "authority", &keys]).output().unwrap().status.success());
+        let issued = harrierdock(&["keys", "issue", &keys, "hobart/h0", "launceston/l0"]).output().unwrap();
+        assert!(issued.status.success(), "{}", said(&issued));
+        let told = json!({"name": "h0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "aa",
+            "limits": {"memory_mb": 192, "sockets": 200}, "known": list(1, true, &[]), "settings": settings()});
+        files.write("told.json", &told);
+        files
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.folder.join(name).display().to_string()
+    }
+
+    fn write(&self, name: &str, value: &Value) {
+        fs::write(self.path(name), value.to_string()).unwrap();
+    }
+
+    fn good() -> Value {
+        json!({"sites": {"site": "hobart", "listen": "127.0.0.1:0",
+            "other": {"site": "launceston", "gateways": [{"gateway": "l0", "address": "127.0.0.1:9"}]},
+            "keys": {"authority": "keys/authority.pem", "certificate": "keys/hobart-h0.pem", "key": "keys/hobart-h0.key"},
+            "control": "h0.sock", "groups_spanning": ["payment"]}})
+    }
+
+    /// What `check` says of the good file with this field set, without the folder's name.
+    fn check(&self, field: &str, value: Value) -> String {
+        let mut file = Files::good();
+        let (mut at, mut names) = (&mut file, field.split('.').peekable());
+        while let Some(name) = names.next() {
+            at = match name.parse::<usize>() {
+                Ok(number) => &mut at[number],
+                Err(_) => &mut at[name],
+            };
+            if names.peek().is_none() {
+                *at = value.clone();
+            }
+        }
+        self.write("sites.json", &file);
+        let (told, with) = (self.path("told.json"), self.path("sites.json"));
+        let output = harrierdock(&["check", "--config", &told, "--with", &with]).output().unwrap();
+        let text = said(&output).replace(&self.folder.display().to_string(), "F");
+        assert_eq!(
+            output.status.code(),
+            Some(if text.starts_with("harrierdock: ") { 2 } else { 0 }),
+            "{text}"
+        );
+        text
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn a_file_that_does_not_fit_is_refused_with_file_field_and_reason() {
+    let files = Files::new("check");
+    let cases = [
+        ("sites.groups_spanning", json!(["payment"])),
+        ("sites.site", json!("Hobart")),
+        ("sites.site", json!(7)),
+        ("sites.listen", json!("somewhere")),
+        ("sites.listens", json!("127.0.0.1:1")),
+        ("sites.other.site", json!("hobart")),
+        ("sites.other.gateways", json!([])),
+        ("sites.other.gateways.0.gateway", json!("l 0")),
+        ("sites.groups_spanning", json!(["refund"])),
+        ("sites.gateway", json!("h1")),
+        ("sites.keys.certificate", json!("keys/launceston-l0.pem")),
+        ("sites.keys.key", json!("keys/none.key")),
+        ("sites.keys.key", json!("told.json")),
+        ("more", json!(true)),
+    ];
+    let said: String = cases.iter().map(|(field, value)| files.check(field, value.clone())).collect();
+    expect![[r#"
+        h0 listens on 127.0.0.1:0, discovery at 127.0.0.1:1, platform none, 0 of 1 gateways, products draft payment lodge, 192 MB, 200 descriptors
+        hobart/h0 links on 127.0.0.1:0 with 1 of launceston
+        harrierdock: F/sites.json: sites.site: 'Hobart' is no name: 1 to 63 small letters, digits and inner hyphens
+        harrierdock: F/sites.json: sites.site: invalid type: integer `7`, expected a string at line 1 column 279
+        harrierdock: F/sites.json: sites.listen: invalid socket address syntax at line 1 column 184
+        harrierdock: F/sites.json: sites.listens: unknown field `listens`, expected one of `site`, `gateway`, `listen`, `reached_at`, `other`, `keys`, `control`, `groups_spanning` at line 1 column 196
+        harrierdock: F/sites.json: sites.other.site: 'hobart' is this site's own name
+        harrierdock: F/sites.json: sites.other.gateways: names none, and one at least is needed to begin
+        harrierdock: F/sites.json: sites.other.gateways[0].gateway: 'l 0' is no name: 1 to 63 small letters, digits and inner hyphens
+        harrierdock: F/sites.json: sites.groups_spanning: 'refund' is no product of the configuration
+        harrierdock: F/sites.json: sites.keys.certificate: names hobart/h0, not hobart/h1
+        harrierdock: F/sites.json: sites.keys.certificate: names launceston/l0, not hobart/h0
+        harrierdock: F/sites.json: sites.keys.key: F/keys/none.key: No such file or directory (os error 2)
+        harrierdock: F/sites.json: sites.keys.key: no items found
+        harrierdock: F/sites.json: more: unknown field `more`, expected `sites` at line 1 column 7
+    "#]].assert_eq(&said);
+}
+
+#[test]
+fn keys_stay_as_they_are_where_they_stand_already_and_the_schema_names_each_field() {
+    let files = Files::new("keys");
+    let keys = files.path("keys");
+    let again = harrierdock(&["keys", "authority", &keys]).output().unwrap();
+    assert!(!again.status.success() && said(&again).contains("File exists"), "{}", said(&again));
+    let odd = harrierdock(&["keys", "issue", &keys, "hobart"]).output().unwrap();
+    assert_eq!(said(&odd), "harrierdock: 'hobart' is not SITE/GATEWAY\n");
+    let schema: Value = serde_json::from_str(&said(&harrierdock(&["schema"]).output().unwrap())).unwrap();
+    let between = &schema["$defs"]["Between"]["properties"];
+    for field in ["site", "gateway", "listen", "reached_at", "other", "keys", "control", "groups_spanning"] {
+        assert!(between[field].is_object(), "{field} is not in the schema");
+    }
+}
+
+#[test]
+fn an_operator_drains_resumes_and_asks_and_a_reload_reads_the_keys_again() {
+    let files = Files::new("hand");
+    files.write("sites.json", &Files::good());
+    let (told, with) = (files.path("told.json"), files.path("sites.json"));
+    let mut command = harrierdock(&["serve", "--config", &told, "--with", &with, "--log-form", "json"]);
+    let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut line = |part: &str| loop {
+        let line = log.next().unwrap_or_else(|| panic!("no line says {part:?}"));
+        let object: Value = serde_json::from_str(&line).unwrap();
+        if object["message"].as_str().unwrap().contains(part) {
+            return object;
+        }
+    };
+    line("serves on");
+    let socket = files.path("h0.sock");
+    let from = Instant::now();
+    while !Path::new(&socket).exists() {
+        assert!(from.elapsed() < BOUND);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let say = |word: &str| -> Value {
+        let output = harrierdock(&["site", "--control", &socket, word]).output().unwrap();
+        serde_json::from_str(&said(&output)).unwrap()
+    };
+    let home = |status: Value| format!("{} {} {}", status["standing"], status["home"], status["why"]);
+    let homes = ["status", "drain", "resume"].map(|word| home(say(word)));
+    expect![[r#"
+        [
+            "\"serving\" \"here\" \"txns settle here\"",
+            "\"draining\" \"away\" \"by hand\"",
+            "\"serving\" \"returning\" \"by hand\"",
+        ]"#]]
+    .assert_eq(&format!("{homes:#?}"));
+    assert_eq!(line("told by hand to drain")["level"], "WARN");
+    kill_process(Pid::from_child(&child), Signal::HUP).unwrap();
+    line("keys are read again");
+    fs::write(files.path("keys/hobart-h0.pem"), "nothing").unwrap();
+    kill_process(Pid::from_child(&child), Signal::HUP).unwrap();
+    let kept = line("the keys held stay");
+    assert!(kept["message"].as_str().unwrap().contains("sites.keys.certificate"), "{kept}");
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    line("ends");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    assert!(!Path::new(&socket).exists(), "the control socket goes with the gateway");
+}
--- a/crates/rehearse/src/core.rs
+++ b/crates/rehearse/src/core.rs
@@ -123,6 +123,11 @@
     found: Findings,
 }
 
+/// The second site's clocks are half a minute ahead.
+fn own_time(gateway: usize, at: Point) -> Point {
+    at + SECOND * (30.0 * site(gateway) as f64)
+}
+
 fn site(gateway: usize) -> usize {
     gateway % 2
 }
@@ -185,7 +190,7 @@
         let place = Place {
             own: gateway.party.clone(),
             address: Some(gateway.address),
-            incarnation: self.now.0 as u64,
+            incarnation: own_time(ix, self.now).0 as u64,
             other_site: SITES[other].into(),
             seeds: seeds.map(|g| (g.party.clone(), g.address)).collect(),
             products: products(),
@@ -195,7 +200,7 @@
             memory: 1 << 16,
             seed: self.now.0 as u64 ^ ix as u64,
         };
-        let now = self.now;
+        let now = own_time(ix, self.now);
         let gateway = &mut self.gateways[ix];
         gateway.sites = Some(Sites::new(now, place));
         (gateway.life, gateway.drained, gateway.wake) = (gateway.life + 1, false, None);
@@ -223,7 +228,7 @@
     }
 
     fn tell(&mut self, ix: usize, event: Event) {
-        let now = self.now;
+        let now = own_time(ix, self.now);
         let Some(sites) = &mut self.gateways[ix].sites else { return };
         for action in sites.take(now, event) {
             self.obey(ix, action);
--- a/crates/sites/src/bearing.rs
+++ b/crates/sites/src/bearing.rs
@@ -16,6 +16,9 @@
 const TROUBLE: f64 = 0.08;
 /// The part of what was lent that must have been used for more to be lent.
 const USED: f64 = 0.5;
+/// Rounds without trouble before more is lent again. Guards against an overloaded site that lends in the moments
+/// in which nothing happens to go wrong.
+const CALM: u32 = 10;
 /// Unused credit beyond the first falls back by this each round.
 const FADES: f64 = 0.97;
 /// Weight of a new round in running means.
@@ -46,6 +49,8 @@
     ended: f64,
     troubled: f64,
     settled: f64,
+    /// Rounds since the last with trouble.
+    calm: u32,
 }
 
 impl Bearing {
@@ -62,6 +67,7 @@
             ended: 0.0,
             troubled: 0.0,
             settled: 0.0,
+            calm: CALM,
         }
     }
 
@@ -97,9 +103,13 @@
         self.served += LEARN * (self.settled - self.served);
         let trouble = self.troubled > TROUBLE * self.ended && self.troubled >= 2.0;
         let first = FIRST * self.served.max(self.settled);
+        self.calm = if trouble { 0 } else { self.calm.saturating_add(1) };
+        let calm = self.calm >= CALM;
         if trouble {
             // Guards this site's own clients: what they lack is not lent.
             self.most *= FALLS;
+        } else if !calm {
+            // Neither more nor less, until it is known what is borne.
         } else if self.used >= USED * self.most.floor().max(1.0) {
             self.most = self.most * GROWS + 1.0;
         } else if self.most < first {
@@ -111,11 +121,11 @@
         if !open {
             self.most = 0.0;
         }
-        self.share(roads, trouble);
+        self.share(roads, open && calm);
     }
 
     /// Wants come first, by revenue; what is left over is spread, so that nobody waits a round to begin.
-    fn share(&mut self, roads: &[RoadNo], trouble: bool) {
+    fn share(&mut self, roads: &[RoadNo], well: bool) {
         let mut left = self.most;
         for road in roads {
             let lent = self.lent.entry(*road).or_default();
@@ -138,8 +148,9 @@
                 lent.room.resize(self.products, 0.0);
                 for product in 0..self.products {
                     let mut granted = lent.granted[product] + left / shares;
-                    // Guards against many roads that each get less than one and so nothing at all.
-                    if !trouble && self.most > 0.0 {
+                    // Guards against many roads that each get less than one and so nothing at all, and against a
+                    // site without traffic, which has shown nothing yet.
+                    if well {
                         granted = granted.max(1.0);
                     }
                     lent.granted[product] = granted.floor();
--- /dev/null
+++ b/crates/sites/tests/traces.rs
@@ -0,0 +1,300 @@
+//! Short traces of one gateway's part between the sites: what it is told, and what it asks for.
+
+use expect_test::expect;
+use harrierdock::interface::{Group, Repeat, TxnId};
+use harrierdock::time::{Point, Span};
+use harrierdock_letters::{Answer, Beat, Handover, Letter, Party, Verdict};
+use harrierdock_sites::{Action, Ending, Event, Hand, Place, Product, Sites};
+
+const MS: Span = Span(1_000);
+
+fn party(site: &str, gateway: &str) -> Party {
+    Party { site: site.into(), gateway: gateway.into() }
+}
+
+fn product(name: &str, repeat: Repeat, spans: bool) -> Product {
+    let (name, sla, expiry) = (name.into(), MS * 400.0, MS * 1500.0);
+    Product { name, repeat, sla, expiry, revenue: 1.0, spans }
+}
+
+struct Desk {
+    sites: Sites,
+    now: Point,
+    beat: u32,
+    heard: u32,
+    trace: String,
+}
+
+/// The other end is at incarnation 77, this one at 5.
+fn desk() -> Desk {
+    let referenced = Repeat::Referenced { group: Group::All, memory: MS * 1000.0 };
+    let place = Place {
+        own: party("hobart", "h0"),
+        address: None,
+        incarnation: 5,
+        other_site: "launceston".into(),
+        seeds: vec![(party("launceston", "l0"), "127.0.0.1:1".parse().unwrap())],
+        products: vec![
+            product("draft", Repeat::InquiryLike, false),
+            product("payment", referenced, true),
+            product("ledger", referenced, false),
+            product("lodge", Repeat::OnceOnly, false),
+        ],
+        warm: MS * 2000.0,
+        tick: MS * 5.0,
+        retry_after: None,
+        memory: 1000,
+        seed: 3,
+    };
+    let now = Point(1_000_000_000);
+    let mut desk = Desk { sites: Sites::new(now, place), now, beat: 0, heard: 0, trace: String::new() };
+    desk.tell(Event::Home { ready: 4 });
+    desk.tell(Event::Up { road: 1, peer: party("launceston", "l0") });
+    desk.beats(3);
+    desk.trace.clear();
+    desk
+}
+
+impl Desk {
+    fn tell(&mut self, event: Event) {
+        for action in self.sites.take(self.now, event) {
+            self.note(action);
+        }
+    }
+
+    fn note(&mut self, action: Action) {
+        let line = match action {
+            Action::Send { letter: Letter::Beat(beat), .. } => {
+                self.heard = beat.beat;
+                return;
+            }
+            Action::Wake { .. } | Action::Dial { .. } => return,
+            Action::Here { id, left } => format!("{} here, {} ms left", id.0, left.0 / 1000),
+            Action::Across { id, crossing, to, left, .. } => {
+                format!("{} across as {crossing} to {to}, {} ms left", id.0, left.0 / 1000)
+            }
+            Action::Settle { id, .. } => format!("{} settled", id.0),
+            Action::Decline { id, .. } => format!("{} declined", id.0),
+            Action::Void { id } => format!("{} voided", id.0),
+            Action::TakeIn { inward, left, .. } => format!("take in {inward}, {} ms left", left.0 / 1000),
+            Action::Abandon { inward } => format!("abandon {inward}"),
+            Action::HangUp { .. } => "hang up".into(),
+            Action::Send { letter: Letter::Answer(a), .. } => {
+                format!("answer to {}: {:?}, {} bytes", a.crossing, a.verdict, a.body.len())
+            }
+            Action::Send { letter, .. } => format!("{letter:?}"),
+            Action::Changed(change) => format!("{change:?}"),
+        };
+        self.trace += &format!("{line}\n");
+    }
+
+    /// The other end's next beat, a round later, with credit for all products.
+    fn beat(&mut self, incarnation: u64, echoes: bool) {
+        self.now = self.now + MS * 100.0;
+        self.tell(Event::Wake);
+        self.beat += 1;
+        let echo = if echoes { self.heard } else { 0 };
+        let grants = ["draft", "payment", "ledger", "lodge"].map(|p| (p.to_string(), 20)).into();
+        let beat = Beat { incarnation, beat: self.beat, echo, grants, ..Beat::default() };
+        self.tell(Event::Heard { road: 1, letter: Letter::Beat(beat) });
+    }
+
+    fn beats(&mut self, count: usize) {
+        (0..count).for_each(|_| self.beat(77, true));
+    }
+
+    fn pass(&mut self, ms: i64) {
+        let until = self.now + MS * ms as f64;
+        while self.now < until {
+            self.now = self.now + MS * 10.0;
+            self.tell(Event::Wake);
+        }
+    }
+
+    fn txn(&mut self, id: u64, product: usize) {
+        self.tell(Event::Txn { id: TxnId(id), product, left: MS * 1500.0 });
+    }
+
+    fn hear(&mut self, crossing: u64, verdict: Verdict) {
+        let answer = Answer { crossing, to: 5, verdict, build: None, body: vec![1] };
+        self.tell(Event::Heard { road: 1, letter: Letter::Answer(answer) });
+    }
+
+    fn handover(&mut self, crossing: u64, product: &str, beat: u32) {
+        let (product, left_ms) = (product.to_string(), 1000);
+        let handover = Handover { crossing, from: 77, to: 5, beat, product, left_ms, ..Handover::default() };
+        self.tell(Event::Heard { road: 1, letter: Letter::Handover(handover) });
+    }
+}
+
+#[test]
+fn txns_stay_here_until_the_module_spares_them_and_what_crosses_never_crosses_again() {
+    let mut desk = desk();
+    desk.txn(1, 3);
+    desk.tell(Event::Spared { id: TxnId(1), product: 3, left: MS * 1400.0 });
+    desk.hear(1, Verdict::Settled);
+    desk.hear(1, Verdict::Settled);
+    desk.tell(Event::Spared { id: TxnId(2), product: 0, left: MS * 1400.0 });
+    desk.hear(2, Verdict::NotTaken);
+    // Too little time is left, and nobody waits to be told so.
+    desk.tell(Event::Spared { id: TxnId(3), product: 0, left: MS * 50.0 });
+    desk.hear(9, Verdict::Settled);
+    expect![[r#"
+        1 here, 1500 ms left
+        1 across as 1 to 77, 1395 ms left
+        1 settled
+        2 across as 2 to 77, 1395 ms left
+        2 declined
+        3 declined
+    "#]]
+    .assert_eq(&desk.trace);
+    assert_eq!((desk.sites.tally().strange, desk.sites.owed()), (2, (0, 0)));
+}
+
+#[test]
+fn after_a_cut_each_product_goes_its_own_way_and_a_lodge_is_settled_late_or_voided_once() {
+    let mut desk = desk();
+    desk.tell(Event::Hand(Hand::Drain));
+    for (id, product) in [(1, 0), (2, 1), (3, 2), (4, 3), (5, 3)] {
+        desk.txn(id, product);
+    }
+    // The road is lost: drafts and payments of a group at both sites are served here, the rest waits.
+    desk.pass(800);
+    desk.trace += "- the road is back\n";
+    desk.beats(2);
+    desk.hear(4, Verdict::Settled);
+    desk.hear(1, Verdict::Settled);
+    desk.pass(800);
+    expect![[r#"
+        1 across as 1 to 77, 1495 ms left
+        2 across as 2 to 77, 995 ms left
+        3 across as 3 to 77, 995 ms left
+        4 across as 4 to 77, 1495 ms left
+        5 across as 5 to 77, 1495 ms left
+        Home { home: Away, why: ByHand }
+        1 here, 695 ms left
+        2 here, 195 ms left
+        - the road is back
+        Inquiry { crossing: 3, from: 5, to: 77 }
+        Inquiry { crossing: 4, from: 5, to: 77 }
+        Inquiry { crossing: 5, from: 5, to: 77 }
+        4 settled
+        3 voided
+        5 voided
+    "#]]
+    .assert_eq(&desk.trace);
+}
+
+#[test]
+fn one_that_is_heard_but_does_not_hear_us_is_no_road() {
+    let mut desk = desk();
+    (0..8).for_each(|_| desk.beat(77, false));
+    desk.tell(Event::Hand(Hand::Drain));
+    desk.txn(1, 0);
+    assert!(desk.trace.ends_with("1 here, 1500 ms left\n"), "{}", desk.trace);
+}
+
+#[test]
+fn a_gateway_that_has_started_anew_answers_nothing_of_before() {
+    let mut desk = desk();
+    desk.tell(Event::Hand(Hand::Drain));
+    desk.txn(1, 3);
+    desk.txn(2, 0);
+    desk.handover(1, "draft", desk.beat);
+    let record = harrierdock_letters::Record {
+        party: party("launceston", "l0"),
+        address: None,
+        incarnation: 78,
+        version: 1,
+        standing: harrierdock_letters::Standing::Serving,
+    };
+    for incarnation in [77, 78] {
+        let record = harrierdock_letters::Record { incarnation, ..record.clone() };
+        desk.beat += 1;
+        let beat = Beat { incarnation, beat: desk.beat, records: vec![record], ..Beat::default() };
+        desk.tell(Event::Heard { road: 1, letter: Letter::Beat(beat) });
+    }
+    desk.hear(1, Verdict::Settled);
+    expect![[r#"
+        1 across as 1 to 77, 1495 ms left
+        2 across as 2 to 77, 1495 ms left
+        answer to 1: NotTaken, 0 bytes
+        1 voided
+        2 here, 1495 ms left
+        Member { party: Party { site: "launceston", gateway: "l0" }, standing: Serving, back: false, reborn: true }
+    "#]]
+    .assert_eq(&desk.trace);
+}
+
+#[test]
+fn what_is_taken_in_runs_once_whatever_copies_come_and_late_ones_are_not_taken() {
+    let mut desk = desk();
+    desk.beats(1);
+    desk.handover(1, "draft", desk.beat);
+    desk.handover(1, "draft", desk.beat);
+    let settled =
+        |inward| Event::Answered { inward, verdict: Verdict::Settled, build: Some(4), body: vec![0; 600] };
+    desk.tell(settled(1));
+    desk.handover(1, "draft", desk.beat);
+    desk.trace += "- bodies beyond the told memory are let go, oldest first\n";
+    desk.handover(2, "draft", desk.beat);
+    desk.tell(settled(2));
+    desk.handover(1, "draft", desk.beat);
+    desk.trace += "- asked for before it came, and then too late to be taken\n";
+    desk.tell(Event::Heard { road: 1, letter: Letter::Inquiry { crossing: 3, from: 77, to: 5 } });
+    desk.handover(3, "lodge", desk.beat);
+    desk.trace += "- a payment sent long ago, by the beats heard since\n";
+    desk.beats(12);
+    desk.handover(4, "payment", desk.beat - 11);
+    desk.handover(5, "payment", desk.beat);
+    desk.handover(6, "no such product", desk.beat);
+    expect![[r#"
+        take in 1, 1000 ms left
+        answer to 1: Settled, 600 bytes
+        answer to 1: Settled, 600 bytes
+        - bodies beyond the told memory are let go, oldest first
+        take in 2, 1000 ms left
+        answer to 2: Settled, 600 bytes
+        answer to 1: Unknown, 0 bytes
+        - asked for before it came, and then too late to be taken
+        answer to 3: NotTaken, 0 bytes
+        answer to 3: NotTaken, 0 bytes
+        - a payment sent long ago, by the beats heard since
+        answer to 4: NotTaken, 0 bytes
+        take in 3, 1000 ms left
+        answer to 6: NotTaken, 0 bytes
+    "#]]
+    .assert_eq(&desk.trace);
+}
+
+#[test]
+fn a_peer_that_does_not_keep_to_its_credit_is_turned_away() {
+    let mut desk = desk();
+    desk.beats(1);
+    for crossing in 1..=500 {
+        desk.handover(crossing, "draft", desk.beat);
+    }
+    let tally = desk.sites.tally();
+    assert!(tally.taken_in > 0 && tally.taken_in <= 12, "{tally:?}");
+    assert_eq!(tally.taken_in + tally.turned_away, 500);
+}
+
+#[test]
+fn a_site_that_vanishes_is_left_and_one_that_comes_and_goes_moves_traffic_a_bounded_number_of_times() {
+    let mut desk = desk();
+    let mut moves = Vec::new();
+    // Ten minutes in which the site settles nothing for a second, and all for a second.
+    for second in 0..600 {
+        for _ in 0..10 {
+            desk.beats(1);
+            let ending = if second % 2 == 0 { Ending::Failed } else { Ending::Settled };
+            for _ in 0..3 {
+                desk.tell(Event::Ended { product: 0, ending, took: MS * 20.0 });
+            }
+        }
+        let turned = desk.trace.matches("home: Away").count() + desk.trace.matches("home: Returning").count();
+        moves.push(turned);
+    }
+    let in_a_minute = moves.windows(61).map(|w| w[60] - w[0]).max().unwrap();
+    assert!(in_a_minute <= 10 && moves[10] > 0, "{in_a_minute} moves in a minute, {} in all", moves[599]);
+}
