--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -75,6 +75,18 @@
         #[bpaf(long("no-span"))]
         no_span: bool,
     },
+    /// What a crossing costs beside a txn served at home, on sockets, in one run.
+    #[bpaf(command)]
+    Cost {
+        #[bpaf(long("seed"), argument("N"), fallback(1))]
+        seed: u64,
+        /// How often the site is drained and comes home (17 s each)
+        #[bpaf(long("periods"), argument("N"), fallback(4))]
+        periods: usize,
+        /// Txns a second that come to each site
+        #[bpaf(long("rate"), argument("R"), fallback(150.0))]
+        rate: f64,
+    },
     /// Membership without sockets: rounds and bytes until a change is known to all, at 0, 10 and 30% loss.
     #[bpaf(command)]
     Membership {
@@ -139,6 +151,7 @@
                 rate,
                 skew,
                 spans,
+                more: Vec::new(),
             };
             if !(0.0..=1.0).contains(&loss) || seconds <= 0.0 || rate <= 0.0 || gateways == 0 || servers == 0
             {
@@ -150,6 +163,13 @@
             let found = sites::play(&day, |part| bar.set_position((part * 1000.0) as u64))?;
             end(&found, found.ok)
         }
+        Command::Cost { seed, periods, rate } => {
+            let bar = bar(1000);
+            let found = sites::cost(seed, periods.max(1), rate.max(1.0), |part| {
+                bar.set_position((part * 1000.0) as u64)
+            })?;
+            end(&found, found.ok)
+        }
         Command::Membership { seed, gateways, bound } => {
             let bar = bar(30);
             let found = membership::play(gateways.max(1), seed, bound, || bar.inc(1));
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -206,6 +206,13 @@
     Restart {
         gateway: usize,
     },
+    /// A word to the gateways of a site.
+    Hand {
+        site: usize,
+        word: &'static str,
+    },
+    /// Processor time and txns are noted.
+    Mark,
     StopArrivals,
     End,
 }
@@ -607,6 +614,14 @@
     }
 
     fn txn_over(&mut self, ix: usize) {
+        if self.txns[ix].answer.is_some() {
+            return;
+        }
+        // An answer that has come while this loop was busy counts as come.
+        let waits = self.callers.iter().find(|(_, c)| c.txn == Some(ix)).map(|(no, _)| *no);
+        if let Some(no) = waits {
+            self.hear_caller(no, Readiness { readable: true, writable: false, error: false });
+        }
         if self.txns[ix].answer.is_some() {
             return;
         }
