--- a/crates/flows/src/lib.rs
+++ b/crates/flows/src/lib.rs
@@ -21,7 +21,7 @@
 /// Keys alive at the most; beyond, servers' rows are folded into their release's.
 pub const KEYS: usize = 4096;
 /// The wheel turns so many times within an active time-out, so that what is due is spread over it.
-const TURNS: f64 = 16.0;
+const TURNS: f64 = 4.0;
 /// Active time-outs without anything after which a key is forgotten.
 const IDLE: u32 = 2;
 
--- a/crates/gateway/src/command_line.rs
+++ b/crates/gateway/src/command_line.rs
@@ -42,6 +42,16 @@
     /// Makes and shows the keys of links between sites.
     #[bpaf(command)]
     Keys(#[bpaf(external(keys))] Keys),
+    /// Prints files of exported flows by release, stage and product, and draws them.
+    #[bpaf(command)]
+    Flows {
+        /// Where a chart is drawn, as SVG
+        #[bpaf(long("chart"), argument("FILE"))]
+        chart: Option<PathBuf>,
+        /// IPFIX files, the oldest first
+        #[bpaf(positional("FILE"), some("no file is named"))]
+        files: Vec<PathBuf>,
+    },
     /// Says a word to a running gateway: drain, resume or status. It answers in one line of JSON.
     #[bpaf(command)]
     Site {
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -6,6 +6,7 @@
 use harrierdock::interface::*;
 use harrierdock::policy;
 use harrierdock::time::{Point, Span};
+use harrierdock_flows as flows;
 use harrierdock_letters::Verdict;
 use harrierdock_sites::{Ending, Event as Crossing};
 use harrierdock_terms::Names;
@@ -13,6 +14,7 @@
 use crate::clients::Answer;
 use crate::counters::Count;
 use crate::due::Due;
+use crate::export::Submission;
 use crate::gateway::Gateway;
 use crate::room::{Asked, Notice};
 
@@ -22,6 +24,8 @@
     out: bool,
     /// It never ran, for certain.
     never_ran: bool,
+    /// Octets of the request's body.
+    octets: usize,
 }
 
 /// Where a txn is, of those two sites may have.
@@ -122,6 +126,9 @@
     fn notice(&mut self, now: Point, notice: Notice) {
         match notice {
             Notice::Event(event) => {
+                if let (Some(export), Event::Stage(news)) = (&mut self.export, &event) {
+                    export.stage(news);
+                }
                 let listed = matches!(event, Event::Roster { .. });
                 self.take(now, event);
                 if listed {
@@ -144,6 +151,9 @@
                 };
                 self.driver.book.insert(id, entry);
                 self.room.dues.set(overdue, Due::Txn(id));
+                if let Some(export) = &mut self.export {
+                    export.taken();
+                }
                 if self.across.is_some() && inward.is_none() {
                     self.sites(now, Crossing::Txn { id, product, left });
                 } else {
@@ -151,7 +161,7 @@
                 }
             }
             Notice::Left { id } => {
-                if self.close_txn(id, Ending::Left) {
+                if self.close_txn(id, Ending::Left, flows::Outcome::Left) {
                     self.answer_across(now, id, Verdict::Voided, None, Vec::new());
                     self.sites(now, Crossing::Left { id });
                     self.take(now, Event::Left { id });
@@ -166,9 +176,13 @@
                 let Some(sent) = sent else { return };
                 sent.out = false;
                 sent.never_ran = matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-                let (server, took) = (sent.server, now - sent.at);
+                let (server, took, out) = (sent.server, now - sent.at, sent.octets);
+                if self.export.is_some() {
+                    let back = told.as_ref().map_or(0, |t| t.body.len());
+                    self.submission_ended(now, id, (server, attempt), outcome, took, (out, back));
+                }
                 if let Some(mut told) = told {
-                    if !self.close_txn(id, Ending::Settled) {
+                    if !self.close_txn(id, Ending::Settled, flows::Outcome::Settled) {
                         self.room.pool.give_back(&mut told.buffer);
                     } else if self.is_inward(id) {
                         let body = told.buffer[told.body.clone()].to_vec();
@@ -188,11 +202,20 @@
     }
 
     /// The txn has its answer, or needs none any more. Gives back whether it had none before.
-    fn close_txn(&mut self, id: TxnId, ending: Ending) -> bool {
+    fn close_txn(&mut self, id: TxnId, ending: Ending, outcome: flows::Outcome) -> bool {
         let Some(entry) = self.driver.book.get_mut(&id).filter(|e| !e.answered) else { return false };
         entry.answered = true;
         self.room.dues.clear(entry.overdue, Due::Txn(id));
         let (product, taken, whereabouts) = (entry.product, entry.taken, entry.whereabouts);
+        if let Some(export) = &mut self.export {
+            let road = match (entry.inward, whereabouts) {
+                (true, _) => flows::Road::Inward,
+                (_, Whereabouts::Across) => flows::Road::Across,
+                _ => flows::Road::Here,
+            };
+            let now = self.room.clock.now();
+            export.txn(now, product, outcome, road, now - taken);
+        }
         if self.across.is_some() && matches!(whereabouts, Whereabouts::Here | Whereabouts::Back) {
             let now = self.room.now();
             self.sites(now, Crossing::Ended { product, ending, took: now - taken });
@@ -200,6 +223,23 @@
         true
     }
 
+    fn submission_ended(
+        &mut self,
+        now: Point,
+        id: TxnId,
+        (server, attempt): (ServerIx, usize),
+        ended: Outcome,
+        took: Span,
+        (out, back): (usize, usize),
+    ) {
+        let Gateway { export: Some(export), driver, .. } = self else { return };
+        let Some(entry) = driver.book.get(&id) else { return };
+        let build = driver.module.servers.get(&server).map_or(0, |s| s.listed.build);
+        let (product, second, inward) = (entry.product, attempt > 0, entry.inward);
+        let of = Submission { product, build, server, ended, took, second, inward, out, back };
+        export.submission(now, &of);
+    }
+
     fn is_inward(&self, id: TxnId) -> bool {
         self.driver.book.get(&id).is_some_and(|e| e.inward)
     }
@@ -281,7 +321,12 @@
             Answer::Declined { .. } if !ran => Ending::Declined,
             Answer::Declined { .. } | Answer::Voided => Ending::Failed,
         };
-        if !self.close_txn(id, ending) {
+        let outcome = match &answer {
+            Answer::Settled(_) => flows::Outcome::Settled,
+            Answer::Declined { .. } => flows::Outcome::Declined,
+            Answer::Voided => flows::Outcome::Voided,
+        };
+        if !self.close_txn(id, ending, outcome) {
             return;
         }
         if self.is_inward(id) {
@@ -303,7 +348,7 @@
             return self.room.counters.must(false, "a submission is of a txn in the book");
         };
         let attempt = entry.sent.len();
-        entry.sent.push(Sent { server, at: now, out: true, never_ran: false });
+        entry.sent.push(Sent { server, at: now, out: true, never_ran: false, octets: 0 });
         let left = entry.expiry - self.room.clock.now();
         let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
         let spent = entry.answered || attempt >= self.driver.attempts || wait <= Span::ZERO;
@@ -312,12 +357,19 @@
         }
         let inward = self.is_inward(id);
         let Gateway { clients, servers, room, across, .. } = self;
-        let submit = |asked: Asked<'_>| servers.submit(room, (id, attempt), server, wait, &asked);
+        let mut octets = 0;
+        let submit = |asked: Asked<'_>| {
+            octets = asked.body.len();
+            servers.submit(room, (id, attempt), server, wait, &asked)
+        };
         let sent = match across {
             _ if spent => None,
             Some(across) if inward => across.asked(id, submit),
             _ => clients.asked(id, submit),
         };
+        if let Some(sent) = self.driver.book.get_mut(&id).and_then(|e| e.sent.get_mut(attempt)) {
+            sent.octets = octets;
+        }
         if let Err(outcome) = sent.unwrap_or(Err(Outcome::Moot)) {
             self.room.tell(Notice::Closed { id, attempt, outcome, told: None });
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::discovery::Discovery;
 use crate::driver::Driver;
 use crate::due::Due;
+use crate::export::Export;
 use crate::peers::Peers;
 use crate::platform::Platform;
 use crate::room::Room;
@@ -31,8 +32,6 @@
 /// stream, as many again for those being replaced, and votes.
 const RESERVE: usize = 24;
 
-/// Kept aside beside those where another site is told: the link's socket, the control socket and its callers.
-const SITES_RESERVE: usize = 6;
 const REPORT: Span = Span(10_000_000);
 
 pub struct Gateway {
@@ -46,6 +45,7 @@
     /// The other site, where one is told.
     pub across: Option<Across>,
     pub control: Option<Control>,
+    pub export: Option<Box<Export>>,
     /// The file of our own that a reload reads again.
     with: Option<PathBuf>,
     /// The file that a reload reads again.
@@ -77,6 +77,7 @@
         gateway.fall_due();
     }
     gateway.report();
+    gateway.end_export();
     tracing::info!("{} ends", told.name);
     Ok(())
 }
@@ -94,10 +95,7 @@
         let (connect, idle, tick) = (limits.connect, limits.idle, terms.tick.max(LEAST));
         let longest = terms.products.iter().map(|p| p.expiry).max().unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
         let pool = Pool::new(told.limits.memory_mb);
-        let descriptors = Descriptors::new(
-            told.limits.sockets,
-            RESERVE + if with.sites.is_some() { SITES_RESERVE } else { 0 },
-        );
+        let descriptors = Descriptors::new(told.limits.sockets, RESERVE + with.descriptors());
         let mut room = Room::new(Net::new(event_loop.handle(), pool, descriptors));
         let listens = |e| format!("cannot listen on {}: {e}", told.listen);
         let tending = connect.clamp(LEAST, UNUSED / 4.0);
@@ -107,6 +105,11 @@
         let across = Across::open(&room, told, &with)?;
         let control = with.sites.as_ref().and_then(|s| s.control.as_ref()).map(|path| with.path(path));
         let control = control.map(|path| Control::open(&room.handle, path)).transpose()?;
+        let slas = terms.products.iter().map(|p| p.sla).collect();
+        let export = Export::open(room.now(), &with, slas, told.seed())?.map(Box::new);
+        if export.is_some() {
+            room.due_in(Span::ZERO, Due::Export);
+        }
         let vote_wait = terms.release.vote_wait;
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
         let discovery = Discovery::new(told.discovery, connect);
@@ -129,6 +132,7 @@
             peers,
             across,
             control,
+            export,
             with: with_path,
             path: told.path.clone(),
             vote_wait,
@@ -165,6 +169,7 @@
                 Due::Txn(id) => self.overdue(id),
                 Due::Link => self.link_due(),
                 Due::Sites => self.sites_due(),
+                Due::Export => self.export(),
                 Due::Tend => self.tend(),
                 Due::End => self.try_to_end(),
                 Due::Report => {
@@ -240,7 +245,7 @@
         tracing::info!("told to reload");
         if self.with.is_some() {
             match With::read(self.with.as_deref()) {
-                Ok(with) => self.renew_keys(&with),
+                Ok(with) => self.renew(&with),
                 Err(e) => tracing::warn!("told to reload, the keys held stay: {e}"),
             }
         }
@@ -251,6 +256,29 @@
         }
     }
 
+    /// The file of our own was read again: new keys, and new collectors.
+    fn renew(&mut self, with: &With) {
+        if let Err(e) = with.check_flows() {
+            return tracing::warn!("told to reload, what is told beside the configuration stays: {e}");
+        }
+        self.renew_keys(with);
+        let now = self.room.now();
+        if let Some(export) = &mut self.export {
+            match export.renew(now, with) {
+                Ok(()) => tracing::info!("flows: collectors are read again"),
+                Err(e) => tracing::warn!("flows: the collectors held stay: {e}"),
+            }
+        }
+    }
+
+    fn export(&mut self) {
+        let now = self.room.now();
+        let Some(export) = &mut self.export else { return };
+        export.turn(now, &self.driver.names, self.ending.is_some());
+        let at = if self.ending.is_some() { now + self.tick } else { export.next() };
+        self.room.dues.set(at, Due::Export);
+    }
+
     /// The first signal lets all that is taken be answered; a second one ends at once.
     fn end(&mut self) {
         if self.ending.is_some() {
@@ -265,6 +293,24 @@
         self.sites(now, harrierdock_sites::Event::Ending);
     }
 
+    /// The last line on flows says what was recorded and what became of it.
+    fn end_export(&mut self) {
+        let now = self.room.now();
+        let Some(mut export) = self.export.take() else { return };
+        tracing::info!("flows: tally {}", export.tally(&self.driver.names));
+        let (recorded, tallies) = export.end(now, &self.driver.names);
+        for t in tallies {
+            tracing::info!(
+                "flows: to {}: recorded {recorded:?} dropped {:?} in-doubt {} messages {} records {}",
+                t.name,
+                t.dropped.counts,
+                t.in_doubt,
+                t.messages,
+                t.records
+            );
+        }
+    }
+
     fn report(&mut self) {
         let room = &mut self.room;
         room.counters.set(Count::LogLinesLost, logging::lost());
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -9,6 +9,9 @@
 mod discovery;
 mod driver;
 mod due;
+mod export;
+mod flow_file;
+mod flow_report;
 mod gateway;
 mod keys;
 mod peers;
@@ -50,6 +53,12 @@
             print(keys::issue_all(&folder, &gateways, days)?)
         }
         Command::Keys(Keys::Show { file }) => print(keys::show_file(&file)?),
+        Command::Flows { chart, files } => {
+            let read = flow_report::Read::files(&files)?;
+            read.notes.iter().try_for_each(|note| say(io::stderr(), note))?;
+            print(read.table())?;
+            chart.map_or(Ok(()), |path| read.chart(&path))
+        }
         Command::Site { word, control } => print(control::say(&control, word.as_str())?),
         Command::Version => print(concat!("harrierdock ", env!("CARGO_PKG_VERSION")).into()),
     }
--- a/crates/ipfix/src/read.rs
+++ b/crates/ipfix/src/read.rs
@@ -7,6 +7,9 @@
 const FIELDS_MOST: usize = 256;
 const DOMAINS_MOST: usize = 64;
 
+/// What stands in the place of an enterprise for scopes of NetFlow v9, whose types are numbered by themselves.
+pub const V9_SCOPE: u32 = u32::MAX;
+
 /// Why a message cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -167,11 +170,13 @@
                 return Err(Fault::TooMany);
             }
             let mut fields = Vec::with_capacity(count);
-            for _ in 0..count {
+            for at in 0..count {
                 let (element, length) = (set.u16()?, set.u16()?);
                 let enterprise = if element & 0x8000 != 0 && !v9 { set.u32()? } else { 0 };
                 // NetFlow v9 has no numbers of enterprises: its large types are taken for ours.
                 let enterprise = if v9 && element & 0x8000 != 0 { crate::ENTERPRISE } else { enterprise };
+                // Scopes of NetFlow v9 are numbered by themselves.
+                let enterprise = if v9 && at < usize::from(scope) { V9_SCOPE } else { enterprise };
                 fields.push((enterprise, element & 0x7fff, length));
             }
             let held = self.templates.entry(domain).or_default();
--- /dev/null
+++ b/crates/rehearse/src/flows.rs
@@ -0,0 +1,285 @@
+//! The rehearsal of flow export: gateways with export beside others without, under the same traffic, and a
+//! collector that is away, slow or lossy; then what it has counted is set beside what the gateways say.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use harrierdock_link::Credentials;
+use rustls::server::WebPkiClientVerifier;
+use rustls::{RootCertStore, ServerConfig};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::collector::{Collector, Road, Row, COLUMNS};
+use crate::processes::program;
+use crate::sites::{self, Cut};
+use crate::world::Step;
+
+/// What is played.
+pub struct Day {
+    pub seed: u64,
+    pub seconds: f64,
+    pub form: String,
+    pub road: Road,
+    pub collector_down: Option<Cut>,
+    pub slow: bool,
+    pub churn: bool,
+    pub surge: bool,
+    pub loss: f64,
+    pub rate: f64,
+}
+
+#[derive(Debug, Default, Serialize)]
+pub struct Report {
+    pub gateway_tally: BTreeMap<String, u64>,
+    pub collector_tally: BTreeMap<String, u64>,
+    /// What gateways said that they had dropped, by kind, and what may have been lost in a broken connection.
+    pub reported_dropped: BTreeMap<String, u64>,
+    pub in_doubt: u64,
+    /// Tally = collected + dropped, for every kind; over UDP with losses, that the gap is what was lost.
+    pub agree: bool,
+    pub messages: u64,
+    pub records_sent: u64,
+    pub records_collected: u64,
+    pub sequence_gap: u64,
+    pub lost_on_the_way: u64,
+    pub client_data_found: u64,
+    pub faults: u64,
+    pub memory_mb_with: f64,
+    pub memory_mb_without: f64,
+    pub late_share_with: f64,
+    pub late_share_without: f64,
+    pub p99_ms_with: f64,
+    pub p99_ms_without: f64,
+    pub cpu_ratio: f64,
+    /// Octets a second of the gateway that jumps, after it did over before.
+    pub surge_octets_ratio: Option<f64>,
+    pub rules_kept: bool,
+    pub ok: bool,
+}
+
+/// A collector's end of TLS, with keys issued by the program itself.
+fn tls(folder: &Path) -> Result<Arc<ServerConfig>, String> {
+    let keys = folder.join("keys");
+    let run = |arguments: &[&str]| {
+        let output = Command::new(program()?).args(arguments).output().map_err(|e| e.to_string())?;
+        let said = String::from_utf8_lossy(&output.stderr).trim().to_string();
+        output.status.success().then_some(()).ok_or(said)
+    };
+    let path = keys.display().to_string();
+    run(&["keys", "authority", &path])?;
+    run(&["keys", "issue", &path, "hobart/collector", "hobart/exporter"])?;
+    let read = |name: &str| std::fs::read(keys.join(name)).map_err(|e| format!("{name}: {e}"));
+    let own = Credentials::read(
+        &read("authority.pem")?,
+        &read("hobart-collector.pem")?,
+        &read("hobart-collector.key")?,
+    )?;
+    let mut roots = RootCertStore::empty();
+    own.authority.iter().try_for_each(|c| roots.add(c.clone())).map_err(|e| e.to_string())?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider.clone()).build();
+    let config = ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|e| e.to_string())?
+        .with_client_cert_verifier(verifier.map_err(|e| e.to_string())?)
+        .with_single_cert(own.chain, own.key)
+        .map_err(|e| e.to_string())?;
+    Ok(Arc::new(config))
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(0.0)
+}
+
+/// `to NAME: recorded [a, b] dropped [c, d] in-doubt e messages f records g`
+fn said(line: &str, of: &str) -> Vec<u64> {
+    let Some((_, rest)) = line.split_once(&format!(" {of} ")) else { return Vec::new() };
+    let rest = rest
+        .strip_prefix('[')
+        .map_or_else(|| rest.split(' ').next().unwrap_or(""), |list| list.split(']').next().unwrap_or(""));
+    rest.split(", ").filter_map(|n| n.parse().ok()).collect()
+}
+
+const KINDS: [&str; 2] = ["submission", "txn"];
+
+pub fn play(day: &Day, progress: impl FnMut(f64)) -> Result<Report, String> {
+    let folder = std::env::temp_dir().join(format!("harrierdock-flows-{}-{}", std::process::id(), day.seed));
+    std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let played = on_stage(day, &folder, progress);
+    let _ = std::fs::remove_dir_all(&folder);
+    played
+}
+
+fn on_stage(day: &Day, folder: &Path, mut progress: impl FnMut(f64)) -> Result<Report, String> {
+    let config = if day.road == Road::Tls { Some(tls(folder)?) } else { None };
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let collector = Collector::start(listen, day.road, day.slow, day.loss, config)?;
+    let road = format!("{:?}", day.road).to_lowercase();
+    let mut told = json!({"name": "main", "address": collector.address, "road": road, "form": day.form});
+    if day.road == Road::Tls {
+        let key = |name: &str| folder.join("keys").join(name).display().to_string();
+        told["keys"] = json!({"authority": key("authority.pem"), "certificate": key("hobart-exporter.pem"),
+            "key": key("hobart-exporter.key")});
+        told["server_name"] = json!("collector.hobart.harrierdock.internal");
+    }
+    let told_flows = json!({"active_ms": 500, "collectors": [told]});
+    let mut more: Vec<(f64, Step)> =
+        (0..=(day.seconds / 2.0) as u32).map(|n| (f64::from(n) * 2.0, Step::Mark)).collect();
+    if let Some(down) = day.collector_down {
+        more.push((down.second, Step::Collector { up: false }));
+        more.push((down.second + down.seconds, Step::Collector { up: true }));
+    }
+    if day.churn {
+        more.extend((1..(day.seconds * 4.0) as u32).map(|n| (f64::from(n) / 4.0, Step::Churn)));
+    }
+    if day.surge {
+        // Of a site's two gateways the first gets a hundredth, and from half-time on a fifth.
+        more.push((0.0, Step::Weigh { gateway: 0, weight: 0.0101 }));
+        more.push((day.seconds / 2.0, Step::Weigh { gateway: 0, weight: 0.25 }));
+    }
+    let on_sites = sites::Day {
+        seed: day.seed,
+        seconds: day.seconds,
+        kill: None,
+        servers_only: false,
+        back_after: None,
+        loss: 0.0,
+        one_way: false,
+        cut: None,
+        drain: None,
+        rolling: None,
+        gateways: 2,
+        servers: 4,
+        rate: day.rate,
+        skew: 1.0,
+        spans: true,
+        more,
+        export: Some(collector.clone()),
+        told_flows,
+    };
+    let played = sites::once(&on_sites, false, &mut progress)?;
+    // What is on its way to the collector still comes.
+    std::thread::sleep(Duration::from_millis(500));
+    collector.stop();
+    judge(day, &played, &collector)
+}
+
+fn judge(day: &Day, played: &sites::Report, collector: &Collector) -> Result<Report, String> {
+    let counted = collector.counted.lock().map_err(|e| e.to_string())?;
+    let mut report = Report::default();
+    let (mut recorded, mut dropped) = (BTreeMap::<Row, u64>::new(), [0_u64; 2]);
+    for line in &played.last_lines {
+        if let Some(tally) = line.strip_prefix("tally ") {
+            let rows: Vec<(String, u64, String, u64)> =
+                serde_json::from_str(tally).map_err(|e| e.to_string())?;
+            for (kind, build, product, count) in rows {
+                *recorded.entry((kind, build, product)).or_default() += count;
+            }
+        }
+        let of = said(line, "dropped");
+        dropped.iter_mut().zip(of).for_each(|(sum, more)| *sum += more);
+        report.in_doubt += said(line, "in-doubt").iter().sum::<u64>();
+        report.messages += said(line, "messages").iter().sum::<u64>();
+        report.records_sent += said(line, "records").iter().sum::<u64>();
+    }
+    let name = |(kind, build, product): &Row| format!("{kind} {build} {product}");
+    report.gateway_tally = recorded.iter().map(|(row, n)| (name(row), *n)).collect();
+    report.collector_tally = counted.sums.iter().map(|(row, n)| (name(row), *n)).collect();
+    report.reported_dropped = KINDS.iter().zip(dropped).map(|(kind, n)| (kind.to_string(), n)).collect();
+    let total = |sums: &BTreeMap<Row, u64>, kind: &str| {
+        sums.iter().filter(|(r, _)| r.0 == kind).map(|(_, n)| n).sum::<u64>()
+    };
+    report.records_collected = counted.domains.values().map(|d| d.records).sum();
+    report.sequence_gap = counted.domains.values().map(|d| d.gap).sum();
+    (report.lost_on_the_way, report.faults) = (counted.lost_here, counted.faults);
+    let whole = KINDS.iter().zip(dropped).all(|(kind, dropped)| {
+        let (all, got) = (total(&recorded, kind), total(&counted.sums, kind) + dropped);
+        // What was written just before a connection broke may have come or not.
+        got <= all + report.in_doubt && got + report.in_doubt >= all
+    });
+    let exact = dropped != [0; 2] || report.in_doubt > 0 || day.churn || recorded == counted.sums;
+    // Over UDP what was lost is seen in the sequence numbers, up to the last message.
+    let missing = report.records_sent.saturating_sub(report.records_collected);
+    let lossy = counted.lost_here > 0;
+    let gap = if day.form == "v9" { counted.lost_here } else { missing };
+    report.agree = if lossy { gap.abs_diff(report.sequence_gap) <= gap / 20 + 60 } else { whole && exact };
+    let seen = |pattern: &[u8]| counted.raw.windows(pattern.len()).filter(|w| *w == pattern).count() as u64;
+    let patterns: [&[u8]; 6] = [b"hobart-", b"launceston-", b"key-", b"obj=", b"/api", b"lines"];
+    report.client_data_found = patterns.into_iter().map(seen).sum();
+    // The first gateway of each site exports, the second does not.
+    let with = |g: usize| g < 2;
+    let mean = |of: &dyn Fn(&(f64, f64, f64)) -> f64, exports: bool| {
+        let some: Vec<f64> = played
+            .of_gateways
+            .iter()
+            .enumerate()
+            .filter(|(g, _)| with(*g) == exports)
+            .map(|(_, v)| of(v))
+            .collect();
+        some.iter().sum::<f64>() / some.len().max(1) as f64
+    };
+    (report.late_share_with, report.late_share_without) = (mean(&|g| g.0, true), mean(&|g| g.0, false));
+    (report.p99_ms_with, report.p99_ms_without) = (mean(&|g| g.1, true), mean(&|g| g.1, false));
+    (report.memory_mb_with, report.memory_mb_without) = (mean(&|g| g.2, true), mean(&|g| g.2, false));
+    let ratios = played.by_gateway.iter().filter_map(|span| {
+        let of = |exports: bool| {
+            let some = span.iter().enumerate().filter(|(g, _)| with(*g) == exports).map(|(_, s)| *s);
+            let (ticks, txns) = some.fold((0.0, 0), |sum, s| (sum.0 + s.0, sum.1 + s.1));
+            (txns > 0).then(|| ticks / txns as f64)
+        };
+        Some(of(true)? / of(false).filter(|w| *w > 0.0)?)
+    });
+    report.cpu_ratio = median(ratios.collect());
+    if day.surge {
+        let half = (day.seconds / 2.0) as u64 + 2;
+        let rate = |of: &dyn Fn(u64) -> bool| {
+            let some: Vec<u64> = counted
+                .octets
+                .iter()
+                .filter(|((d, s), _)| *d == 1 && *s > 3 && of(*s))
+                .map(|(_, n)| *n)
+                .collect();
+            some.iter().sum::<u64>() as f64 / some.len().max(1) as f64
+        };
+        report.surge_octets_ratio = Some(rate(&|s| s > half) / rate(&|s| s < half).max(1.0));
+    }
+    report.rules_kept = played.answered_twice + played.unanswered + played.once_only_run_twice == 0
+        && played.broken_lines + played.crashes + played.repeats_outside_memory == 0;
+    // One that never takes anything in is only to cost nothing.
+    let heard = day.slow || report.agree;
+    report.ok = report.rules_kept && heard && report.client_data_found == 0 && !recorded.is_empty();
+    Ok(report)
+}
+
+/// A collector by itself, with a line of JSON each second.
+pub fn collect(listen: SocketAddr, road: Road, seconds: f64, csv: Option<&Path>) -> Result<(), String> {
+    if road == Road::Tls {
+        return Err("a collector by itself listens by udp or tcp".into());
+    }
+    let collector = Collector::start(listen, road, false, 0.0, None)?;
+    eprintln!("collects on {}", collector.address);
+    let from = Instant::now();
+    while from.elapsed().as_secs_f64() < seconds {
+        std::thread::sleep(Duration::from_secs(1));
+        let counted = collector.counted.lock().map_err(|e| e.to_string())?;
+        let sums: BTreeMap<String, u64> =
+            counted.sums.iter().map(|((k, b, p), n)| (format!("{k} {b} {p}"), *n)).collect();
+        println!("{}", json!({"messages": counted.messages, "faults": counted.faults, "sums": sums}));
+    }
+    collector.stop();
+    if let Some(path) = csv {
+        let counted = collector.counted.lock().map_err(|e| e.to_string())?;
+        let wrong = |e: csv::Error| format!("{}: {e}", path.display());
+        let mut writer = csv::Writer::from_path(path).map_err(wrong)?;
+        writer.write_record(COLUMNS).map_err(wrong)?;
+        counted.table.iter().try_for_each(|line| writer.write_record(line)).map_err(wrong)?;
+        writer.flush().map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for all that a gateway meets, and rehearsals made of them. Everything stays on loopback.
 
+pub mod collector;
 pub mod core;
+pub mod flows;
 pub mod membership;
 pub mod processes;
 pub mod scripted;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -5,8 +5,9 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use harrierdock_rehearse::collector::Road;
 use harrierdock_rehearse::sites::{self, At, Cut, Day};
-use harrierdock_rehearse::{core, membership};
+use harrierdock_rehearse::{core, flows, membership};
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde::Serialize;
 
@@ -87,6 +88,55 @@
         #[bpaf(long("rate"), argument("R"), fallback(150.0))]
         rate: f64,
     },
+    /// Flow export with built gateways: every other one exports, so that the cost shows in one run.
+    #[bpaf(command)]
+    Flows {
+        #[bpaf(long("seed"), argument("N"), fallback(1))]
+        seed: u64,
+        /// How long clients come
+        #[bpaf(long("seconds"), argument("S"), fallback(20.0))]
+        seconds: f64,
+        /// ipfix or v9
+        #[bpaf(long("form"), argument("FORM"), fallback("ipfix".into()))]
+        form: String,
+        /// udp, tcp or tls
+        #[bpaf(long("road"), argument("ROAD"), fallback("tcp".into()))]
+        road: String,
+        /// The collector is away for a while
+        #[bpaf(long("collector-down"), argument("T+S"))]
+        collector_down: Option<Cut>,
+        /// The collector reads one octet a second
+        #[bpaf(long("slow"))]
+        slow: bool,
+        /// Servers change their names four times a second, and their builds now and then
+        #[bpaf(long("churn"))]
+        churn: bool,
+        /// One gateway jumps from a hundredth of its site's traffic to a fifth
+        #[bpaf(long("surge"))]
+        surge: bool,
+        /// The part of datagrams that the collector loses
+        #[bpaf(long("loss"), argument("P"), fallback(0.0))]
+        loss: f64,
+        /// Txns a second that come to each site
+        #[bpaf(long("rate"), argument("R"), fallback(150.0))]
+        rate: f64,
+    },
+    /// A collector by itself: takes IPFIX and NetFlow v9 and prints what it has counted, as JSON, each second.
+    #[bpaf(command)]
+    Collector {
+        /// udp or tcp
+        #[bpaf(long("road"), argument("ROAD"), fallback("udp".into()))]
+        road: String,
+        /// How long it runs
+        #[bpaf(long("seconds"), argument("S"), fallback(60.0))]
+        seconds: f64,
+        /// Where it writes the records it got: a CSV file
+        #[bpaf(long("csv"), argument("FILE"))]
+        csv: Option<std::path::PathBuf>,
+        /// Where it listens; the system's choice of a port by default
+        #[bpaf(long("listen"), argument("ADDRESS"), fallback("127.0.0.1:0".parse().expect("an address")))]
+        listen: std::net::SocketAddr,
+    },
     /// Membership without sockets: rounds and bytes until a change is known to all, at 0, 10 and 30% loss.
     #[bpaf(command)]
     Membership {
@@ -152,6 +202,8 @@
                 skew,
                 spans,
                 more: Vec::new(),
+                export: None,
+                told_flows: serde_json::Value::Null,
             };
             if !(0.0..=1.0).contains(&loss) || seconds <= 0.0 || rate <= 0.0 || gateways == 0 || servers == 0
             {
@@ -170,6 +222,21 @@
             })?;
             end(&found, found.ok)
         }
+        Command::Flows { seed, seconds, form, road, collector_down, slow, churn, surge, loss, rate } => {
+            let road = road.parse()?;
+            if !["ipfix", "v9"].contains(&form.as_str()) || (form == "v9" && road != Road::Udp) {
+                return Err("--form is ipfix, or v9 with --road udp".into());
+            }
+            let day =
+                flows::Day { seed, seconds, form, road, collector_down, slow, churn, surge, loss, rate };
+            let bar = bar(1000);
+            let found = flows::play(&day, |part| bar.set_position((part * 1000.0) as u64))?;
+            end(&found, found.ok)
+        }
+        Command::Collector { road, seconds, csv, listen } => {
+            flows::collect(listen, road.parse()?, seconds, csv.as_deref())?;
+            Ok(true)
+        }
         Command::Membership { seed, gateways, bound } => {
             let bar = bar(30);
             let found = membership::play(gateways.max(1), seed, bound, || bar.inc(1));
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -128,6 +128,8 @@
     pub alive: bool,
     /// The front sends clients there.
     pub open: bool,
+    /// How many of its site's clients come to it, beside the others.
+    pub weight: f64,
 }
 
 struct Relay {
@@ -211,6 +213,17 @@
         site: usize,
         word: &'static str,
     },
+    /// One gateway's part of its site's clients changes.
+    Weigh {
+        gateway: usize,
+        weight: f64,
+    },
+    /// Every server gets another name; now and then all get another build.
+    Churn,
+    /// The collector is stopped, or started again.
+    Collector {
+        up: bool,
+    },
     /// Processor time and txns are noted.
     Mark,
     StopArrivals,
@@ -492,7 +505,13 @@
         if among.is_empty() {
             return;
         }
-        let gateway = among[self.chance.generate_range(0..among.len())];
+        let mut left =
+            self.chance.generate::<f64>() * among.iter().map(|d| self.doors[*d].weight).sum::<f64>();
+        let at = among.iter().position(|d| {
+            left -= self.doors[*d].weight;
+            left < 0.0
+        });
+        let gateway = among[at.unwrap_or(0)];
         let life = self.doors[gateway].life;
         let idle = |c: &Caller| c.gateway == gateway && c.life == life && c.txn.is_none();
         let kept = self.callers.iter().rev().find(|(_, c)| idle(c)).map(|(no, _)| *no);
