--- a/crates/flows/src/pending.rs
+++ b/crates/flows/src/pending.rs
@@ -101,16 +101,15 @@
         self.fold = fold;
         for (key, flow) in std::mem::take(&mut self.flows) {
             let key = fold.key(key);
-            if self.flows.contains_key(&key) {
-                self.join(key, &flow);
-            } else {
-                self.flows.insert(key, Flow { key, ..flow });
+            match self.flows.get(&key) {
+                Some(_) => self.join(key, &flow),
+                None => drop(self.flows.insert(key, Flow { key, ..flow })),
             }
         }
     }
 
     /// Takes out the next that waits, by key.
-    pub fn next(&mut self) -> Option<Flow> {
+    pub fn take(&mut self) -> Option<Flow> {
         let next = self.flows.pop_first().map(|(_, flow)| flow);
         if self.flows.is_empty() {
             self.fold = Fold::Nothing;
--- a/crates/gateway/src/due.rs
+++ b/crates/gateway/src/due.rs
@@ -17,8 +17,6 @@
     Link,
     /// What goes between the sites is looked after.
     Sites,
-    /// Flows are told, and lines to collectors moved on.
-    Export,
     /// Connections, streams and descriptors are looked after.
     Tend,
     /// The counters are logged.
--- a/crates/gateway/src/export.rs
+++ b/crates/gateway/src/export.rs
@@ -24,6 +24,8 @@
 /// What an IPFIX message may take over UDP where the path's size is not known (RFC 7011, 10.3.3).
 const UDP_MOST: usize = 1400;
 const STREAM_MOST: usize = 8 * 1024;
+/// What is allowed and not used is saved for so long.
+const SAVED: Span = Span(2_000_000);
 /// Octets written for a collector and not taken by its socket, at the most.
 const WAITING_MOST: usize = 64 * 1024;
 /// Messages to one UDP collector in one turn, so that a burst does not overrun it.
@@ -178,6 +180,7 @@
     statistics_due: Point,
     messages: u64,
     records: u64,
+    octets: u64,
 }
 
 struct Collector {
@@ -187,6 +190,9 @@
     line: Line,
     tries: u32,
     in_doubt: u64,
+    /// Octets that may be sealed by now, and when that was reckoned.
+    allowed: f64,
+    reckoned: Point,
 }
 
 /// What is summed up when all is over, for one collector.
@@ -276,6 +282,7 @@
             statistics_due: now,
             messages: 0,
             records: 0,
+            octets: 0,
         }
     }
 
@@ -367,7 +374,7 @@
             room = room.saturating_sub(64);
         }
         while room > 0 {
-            let Some(flow) = self.pending.next() else { break };
+            let Some(flow) = self.pending.take() else { break };
             let key = flow.key;
             let product = names.products.get_index(usize::from(key.product)).map_or("", String::as_str);
             let mut values = vec![
@@ -412,6 +419,7 @@
             let keep = usize::from(!all || at < last);
             let own = flows.drain(..flows.len().saturating_sub(keep)).collect();
             self.records += u64::from(records);
+            self.octets += bytes.len() as u64;
             self.sealed.push_back(Sealed { bytes, flows: own });
         }
     }
@@ -430,7 +438,16 @@
         let most = if udp { told.message_octets.unwrap_or(UDP_MOST) } else { STREAM_MOST };
         // Over a connection templates are told once.
         let outbox = Outbox::new(now, form, domain, most, udp.then_some(TEMPLATES_EVERY));
-        Ok(Collector { told: told.clone(), tls, outbox, line: Line::Resting(now), tries: 0, in_doubt: 0 })
+        Ok(Collector {
+            told: told.clone(),
+            tls,
+            outbox,
+            line: Line::Resting(now),
+            tries: 0,
+            in_doubt: 0,
+            allowed: 0.0,
+            reckoned: now,
+        })
     }
 
     /// Goes on to the next try after a while. What was not sent waits again.
@@ -548,7 +565,15 @@
                 }
                 let most =
                     if self.told.road == CollectorRoad::Udp { UDP_BURST * UDP_MOST } else { WAITING_MOST };
+                // Guards against a gateway that suddenly carries much of the traffic, or has much to make up for,
+                // sending at another rate than before. At the end all goes.
+                let (rate, waited) = (f64::from(self.told.octets_a_second), (now - self.reckoned).as_secs());
+                self.allowed = (self.allowed + rate * waited).min(rate * SAVED.as_secs());
+                self.reckoned = now;
+                let most = if export.ends { most } else { most.min(self.allowed as usize) };
+                let before = self.outbox.octets;
                 self.outbox.seal(now, export, most);
+                self.allowed -= (self.outbox.octets - before) as f64;
                 self.send(now)?;
             }
             Ok(())
@@ -662,6 +687,8 @@
     domain: u32,
     recorded: [u64; 2],
     ignored: u64,
+    /// The gateway ends.
+    ends: bool,
 }
 
 impl Export {
@@ -779,6 +806,7 @@
             domain: self.told.domain,
             recorded: self.flows.recorded(),
             ignored: self.flows.ignored.iter().sum(),
+            ends,
         };
         for collector in &mut self.collectors {
             collector.drive(now, &mut self.chance, &sources);
--- a/crates/gateway/src/flow_report.rs
+++ b/crates/gateway/src/flow_report.rs
@@ -203,7 +203,7 @@
                     .draw()?;
                 for (at, build) in builds.iter().enumerate() {
                     let color = Palette99::pick(at).to_rgba();
-                    let points = if area as *const _ == &upper as *const _ {
+                    let points = if std::ptr::eq(area, &upper) {
                         let capped = bins
                             .iter()
                             .filter_map(|b| Some((second(*b), *caps.get(&(*b, *build))? as f64 / MILLION)));
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -107,9 +107,6 @@
         let control = control.map(|path| Control::open(&room.handle, path)).transpose()?;
         let slas = terms.products.iter().map(|p| p.sla).collect();
         let export = Export::open(room.now(), &with, slas, told.seed())?.map(Box::new);
-        if export.is_some() {
-            room.due_in(Span::ZERO, Due::Export);
-        }
         let vote_wait = terms.release.vote_wait;
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
         let discovery = Discovery::new(told.discovery, connect);
@@ -169,7 +166,6 @@
                 Due::Txn(id) => self.overdue(id),
                 Due::Link => self.link_due(),
                 Due::Sites => self.sites_due(),
-                Due::Export => self.export(),
                 Due::Tend => self.tend(),
                 Due::End => self.try_to_end(),
                 Due::Report => {
@@ -196,6 +192,7 @@
             control.tend(&room.handle, room.net.now());
         }
         logging::flush();
+        self.tell_flows();
         self.room.due_in(self.tending, Due::Tend);
     }
 
@@ -271,12 +268,12 @@
         }
     }
 
-    fn export(&mut self) {
-        let now = self.room.now();
-        let Some(export) = &mut self.export else { return };
-        export.turn(now, &self.driver.names, self.ending.is_some());
-        let at = if self.ending.is_some() { now + self.tick } else { export.next() };
-        self.room.dues.set(at, Due::Export);
+    /// Flows are told where connections are looked after anyway, so that they wake nobody.
+    fn tell_flows(&mut self) {
+        let (now, ends) = (self.room.now(), self.ending.is_some());
+        if let Some(export) = self.export.as_mut().filter(|e| ends || e.next() <= now) {
+            export.turn(now, &self.driver.names, ends);
+        }
     }
 
     /// The first signal lets all that is taken be answered; a second one ends at once.
--- a/crates/gateway/src/with.rs
+++ b/crates/gateway/src/with.rs
@@ -114,6 +114,9 @@
     pub form: FlowForm,
     /// The longest message over UDP, in octets; 1400 by default.
     pub message_octets: Option<usize>,
+    /// Octets a second that it is sent at the most; what is beyond waits and is merged. 16384 by default.
+    #[serde(default = "octets")]
+    pub octets_a_second: u32,
     pub keys: Option<KeyFiles>,
     /// The name in the collector's certificate; its address by default.
     pub server_name: Option<String>,
@@ -139,10 +142,16 @@
     1
 }
 
+fn octets() -> u32 {
+    16 * 1024
+}
+
 /// The shortest time after which sums may be told, in milliseconds.
 const ACTIVE_LEAST: u32 = 100;
 /// Collectors at the most.
 const COLLECTORS_MOST: usize = 8;
+/// Octets a second by which a collector still learns of each key in a while.
+const OCTETS_LEAST: u32 = 1024;
 /// What a message must hold, and what a datagram may, in octets.
 const OCTETS: std::ops::RangeInclusive<usize> = 512..=65_000;
 
@@ -170,6 +179,9 @@
             if told.form == FlowForm::V9 && told.road != CollectorRoad::Udp {
                 return field(&here("form"), "v9 has no lengths of messages, so its road is udp");
             }
+            if told.octets_a_second < OCTETS_LEAST {
+                return field(&here("octets_a_second"), &format!("is {OCTETS_LEAST} at the least"));
+            }
             if told.message_octets.is_some_and(|o| !OCTETS.contains(&o)) {
                 return field(&here("message_octets"), "is from 512 to 65000");
             }
--- a/crates/ipfix/src/lib.rs
+++ b/crates/ipfix/src/lib.rs
@@ -7,5 +7,5 @@
 mod write;
 
 pub use element::{Element, Kind, Semantics, Template, Value, ENTERPRISE, VARIABLE};
-pub use read::{split_file, Fault, Message, Reader, Record, Torn, V9_SCOPE};
+pub use read::{split_file, Fault, Message, Reader, Record, Split, Torn, V9_SCOPE};
 pub use write::{Form, Full, Writer, V9_TEXT};
--- a/crates/ipfix/src/read.rs
+++ b/crates/ipfix/src/read.rs
@@ -225,11 +225,14 @@
     At(usize),
 }
 
+/// The messages of a file, and how it ends.
+pub type Split<'a> = (Vec<&'a [u8]>, Torn);
+
 /// The messages of a file (RFC 5655), and whether the last one is whole.
 ///
 /// # Errors
 /// Says at which octet no message begins where one should.
-pub fn split_file(bytes: &[u8]) -> Result<(Vec<&[u8]>, Torn), (usize, Fault)> {
+pub fn split_file(bytes: &[u8]) -> Result<Split<'_>, (usize, Fault)> {
     let (mut at, mut messages) = (0, Vec::new());
     while at < bytes.len() {
         match Reader::length(&bytes[at..]).map_err(|e| (at, e))? {
--- a/crates/rehearse/src/sites.rs
+++ b/crates/rehearse/src/sites.rs
@@ -238,6 +238,13 @@
         let with = if self.day.export.is_some() && ix.is_multiple_of(4) | (ix % 4 == 1) {
             let mut flows = self.day.told_flows.clone();
             flows["domain"] = json!(ix + 1);
+            if let Some(folder) = self.day.told_flows["keep"].as_str() {
+                let path = Path::new(folder).join(format!("{name}.ipfix"));
+                flows["file"] = json!({"path": path, "most_mb": 16});
+            }
+            if let Some(told) = flows.as_object_mut() {
+                told.remove("keep");
+            }
             Some(json!({ "flows": flows }))
         } else {
             with
