--- a/crates/gateway/src/export.rs
+++ b/crates/gateway/src/export.rs
@@ -305,6 +305,11 @@
         }
     }
 
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty() && self.shares.is_empty()
+    }
+
     fn share(&mut self, of: (u32, u8), share: Share) {
         let room = self.shares.len() < SHARES_MOST;
         match self.shares.get_mut(&of) {
@@ -812,7 +817,7 @@
             collector.drive(now, &mut self.chance, &sources);
         }
         if let Some(file) = &mut self.file {
-            file.turn(&due, |outbox| outbox.seal(now, &sources, WAITING_MOST), now, self.told.domain);
+            file.turn(&due, |outbox| outbox.seal(now, &sources, WAITING_MOST));
         }
     }
 
@@ -823,7 +828,8 @@
             // Whoever is not the newest has no cap.
             let (stage, cap) = if of == build { (stage, cap) } else { (0, MILLION) };
             let share = Share { from: self.share_from, until: now, cap, taken, submissions };
-            self.collectors.iter_mut().for_each(|c| c.outbox.share((of, stage), share));
+            let boxes = self.collectors.iter_mut().map(|c| &mut c.outbox);
+            boxes.chain(self.file.as_mut().map(|f| &mut f.outbox)).for_each(|b| b.share((of, stage), share));
         }
         self.share_from = now;
     }
--- a/crates/gateway/src/flow_file.rs
+++ b/crates/gateway/src/flow_file.rs
@@ -20,7 +20,7 @@
 const MEGABYTE: u64 = 1 << 20;
 
 pub struct FlowFile {
-    outbox: Outbox,
+    pub outbox: Outbox,
     /// A message that found the thread busy.
     held: Option<Vec<u8>>,
     to: Option<SyncSender<Vec<u8>>>,
@@ -120,12 +120,12 @@
     }
 
     /// What is due joins what waits, and goes to the thread as far as that takes it.
-    pub fn turn(&mut self, due: &[Flow], seal: impl Fn(&mut Outbox), _now: Point, _domain: u32) {
+    pub fn turn(&mut self, due: &[Flow], seal: impl Fn(&mut Outbox)) {
         due.iter().for_each(|flow| self.outbox.pending.add(*flow));
         let Some(to) = &self.to else { return };
         loop {
             let Some(message) = self.held.take().or_else(|| self.outbox.next()) else {
-                if self.outbox.pending.is_empty() {
+                if self.outbox.is_empty() {
                     return;
                 }
                 seal(&mut self.outbox);
