--- a/crates/rehearse/src/flows.rs
+++ b/crates/rehearse/src/flows.rs
@@ -29,6 +29,8 @@
     pub slow: bool,
     pub churn: bool,
     pub surge: bool,
+    /// The part of txns that a build fails which half of the servers get at a third of the time.
+    pub bad: f64,
     pub loss: f64,
     pub rate: f64,
     /// A folder in which each exporting gateway leaves its file.
@@ -145,6 +147,9 @@
     if day.churn {
         more.extend((1..(day.seconds * 4.0) as u32).map(|n| (f64::from(n) / 4.0, Step::Churn)));
     }
+    if day.bad > 0.0 {
+        more.push((day.seconds / 3.0, Step::Release { fails: day.bad }));
+    }
     if day.surge {
         // Of a site's two gateways the first gets a hundredth, and from half-time on a fifth.
         more.push((0.0, Step::Weigh { gateway: 0, weight: 0.0101 }));
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -114,6 +114,9 @@
         /// One gateway jumps from a hundredth of its site's traffic to a fifth
         #[bpaf(long("surge"))]
         surge: bool,
+        /// The part of txns that a build fails which half of the servers get at a third of the time
+        #[bpaf(long("bad"), argument("P"), fallback(0.0))]
+        bad: f64,
         /// The part of datagrams that the collector loses
         #[bpaf(long("loss"), argument("P"), fallback(0.0))]
         loss: f64,
@@ -234,6 +237,7 @@
             slow,
             churn,
             surge,
+            bad,
             loss,
             rate,
             keep,
@@ -251,6 +255,7 @@
                 slow,
                 churn,
                 surge,
+                bad,
                 loss,
                 rate,
                 keep,
--- a/crates/sites/tests/traces.rs
+++ b/crates/sites/tests/traces.rs
@@ -279,6 +279,26 @@
     assert_eq!(tally.taken_in + tally.turned_away, 500);
 }
 
+#[test]
+fn endless_credit_does_not_send_more_than_the_window_that_answers_have_earned() {
+    let mut desk = desk();
+    desk.beats(1);
+    let grants = vec![("draft".to_string(), u16::MAX), ("no such product".to_string(), 9)];
+    let beat = Beat { incarnation: 77, beat: desk.beat + 1, echo: desk.heard, grants, ..Beat::default() };
+    desk.tell(Event::Heard { road: 1, letter: Letter::Beat(beat) });
+    desk.trace.clear();
+    for id in 0..1000 {
+        desk.tell(Event::Spared { id: TxnId(id), product: 0, left: MS * 1400.0 });
+    }
+    let (across, declined) = (desk.trace.matches("across").count(), desk.trace.matches("declined").count());
+    assert_eq!((across, declined), (16, 984));
+    // Those that are refused make it smaller still, and the road rests.
+    (1..=16).for_each(|crossing| desk.hear(crossing, Verdict::NotTaken));
+    desk.trace.clear();
+    desk.tell(Event::Spared { id: TxnId(2000), product: 0, left: MS * 1400.0 });
+    assert_eq!(desk.trace, "2000 declined\n");
+}
+
 #[test]
 fn a_site_that_vanishes_is_left_and_one_that_comes_and_goes_moves_traffic_a_bounded_number_of_times() {
     let mut desk = desk();
