--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -105,13 +105,15 @@
         let across = Across::open(&room, told, &with)?;
         let control = with.sites.as_ref().and_then(|s| s.control.as_ref()).map(|path| with.path(path));
         let control = control.map(|path| Control::open(&room.handle, path)).transpose()?;
-        let slas = terms.products.iter().map(|p| p.sla).collect();
-        let export = Export::open(room.now(), &with, slas, told.seed())?.map(Box::new);
         let vote_wait = terms.release.vote_wait;
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
         let discovery = Discovery::new(told.discovery, connect);
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
             .map_err(|e| format!("no signals: {e}"))?;
+        // Guards against a signal that ends the program at once: a helper thread takes over the signals that are held
+        // back when it starts, so it starts only now.
+        let slas = terms.products.iter().map(|p| p.sla).collect();
+        let export = Export::open(room.now(), &with, slas, told.seed())?.map(Box::new);
         let on_signal = |event: Event, _: &mut (), gateway: &mut Gateway| match event.signal() {
             Signal::SIGHUP => gateway.reload(),
             _ => gateway.end(),
--- a/crates/rehearse/src/processes.rs
+++ b/crates/rehearse/src/processes.rs
@@ -109,7 +109,10 @@
         while let Ok(line) = self.log.recv_timeout(until.saturating_duration_since(Instant::now())) {
             lines.extend(line.split_once("flows: ").map(|(_, said)| said.to_string()));
         }
-        let _ = self.child.wait();
+        let code = self.child.wait().map_err(|e| e.to_string())?;
+        if !code.success() {
+            return Err(format!("a gateway told to end did not: {code}"));
+        }
         Ok(lines)
     }
 
