--- a/crates/gateway/src/command_line.rs
+++ b/crates/gateway/src/command_line.rs
@@ -48,7 +48,7 @@
         /// Where a chart is drawn, as SVG
         #[bpaf(long("chart"), argument("FILE"))]
         chart: Option<PathBuf>,
-        /// IPFIX files, the oldest first
+        /// IPFIX files, the oldest first, or a collector's tables (.parquet)
         #[bpaf(positional("FILE"), some("no file is named"))]
         files: Vec<PathBuf>,
     },
--- a/crates/gateway/src/flow_report.rs
+++ b/crates/gateway/src/flow_report.rs
@@ -3,9 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
+use std::fs::File;
 use std::path::{Path, PathBuf};
 
 use harrierdock_ipfix::{split_file, Reader, Record, Torn, ENTERPRISE};
+use parquet::file::reader::{FileReader, SerializedFileReader};
+use parquet::record::Field;
 use plotters::prelude::*;
 
 /// Points of the chart along its time, at the most.
@@ -43,6 +46,23 @@
     cap: u64,
 }
 
+/// One record, of whichever kind of file.
+#[derive(Default)]
+struct Line {
+    kind: String,
+    until: u64,
+    build: u64,
+    stage: u64,
+    product: String,
+    outcome: String,
+    count: u64,
+    second: u64,
+    late: u64,
+    time_us: u64,
+    taken: u64,
+    cap: u64,
+}
+
 /// What the files hold.
 #[derive(Default)]
 pub struct Read {
@@ -67,6 +87,10 @@
         let mut read = Read::default();
         for path in paths {
             let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+            if path.extension().is_some_and(|e| e == "parquet") {
+                read.parquet(path)?;
+                continue;
+            }
             let bytes = std::fs::read(path).map_err(|e| wrong(&e))?;
             let (messages, torn) =
                 split_file(&bytes).map_err(|(at, _)| wrong(&format!("no IPFIX message at octet {at}")))?;
@@ -86,37 +110,81 @@
     }
 
     fn take(&mut self, record: &Record) {
-        let (build, stage) = (own(record, 1), own(record, 2));
-        let until = record.number(0, 153).unwrap_or(0);
-        match record.template {
-            256 => {
-                let (count, outcome) = (own(record, 7), record.text(ENTERPRISE, 4).unwrap_or_default());
-                let of = |name: &str| if outcome == name { count } else { 0 };
-                let sum = Sum {
-                    count,
-                    served: of("served"),
-                    errored: of("errored"),
-                    timed_out: of("timed-out"),
-                    late: own(record, 9),
-                    time_us: own(record, 10),
-                    second: own(record, 8),
-                };
-                let product = record.text(ENTERPRISE, 3).unwrap_or_default();
-                self.by_key.entry((build, stage, product)).or_default().add(&sum);
-                self.by_time.entry((until, build)).or_default().add(&sum);
-            }
-            258 => {
-                let (submissions, taken, cap) = (own(record, 7), own(record, 14), own(record, 13));
-                for share in [
-                    self.shares.entry((build, stage)).or_default(),
-                    self.share_of.entry((until, build)).or_default(),
-                ] {
-                    share.submissions += submissions;
-                    share.taken += taken;
-                    share.cap = cap;
+        let kind = match record.template {
+            256 => "submission",
+            258 => "share",
+            _ => return,
+        };
+        let text = |id| record.text(ENTERPRISE, id).unwrap_or_default();
+        self.add(&Line {
+            kind: kind.into(),
+            until: record.number(0, 153).unwrap_or(0),
+            build: own(record, 1),
+            stage: own(record, 2),
+            product: text(3),
+            outcome: text(4),
+            count: own(record, 7),
+            second: own(record, 8),
+            late: own(record, 9),
+            time_us: own(record, 10),
+            taken: own(record, 14),
+            cap: own(record, 13),
+        });
+    }
+
+    /// Reads a collector's table.
+    fn parquet(&mut self, path: &Path) -> Result<(), String> {
+        let wrong = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+        let file = File::open(path).map_err(|e| wrong(&e))?;
+        let reader = SerializedFileReader::new(file).map_err(|e| wrong(&e))?;
+        for row in reader.get_row_iter(None).map_err(|e| wrong(&e))? {
+            let mut line = Line::default();
+            for (name, field) in row.map_err(|e| wrong(&e))?.get_column_iter() {
+                let number = if let Field::Long(n) = field { *n as u64 } else { 0 };
+                let text = || if let Field::Str(text) = field { text.clone() } else { String::new() };
+                match name.as_str() {
+                    "kind" => line.kind = text(),
+                    "product" => line.product = text(),
+                    "outcome" => line.outcome = text(),
+                    "end_ms" => line.until = number,
+                    "build" => line.build = number,
+                    "stage" => line.stage = number,
+                    "count" => line.count = number,
+                    "second" => line.second = number,
+                    "late" => line.late = number,
+                    "time_us" => line.time_us = number,
+                    "taken" => line.taken = number,
+                    "cap_ppm" => line.cap = number,
+                    _ => {}
                 }
             }
-            _ => {}
+            self.add(&line);
+        }
+        Ok(())
+    }
+
+    fn add(&mut self, line: &Line) {
+        let Line { until, build, stage, count, .. } = *line;
+        if line.kind == "submission" {
+            let of = |name: &str| if line.outcome == name { count } else { 0 };
+            let sum = Sum {
+                count,
+                served: of("served"),
+                errored: of("errored"),
+                timed_out: of("timed-out"),
+                late: line.late,
+                time_us: line.time_us,
+                second: line.second,
+            };
+            self.by_key.entry((build, stage, line.product.clone())).or_default().add(&sum);
+            self.by_time.entry((until, build)).or_default().add(&sum);
+        } else if line.kind == "share" {
+            let of = (self.shares.entry((build, stage)), self.share_of.entry((until, build)));
+            for share in [of.0.or_default(), of.1.or_default()] {
+                share.submissions += count;
+                share.taken += line.taken;
+                share.cap = line.cap;
+            }
         }
     }
 
@@ -198,7 +266,7 @@
                 chart
                     .configure_mesh()
                     .x_desc("seconds")
-                    .y_label_formatter(&|y| format!("{:.0}%", y * 100.0))
+                    .y_label_formatter(&|y: &f64| format!("{:.0}%", y * 100.0))
                     .light_line_style(WHITE)
                     .draw()?;
                 for (at, build) in builds.iter().enumerate() {
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod processes;
 pub mod scripted;
 pub mod sites;
+pub mod tables;
 pub mod world;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -123,7 +123,7 @@
         /// Txns a second that come to each site
         #[bpaf(long("rate"), argument("R"), fallback(150.0))]
         rate: f64,
-        /// A folder in which each exporting gateway leaves its file of flows
+        /// A folder for each exporting gateway's file of flows, and the collector's tables
         #[bpaf(long("keep"), argument("FOLDER"))]
         keep: Option<std::path::PathBuf>,
     },
@@ -139,6 +139,9 @@
         /// Where it writes the records it got: a CSV file
         #[bpaf(long("csv"), argument("FILE"))]
         csv: Option<std::path::PathBuf>,
+        /// The same as a Parquet file
+        #[bpaf(long("parquet"), argument("FILE"))]
+        parquet: Option<std::path::PathBuf>,
         /// Where it listens; the system's choice of a port by default
         #[bpaf(long("listen"), argument("ADDRESS"), fallback("127.0.0.1:0".parse().expect("an address")))]
         listen: std::net::SocketAddr,
@@ -264,8 +267,8 @@
             let found = flows::play(&day, |part| bar.set_position((part * 1000.0) as u64))?;
             end(&found, found.ok)
         }
-        Command::Collector { road, seconds, csv, listen } => {
-            flows::collect(listen, road.parse()?, seconds, csv.as_deref())?;
+        Command::Collector { road, seconds, csv, parquet, listen } => {
+            flows::collect(listen, road.parse()?, seconds, csv.as_deref(), parquet.as_deref())?;
             Ok(true)
         }
         Command::Membership { seed, gateways, bound } => {
