--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -261,6 +261,9 @@
             return tracing::warn!("told to reload, what is told beside the configuration stays: {e}");
         }
         self.renew_keys(with);
+        if self.export.is_none() && with.flows.is_some() {
+            tracing::warn!("flows: export begins with the next start only");
+        }
         let now = self.room.now();
         if let Some(export) = &mut self.export {
             match export.renew(now, with) {
--- a/crates/sites/src/crossing.rs
+++ b/crates/sites/src/crossing.rs
@@ -273,7 +273,7 @@
     }
 
     /// What is told on a road that would cross: its part of all.
-    pub fn wants(&self, _road: RoadNo) -> Vec<(ProductIx, u16)> {
+    pub fn wants(&self) -> Vec<(ProductIx, u16)> {
         let part = 1.0 / self.roads.max(1) as f64;
         let wants = self
             .wants
--- a/crates/sites/src/custody.rs
+++ b/crates/sites/src/custody.rs
@@ -179,7 +179,7 @@
         self.inward.get(place)
     }
 
-    pub fn take_in(&mut self, _now: Point, place: Place, road: RoadNo) -> InwardNo {
+    pub fn take_in(&mut self, place: Place, road: RoadNo) -> InwardNo {
         self.last_in += 1;
         let inward = self.last_in;
         self.running.insert(inward, place.clone());
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -15,6 +15,7 @@
 use harrierdock::interface::{Build, Key, ProductIx, Repeat, TxnId};
 use harrierdock::time::{Point, Span};
 use harrierdock_letters::{Answer, Handover, Letter, Party, Record, Standing, Verdict};
+use serde::Serialize;
 
 use bearing::Bearing;
 use crossing::Crossings;
@@ -236,7 +237,7 @@
 }
 
 /// What was counted so far.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Tally {
     pub handed_over: u64,
     /// Handed over and not taken, or declined there.
@@ -503,7 +504,7 @@
             return self.turn_away(road, place, Verdict::NotTaken);
         }
         self.tally.taken_in += 1;
-        let inward = self.custody.take_in(self.now, place, road);
+        let inward = self.custody.take_in(place, road);
         let key = handover.key.map(Key);
         self.out.push(Action::TakeIn { inward, product, key, left, handover });
     }
@@ -639,7 +640,7 @@
         let name = |(p, n): (ProductIx, u16)| Some((self.place.products.get(p)?.name.clone(), n));
         for (road, mut beat) in beats {
             beat.grants = self.bearing.grants(road).into_iter().filter_map(name).collect();
-            beat.wants = self.crossings.wants(road).into_iter().filter_map(name).collect();
+            beat.wants = self.crossings.wants().into_iter().filter_map(name).collect();
             self.out.push(Action::Send { road, letter: Letter::Beat(beat) });
         }
     }
--- a/crates/sites/src/status.rs
+++ b/crates/sites/src/status.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::{Home, Sites, Why};
+use crate::{Home, Sites, Tally, Why};
 
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct MemberStatus {
@@ -26,16 +26,8 @@
     pub credit: Vec<(String, f64)>,
     pub owed_by_them: usize,
     pub owed_to_them: usize,
-    pub handed_over: u64,
-    pub refused: u64,
-    pub settled_there: u64,
-    pub voided_unanswered: u64,
-    pub served_here_after: u64,
-    pub taken_in: u64,
-    pub turned_away: u64,
-    pub copies: u64,
-    pub strange: u64,
-    pub moves: u64,
+    #[serde(flatten)]
+    pub tally: Tally,
 }
 
 fn word(of: impl std::fmt::Debug) -> String {
@@ -75,7 +67,6 @@
         let (home_is, why_is, _) = self.crossings.home_is();
         let credit = self.crossings.credit(self.now).into_iter().enumerate();
         let (owed_by_them, owed_to_them) = self.owed();
-        let t = self.tally;
         Status {
             gateway: self.place.own.to_string(),
             standing: word(self.members.own().standing),
@@ -86,16 +77,7 @@
             credit: credit.map(|(p, c)| (self.place.products[p].name.clone(), c)).collect(),
             owed_by_them,
             owed_to_them,
-            handed_over: t.handed_over,
-            refused: t.refused,
-            settled_there: t.settled_there,
-            voided_unanswered: t.voided_unanswered,
-            served_here_after: t.served_here_after,
-            taken_in: t.taken_in,
-            turned_away: t.turned_away,
-            copies: t.copies,
-            strange: t.strange,
-            moves: t.moves,
+            tally: self.tally,
         }
     }
 }
