--- a/src/policy.rs
+++ b/src/policy.rs
@@ -731,9 +731,13 @@
     }
 
     fn stage(&mut self, news: StageNews) {
-        if let Some((_, _, ballot)) = self.cast.as_mut().filter(|_| news.answers_vote) {
-            let answered = matches!(news.word, Word::Valid | Word::Moot);
-            *ballot = if answered { Ballot::Stands } else { Ballot::Refused };
+        if let Some((vote, ..)) = self.cast.filter(|_| news.answers_vote) {
+            let (told, all) = (&self.terms.release, self.all_calls());
+            let (wait, ballot) = match news.word {
+                Word::Valid | Word::Moot => (all.clamp(told.vote_life / 2.0, told.vote_life), Ballot::Stands),
+                _ => ((all * (self.chance.generate::<f64>() / 2.0)).max(told.vote_wait / 8.0), Ballot::Due),
+            };
+            self.cast = Some((vote, self.now + wait, ballot));
         }
         if news.word != Word::Valid {
             return;
@@ -924,29 +928,33 @@
         out
     }
 
+    /// How long the platform takes to accept a call from every gateway.
+    fn all_calls(&self) -> Span {
+        Span::secs(self.terms.balancers as f64 / self.terms.release.votes_a_second.max(1.0))
+    }
+
+    /// Guards against a platform that turns most votes away: where hundreds of gateways want the same at once,
+    /// those let in first would take up all that it accepts by renewing theirs, and the rest never stand. So
+    /// each takes its turn by chance, as many at once as it lets in after a rest (what it accepts in two
+    /// seconds) and twice what it accepts from then on; and a vote that stands is renewed the later the more
+    /// gateways there are. Harms by half of the calls being turned away while a large fleet wants to vote.
     fn emit_vote(&mut self, out: &mut Vec<Action>) {
-        let told = &self.terms.release;
-        let pause =
-            Span::secs(self.terms.balancers as f64 / told.votes_a_second.max(1.0)).max(told.vote_wait / 8.0);
         let wanted = match (self.vote, self.cast) {
             (Some(vote), _) => vote,
             // A hold that is over is taken away; other votes lapse with their stage.
             (None, Some(((build, stage, Verdict::Hold), _, _))) => (build, stage, Verdict::Withdraw),
             _ => return,
         };
-        if let Some((cast, at, ballot)) = self.cast.filter(|c| c.0 == wanted) {
-            let wait = match ballot {
-                Ballot::Stands if cast.2 == Verdict::Withdraw => return,
-                Ballot::Stands => told.vote_life / 2.0,
-                Ballot::Asked => told.vote_wait + self.terms.tick,
-                Ballot::Refused => pause,
-            };
-            if self.now - at < wait {
-                return;
-            }
+        if self.cast.is_none_or(|c| c.0 != wanted) {
+            let turn = self.all_calls() * (self.chance.generate::<f64>() / 2.0) - Span::secs(1.0);
+            self.cast = Some((wanted, self.now + turn.max(Span::ZERO), Ballot::Due));
+        }
+        let Some((_, due, ballot)) = &mut self.cast else { return };
+        if self.now < *due || (*ballot == Ballot::Stands && wanted.2 == Verdict::Withdraw) {
+            return;
         }
+        (*due, *ballot) = (self.now + self.terms.release.vote_wait + self.terms.tick, Ballot::Due);
         let (build, stage, verdict) = wanted;
-        self.cast = Some((wanted, self.now, Ballot::Asked));
         out.push(Action::Vote { build, stage, verdict });
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -128,9 +128,9 @@
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum Ballot {
-    Asked,
+    /// To be cast, or to be cast again, once its time comes.
+    Due,
     Stands,
-    Refused,
 }
 
 pub type Vote = (Build, usize, Verdict);
@@ -189,6 +189,7 @@
     pub news: Option<StageNews>,
     pub trial: Trial,
     pub vote: Option<Vote>,
+    /// The vote last wanted, and when it may be cast next.
     pub cast: Option<(Vote, Point, Ballot)>,
     pub watch: Watch,
     /// What the circle's speaker has not been told yet: fates, and txns taken.
