--- a/src/interface.rs
+++ b/src/interface.rs
@@ -251,8 +251,11 @@
         drops: usize,
         arm: Arm,
     },
+    /// Txns taken since the last such word, those of them that are no client's repeats, and submissions open now.
     Fates {
         taken: usize,
+        fresh: usize,
+        open: usize,
         fates: Vec<Hearsay>,
     },
     /// The part of txns to give up on, and slow servers by their marks with their times against the usual.
--- a/src/mail.rs
+++ b/src/mail.rs
@@ -77,8 +77,8 @@
             let arm = if *arm == Arm::Trial { "t" } else { "e" };
             format!("{build}.{stage}.{drops}.{arm}")
         }
-        Message::Fates { taken, fates } => {
-            let mut text = format!("{taken}:");
+        Message::Fates { taken, fresh, open, fates } => {
+            let mut text = format!("{taken}.{fresh}.{open}:");
             fates.iter().for_each(|f| write_fate(f, &mut text));
             text
         }
@@ -93,9 +93,11 @@
 
 /// A message of another kind or version says nothing.
 pub fn read(text: &str) -> Option<Message> {
-    if let Some((taken, fates)) = text.split_once(':') {
+    if let Some((counts, fates)) = text.split_once(':') {
+        let counts: Vec<usize> = counts.split('.').map(|n| n.parse().ok()).collect::<Option<_>>()?;
+        let &[taken, fresh, open] = &counts[..] else { return None };
         let fates = fates.as_bytes().chunks(6).map(read_fate).collect::<Option<Vec<_>>>()?;
-        return (fates.len() <= MOST_FATES).then_some(Message::Fates { taken: taken.parse().ok()?, fates });
+        return (fates.len() <= MOST_FATES).then_some(Message::Fates { taken, fresh, open, fates });
     }
     if let Some(paces) = text.strip_prefix('/') {
         let (shed, paces) = paces.as_bytes().split_at_checked(1)?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,9 +37,11 @@
 const FAILING: f64 = 0.6; // share of good answers below which a server is left out
 const LAG: f64 = 0.25; // of the SLA time: a mean answer time past this is a queue worth shrinking
 const FIRST_LIMIT: f64 = 3.0; // submissions a server may hold before it has shown what it bears
-const CROWDED: f64 = 0.5; // of the SLA time: an answer past this took long
-const JAM: f64 = 0.2; // of answers that took long, quick ones counted fourfold (so half of all): a jam
-const SHED_STEP: f64 = 0.05; // of the txns still let in, the most that is given up on beside at each beat
+const PULSE: f64 = 0.25; // of the shortest SLA time: how often a member tells its speaker
+const QUEUE: f64 = 0.5; // of the shortest SLA time: open submissions over answers a second; past it a jam
+const SPARE: f64 = 0.85; // of what is answered: how much is let in while the queue is long
+const DEAF: f64 = 12.0; // mean answer times owed by a zone's servers, one by one, since any of them answered
+const GROWTH: f64 = 0.06; // of the txns let in: how many more are at each beat once the jam is over
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
 const SAMPLE: usize = 20; // servers of a build that a txn looks at, where it has more
@@ -64,7 +66,8 @@
 
 impl Gateway {
     pub fn new(terms: Terms, seed: u64) -> Gateway {
-        let row = |p: &ProductTerms| Row { repeat: p.repeat, sla: p.sla, mean: p.sla / 4.0, late: 0.0 };
+        let share = 1.0 / terms.products.len().max(1) as f64;
+        let row = |p: &ProductTerms| Row { repeat: p.repeat, sla: p.sla, mean: p.sla / 4.0, share };
         let rows = terms.products.iter().map(row).collect();
         Gateway { rows, chance: WyRand::new_seed(seed), terms, ..Gateway::default() }
     }
@@ -201,6 +204,7 @@
         let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
         let judged = self.on_trial(server.listed.build) && !self.dropped(Arm::Trial, 1.0);
         (judged || self.now >= server.left_out)
+            && self.zones.get(&server.listed.zone).is_none_or(|z| self.now >= z.left_out)
             && server.owes.is_none_or(|since| self.now - since < mean * SILENCE)
     }
 
@@ -281,9 +285,10 @@
         self.taken.push(self.now, product);
         // Guards against taking retries for more traffic: unmarked, each txn not served comes back once.
         let again = if self.terms.marks_repeats { again } else { self.unserved >= 1.0 };
-        if !again {
-            self.fresh.push(self.now, ());
-            self.taken_untold += 1;
+        self.flow.taken += 1;
+        self.flow.fresh += usize::from(!again);
+        for (of, row) in self.rows.iter_mut().enumerate() {
+            row.share += LEARN * LEARN * (f64::from(of == product) - row.share);
         }
         self.unserved = (self.unserved - 1.0).max(0.0);
         let (taken, expiry, attempts) = (self.now, self.now + left, Vec::new());
@@ -291,7 +296,7 @@
         let pin = self.pin(&self.txns[&id]);
         self.pinned += LEARN * LEARN * (f64::from(pin > 0 && self.on_trial(pin)) - self.pinned);
         // Guards against a jam that no limit at a server holds off: hundreds of gateways keep one out each.
-        if self.chance.generate::<f64>() < self.shed {
+        if self.chance.generate::<f64>() < self.shed_of(product) {
             return self.give_up(id);
         }
         self.place(id);
@@ -473,6 +478,12 @@
         }
         let (lag, shortest) = (took.over(self.rows[product].sla), self.shortest_sla());
         if let Some(server) = self.servers.get_mut(&ix) {
+            let zone = self.zones.entry(server.listed.zone).or_default();
+            match outcome {
+                Outcome::ConnectFailed => zone.failed += 1.0,
+                Outcome::TimedOut | Outcome::Recalled | Outcome::Moot => {}
+                _ => *zone = Zone { heard: self.now, ..Zone::default() },
+            }
             server.out = server.out.saturating_sub(1);
             if !matches!(outcome, Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Recalled) {
                 server.owes = (server.out > 0).then_some(self.now);
@@ -570,11 +581,9 @@
         let server = self.marks.get(&told.mark).and_then(|ix| self.servers.get_mut(ix));
         let (Some(row), Some(server)) = (self.rows.get_mut(told.product), server) else { return };
         let took = row.sla * told.lag;
+        self.flow.answered += usize::from(served || told.fate == Fate::Ended(Outcome::Errored));
         if served || told.fate == Fate::Ended(Outcome::TimedOut) {
             server.pace += 3.0 * LEARN * (took.over(row.mean) - server.pace);
-            // A quick answer was asked just now, and says more of now than a late one.
-            let step = if told.lag > CROWDED { 2.0 * (1.0 - row.late) } else { -8.0 * row.late };
-            row.late += LEARN * LEARN * step;
         }
         if served && usual_times {
             let usual = self.usual.entry(server.listed.model).or_insert(1.0);
@@ -632,7 +641,8 @@
                 let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
                 *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
                 let seen = before.count.min(MEMORY / 4.0);
-                self.rate += (self.fresh.len() as f64 - self.rate) / seen;
+                let fresh = self.lately(self.terms.release.window).fresh as f64;
+                self.rate += (fresh - self.rate) / seen;
             } else if counts {
                 self.pay(side, Arm::Trial, product, f64::from(good), 1.0);
             }
@@ -664,7 +674,7 @@
     fn calm(&self) -> bool {
         let alive = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
         let warm: f64 = self.servers.values().filter(alive).map(|s| self.warmth(s)).sum();
-        let fresh = self.fresh.len() as f64;
+        let fresh = self.lately(self.terms.release.window).fresh as f64;
         warm >= CALM * self.fleet as f64 && BUSIER * (fresh - fresh.sqrt()) <= self.rate
     }
 
@@ -779,8 +789,12 @@
                 }
             }
             Message::Paces { .. } => {}
-            Message::Fates { taken, fates } => {
-                (0..taken).for_each(|_| self.fresh.push(self.now, ()));
+            Message::Fates { taken, fresh, open, fates } => {
+                self.flow.taken += taken;
+                self.flow.fresh += fresh;
+                let before = self.members.get(&from).filter(|m| self.now - m.told < self.shortest_sla());
+                let since = before.map_or(self.now, |m| m.since);
+                self.members.insert(from, Member { since, told: self.now, open });
                 for told in fates {
                     // Guards against a server id used again: the build told must be the one listed.
                     let server = self.marks.get(&told.mark).and_then(|ix| self.servers.get_mut(ix));
@@ -837,23 +851,75 @@
 
     // ---- periodic work and output ----
 
-    /// Sheds while most answers take long, the slowest product's aside: it may wait for something of its own.
-    /// A member that hears no more lets all in again. The limits at servers do this for circles of one.
+    /// What the circle's traffic came to of late.
+    fn lately(&self, span: Span) -> Flow {
+        let since = self.heard.since(self.now - span);
+        since.fold(Flow::default(), |all, f| all.with(f))
+    }
+
+    /// Our submissions that may yet be answered: at servers that are not silent.
+    fn open(&self) -> usize {
+        self.servers.values().filter(|s| s.out > 0 && self.healthy(s)).map(|s| s.out).sum()
+    }
+
+    /// Guards against a jam that no gateway sees in time, and against giving up on txns long after it: the
+    /// circle's open submissions over its answers say at once how long the servers' queues are. While that is
+    /// long, a part of as many txns as are answered is let in, lowered once in an SLA time, as it takes that
+    /// long to show; else more at each beat. A member that hears no more lets all in again. The limits at
+    /// servers do this for circles of one. Harms where servers are slow by nature, near half the SLA time.
     fn crowd(&mut self) {
-        let late = || self.rows.iter().map(|r| r.late);
-        let worst = if self.rows.len() > 1 { late().fold(0.0, f64::max) } else { 0.0 };
-        let late = (late().sum::<f64>() - worst) / (self.rows.len().max(2) - 1) as f64;
-        let speaks = self.speaks();
-        if speaks && late > JAM && self.terms.balancers > CIRCLES {
-            let more = SHED_STEP * (late / JAM - 1.0).min(1.0);
-            self.shed = (self.shed + (1.0 - self.shed) * more).min(1.0 - LEARN);
-        } else {
-            self.shed = (self.shed - SHED_STEP * if speaks { LEARN * 4.0 } else { LEARN / 2.0 }).max(0.0);
+        let (sla, mut room) = (self.shortest_sla(), 1.0);
+        if self.speaks() && self.terms.balancers > CIRCLES {
+            let flow = self.lately(sla);
+            // Whoever began to tell just now has open what it was not heard to be answered.
+            let known = self.members.values().filter(|m| self.now - m.since > sla * 1.5);
+            let told = known.filter(|m| self.now - m.told < sla).map(|m| m.open);
+            let (open, most) = ((told.sum::<usize>() + self.open()) as f64, QUEUE * flow.answered as f64);
+            room = 1.0 - open / (most + 2.0 * most.sqrt() + FIRST_OUTCOMES / 4.0);
+            if room < 0.0 && self.now - self.lowered >= sla {
+                self.lowered = self.now;
+                let borne = flow.answered as f64 / flow.taken.max(1) as f64;
+                self.shed = (1.0 - SPARE * borne / (1.0 - room)).clamp(self.shed, 1.0 - LEARN);
+            }
+        }
+        self.shed = (1.0 - (1.0 - self.shed) * (1.0 + GROWTH * room.max(0.0))).max(0.0);
+    }
+
+    /// Guards against a zone that is lost or cut off, which a gateway of little traffic would find silent one
+    /// server at a time: what its servers owe counts together, a connection not made like three mean answer
+    /// times, from the last word of any of them on. A silent zone is left out for doubling spans. Harms by
+    /// leaving out a zone most of whose servers are dead.
+    fn listen(&mut self) {
+        let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
+        let (now, first) = (self.now, self.shortest_sla() * LEAVE_OUT);
+        for zone in self.zones.values_mut() {
+            zone.owed = zone.failed * (SILENCE - 1.0);
+        }
+        for server in self.servers.values().filter(|s| s.owes.is_some()) {
+            let zone = self.zones.entry(server.listed.zone).or_default();
+            let since = server.owes.unwrap_or(now).max(zone.heard);
+            zone.owed += (now - since).over(mean);
+        }
+        for zone in self.zones.values_mut().filter(|z| z.owed > DEAF && now >= z.left_out) {
+            zone.left_out = now + first * f64::powi(2.0, zone.strikes.min(3));
+            (zone.strikes, zone.failed) = (zone.strikes + 1, 0.0);
         }
     }
 
+    /// The part of a product's txns that is given up on: those of the least revenue go first.
+    fn shed_of(&self, product: ProductIx) -> f64 {
+        let revenue = |of: ProductIx| self.terms.products[of].revenue;
+        let share = |of: &dyn Fn(f64) -> bool| -> f64 {
+            let rows = self.rows.iter().enumerate().filter(|r| of(revenue(r.0)));
+            rows.map(|r| r.1.share).sum()
+        };
+        let (below, level) = (share(&|r| r < revenue(product)), share(&|r| r == revenue(product)));
+        ((self.shed - below * (1.0 - LEARN)) / level.max(LEARN * LEARN)).clamp(0.0, 1.0 - LEARN)
+    }
+
     fn wake(&mut self) {
         self.crowd();
+        self.listen();
         if std::mem::take(&mut self.unjudged) {
             self.eliminate();
         }
@@ -874,7 +940,7 @@
         self.taken.forget(edge);
         self.served.forget(edge);
         self.looks.forget(edge);
-        self.fresh.forget(edge);
+        self.heard.forget(edge);
         self.exposed.forget(edge);
         let edge = self.now - self.terms.rules.fall;
         let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
@@ -933,7 +999,7 @@
         Span::secs(self.terms.balancers as f64 / self.terms.release.votes_a_second.max(1.0))
     }
 
-    /// Guards against a platform that turns most votes away: where hundreds of gateways want the same at once,
+    /// Guards against a platform that turns most votes away: where hundreds of gateways want one at a time,
     /// those let in first would take up all that it accepts by renewing theirs, and the rest never stand. So
     /// each takes its turn by chance, as many at once as it lets in after a rest (what it accepts in two
     /// seconds) and twice what it accepts from then on; and a vote that stands is renewed the later the more
@@ -962,7 +1028,7 @@
     /// the speaker tells its circle the slowest, and the odds by weight spare them.
     fn emit_paces(&mut self, out: &mut Vec<Action>) {
         let circle = (0..self.terms.balancers).filter(|p| *p != self.terms.ordinal);
-        let often = RETELL * if self.shed > 0.0 { 1.0 } else { 2.0 };
+        let often = if self.shed > 0.0 { self.shortest_sla() * PULSE } else { RETELL * 2.0 };
         if self.now - self.paces_told < often || !self.terms.limits.tell {
             return;
         }
@@ -978,14 +1044,23 @@
     }
 
     fn emit_bits(&mut self, out: &mut Vec<Action>) {
-        let due = self.now - self.passed_on >= RETELL || self.untold.len() >= MOST_FATES;
-        if due && !self.untold.is_empty() {
-            let to = Some(self.circle(self.terms.ordinal));
-            for fates in std::mem::take(&mut self.untold).chunks(MOST_FATES) {
-                let taken = std::mem::take(&mut self.taken_untold);
-                out.push(Action::Tell { to, message: Message::Fates { taken, fates: fates.to_vec() } });
-            }
+        let due = self.now - self.passed_on >= self.shortest_sla() * PULSE;
+        if due || self.untold.len() >= MOST_FATES {
             self.passed_on = self.now;
+            let Flow { mut taken, mut fresh, .. } = self.flow;
+            let (flow, open) = (std::mem::take(&mut self.flow), self.open());
+            if self.speaks() {
+                self.heard.push(self.now, flow);
+            } else if taken + open + self.untold.len() > 0 {
+                let untold = std::mem::take(&mut self.untold);
+                let mut parts: Vec<Vec<Hearsay>> = untold.chunks(MOST_FATES).map(<[_]>::to_vec).collect();
+                parts.resize(parts.len().max(1), Vec::new());
+                for fates in parts {
+                    let message = Message::Fates { taken, fresh, open, fates };
+                    out.push(Action::Tell { to: Some(self.circle(self.terms.ordinal)), message });
+                    (taken, fresh) = (0, 0);
+                }
+            }
         }
         let recently = self.trial.told.is_some_and(|at| self.now - at < RETELL);
         if !self.terms.limits.tell || self.terms.balancers < 2 || recently {
--- a/src/recent.rs
+++ b/src/recent.rs
@@ -32,6 +32,15 @@
         self.0.is_empty()
     }
 
+    /// When the oldest that is held was.
+    pub fn first(&self) -> Option<Point> {
+        self.0.front().map(|(at, _)| *at)
+    }
+
+    pub fn since(&self, from: Point) -> impl Iterator<Item = &T> {
+        self.0.iter().rev().take_while(move |(at, _)| *at > from).map(|(_, what)| what)
+    }
+
     /// How many of those after `from` are of the kind asked for.
     pub fn count(&self, from: Point, of_kind: impl Fn(&T) -> bool) -> f64 {
         self.0.iter().filter(|(at, what)| *at > from && of_kind(what)).count() as f64
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,13 +144,50 @@
     Failed(Point),
 }
 
+/// What traffic came to in a while: txns taken, those of them that are no client's repeats, and answers by servers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Flow {
+    pub taken: usize,
+    pub fresh: usize,
+    pub answered: usize,
+}
+
+impl Flow {
+    pub fn with(self, other: &Flow) -> Flow {
+        Flow {
+            taken: self.taken + other.taken,
+            fresh: self.fresh + other.fresh,
+            answered: self.answered + other.answered,
+        }
+    }
+}
+
+/// A member of our circle: since when it tells without a gap, when it last did, and its open submissions then.
+#[derive(Clone, Copy)]
+pub struct Member {
+    pub since: Point,
+    pub told: Point,
+    pub open: usize,
+}
+
+/// How a zone's servers answer, all together.
+#[derive(Clone, Copy, Default)]
+pub struct Zone {
+    pub heard: Point,
+    /// Connections that were not made, and mean answer times owed, since then.
+    pub failed: f64,
+    pub owed: f64,
+    pub strikes: i32,
+    pub left_out: Point,
+}
+
 /// One row a product: what was told of it, and its mean answer time so far.
 pub struct Row {
     pub repeat: Repeat,
     pub sla: Span,
     pub mean: Span,
-    /// The part of its answers that took long lately.
-    pub late: f64,
+    /// What part of the txns taken is of it.
+    pub share: f64,
 }
 
 /// All that one instance keeps: one value, nothing shared.
@@ -179,7 +216,10 @@
     pub beat: Point,
     pub armed: Option<Point>,
     pub taken: Recent<ProductIx>,
-    pub fresh: Recent<()>,
+    /// What a circle's traffic came to, a pulse at a time, and what this gateway has not told of it yet.
+    pub heard: Recent<Flow>,
+    pub flow: Flow,
+    pub members: BTreeMap<PeerIx, Member>,
     pub unserved: f64,
     pub served: Recent<()>,
     pub looks: Recent<()>,
@@ -192,12 +232,13 @@
     /// The vote last wanted, and when it may be cast next.
     pub cast: Option<(Vote, Point, Ballot)>,
     pub watch: Watch,
-    /// What the circle's speaker has not been told yet: fates, and txns taken.
+    /// The fates that the circle's speaker has not been told yet.
     pub untold: Vec<Hearsay>,
-    pub taken_untold: usize,
     pub paces_told: Point,
     /// The part of txns given up on at once, against a jam.
     pub shed: f64,
+    pub lowered: Point,
+    pub zones: BTreeMap<ZoneIx, Zone>,
     pub passed_on: Point,
     pub unjudged: bool,
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 mod hall;
 
+use expect_test::expect;
 use hall::*;
 use harrierdock::interface::*;
 
@@ -32,3 +33,54 @@
         assert!(a_second < 20.0, "{count} {wanted:?}: {a_second} accepted a second");
     }
 }
+
+#[test]
+fn a_jam_ends_with_its_cause_and_costs_cheap_txns_first() {
+    // 64 gateways ask for 256 a second of 10 servers that can do 400, and 200 while something slows them.
+    let mut hall = Hall::new(64, |terms| {
+        for (product, revenue) in terms.products.iter_mut().zip([1.0, 5.0, 5.0]) {
+            product.revenue = revenue;
+        }
+    });
+    hall.serve(10, 4, ms(100));
+    hall.traffic(ms(250), 6_000);
+    hall.machines.iter_mut().for_each(|m| m.work = ms(200));
+    hall.traffic(ms(250), 14_000);
+    hall.machines.iter_mut().for_each(|m| m.work = ms(100));
+    hall.traffic(ms(250), 20_000);
+    let part = |seconds: std::ops::Range<i64>, product| {
+        let ended = hall.over(seconds, product);
+        let of = |n: usize| 100 * n / ended.asked.max(1);
+        format!("{}% in time, {}% declined", of(ended.in_time), of(ended.declined))
+    };
+    let mut lines = String::new();
+    for (when, seconds) in [("before", 2..6), ("jam", 8..14), ("just after", 14..16), ("after", 16..19)] {
+        lines += &format!("{when}: cheap {}; dear {}\n", part(seconds.clone(), 0), part(seconds, 2));
+    }
+    expect![[r#"
+        before: cheap 100% in time, 0% declined; dear 100% in time, 0% declined
+        jam: cheap 28% in time, 61% declined; dear 64% in time, 11% declined
+        just after: cheap 84% in time, 14% declined; dear 97% in time, 1% declined
+        after: cheap 100% in time, 0% declined; dear 100% in time, 0% declined
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn a_lost_zone_is_left_out_before_it_has_cost_a_txn_at_each_of_its_servers() {
+    let mut hall = Hall::new(64, |_| {});
+    hall.serve(60, 4, ms(100));
+    hall.traffic(ms(250), 4_000);
+    let mut lines = String::new();
+    for (when, lost, until) in [("lost", true, 8_000), ("back", false, 12_000)] {
+        hall.machines.iter_mut().step_by(2).for_each(|m| (m.lost, m.got) = (lost, 0));
+        hall.traffic(ms(250), until);
+        let got = hall.machines.iter().step_by(2).map(|m| m.got).sum::<usize>();
+        lines += &format!("{when}: {got} of 1024 txns were sent there\n");
+    }
+    expect![[r#"
+        lost: 289 of 1024 txns were sent there
+        back: 189 of 1024 txns were sent there
+    "#]]
+    .assert_eq(&lines);
+}
