--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,13 +38,16 @@
 const LAG: f64 = 0.25; // of the SLA time: a mean answer time past this is a queue worth shrinking
 const FIRST_LIMIT: f64 = 3.0; // submissions a server may hold before it has shown what it bears
 const PULSE: f64 = 0.25; // of the shortest SLA time: how often a member tells its speaker
-const QUEUE: f64 = 0.5; // of the shortest SLA time: open submissions over answers a second; past it a jam
+const QUEUE: f64 = 0.6; // of the shortest SLA time: open submissions over answers a second; past it a jam
 const SPARE: f64 = 0.85; // of what is answered: how much is let in while the queue is long
 const DEAF: f64 = 12.0; // mean answer times owed by a zone's servers, one by one, since any of them answered
-const GROWTH: f64 = 0.06; // of the txns let in: how many more are at each beat once the jam is over
+const GROWTH: f64 = 0.12; // of the txns let in: how many more are at each beat once the jam is over
 const SHUT: f64 = 0.5; // of the SLA time: how long a server that is full gets nothing
 const EASE: f64 = 0.8; // what a server's limit keeps of itself when it turns away or times out
 const SAMPLE: usize = 20; // servers of a build that a txn looks at, where it has more
+const USES: f64 = 16.0; // of a kept connection, in the time after which it would be closed unused
+const GOLDEN: f64 = 0.618_033_988_749_895; // the fractions of its multiples lie evenly, many or few
+const LOST: f64 = 1000.0; // as a pace: a server that is left out
 const LEAVE_OUT: f64 = 2.0; // of the shortest SLA time: the first time that a failing server is left out
 
 impl Payoff {
@@ -148,8 +151,12 @@
                 newest = newest.max(server.started);
             }
         }
+        // Each gateway begins elsewhere in the same order, so that the few each keeps to are spread evenly.
+        let begins = (self.terms.ordinal as f64 * GOLDEN).fract();
         for arm in &mut arms {
-            arm.sort_by(|a, b| self.servers[a].dither.total_cmp(&self.servers[b].dither));
+            arm.sort_by_key(|ix| self.servers[ix].listed.mark);
+            let at = (begins * arm.len() as f64) as usize;
+            arm.rotate_left(at);
         }
         let ready = (arms[0].len() + arms[1].len()).max(1) as f64;
         let on: usize = of_build.iter().filter(|(b, _)| **b >= self.trial.build).map(|b| b.1).sum();
@@ -162,8 +169,12 @@
         self.fleet = of_build.into_values().fold(self.fleet, usize::max);
     }
 
-    fn shortest_sla(&self) -> Span {
-        self.rows.iter().map(|r| r.sla).min().unwrap_or(Span(1_000_000))
+    /// How many servers of an arm this gateway keeps to: as many as its traffic uses a connection to often
+    /// before it would be closed. Guards against hundreds of gateways that each open connections to every
+    /// server, and meet each too seldom to know it. Harms by uneven loads where few have most traffic.
+    fn kept(&self, arm: usize) -> usize {
+        let part = self.terms.limits.idle.over(self.terms.release.window) / USES;
+        ((self.taken.len() as f64 * part) as usize).max(SAMPLE).min(self.arms[arm].len())
     }
 
     /// The part of its capacity that a server has by now, at the least.
@@ -190,10 +201,13 @@
         let rules = &self.terms.rules;
         let part = rules.fall.over(self.terms.release.window);
         let most = COLD_PART * rules.fall_multiple * warmth * part * self.served.len() as f64;
-        let most = most / self.fleet.max(1) as f64;
+        let arm = usize::from(self.on_trial(server.listed.build));
+        let (most, all) = (most / self.fleet.max(1) as f64, self.arms[arm].len() as f64);
         let sent = server.sends.count(self.now - rules.fall, |_| true);
-        if most >= 1.0 {
-            return sent < (most + server.dither).floor();
+        // The fewer keep to each server, the more each of them may send there.
+        let counted = most * all / self.kept(arm).max(1) as f64;
+        if counted >= 1.0 {
+            return sent < (counted + server.dither).floor();
         }
         sent < 1.0 && chance * (self.looks.len() as f64 + 1.0) * part * self.weight(server) < most * rivals
     }
@@ -332,16 +346,13 @@
     fn choose(&mut self, id: TxnId) -> Option<ServerIx> {
         self.looks.push(self.now, ()); // one that finds nothing is a chance at a cold server too
         let (mut sample, mut bears) = (Vec::new(), [0.0; 2]);
-        // As many servers as it keeps connections to by its traffic, twice over: a new one costs time, work.
-        let part = self.terms.limits.idle.over(self.terms.release.window) / 2.0;
-        let kept = ((self.taken.len() as f64 * part) as usize).max(SAMPLE);
-        for (arm, bears) in self.arms.iter().zip(&mut bears) {
-            let (of, looks) = (arm.len().min(kept), arm.len().min(SAMPLE));
-            for n in 0..looks {
+        for (arm, bears) in bears.iter_mut().enumerate() {
+            let (all, of) = (self.arms[arm].len(), self.kept(arm));
+            for n in 0..of.min(SAMPLE) {
                 let at = if of > SAMPLE { self.chance.generate_range(0..of) } else { n };
-                let stands_for = arm.len() as f64 / looks as f64;
-                *bears += stands_for * self.warmth(&self.servers[&arm[at]]);
-                sample.push((arm[at], stands_for));
+                let (ix, stands_for) = (self.arms[arm][at], all as f64 / of.min(SAMPLE) as f64);
+                *bears += stands_for * self.warmth(&self.servers[&ix]);
+                sample.push((ix, stands_for));
             }
         }
         // A cold server counts for what it bears, or the warm ones of its build would bear its part too.
@@ -427,16 +438,6 @@
         }
     }
 
-    fn look_again(&mut self, id: TxnId, at: Point) {
-        let Some(txn) = self.txns.get_mut(&id) else { return };
-        // Guards against a wait that outlasts the client: a look comes at its expiry at the latest.
-        let at = at.min(txn.expiry);
-        if let Some(before) = txn.due.replace(at) {
-            self.due.remove(&(before, id));
-        }
-        self.due.insert((at, id));
-    }
-
     fn give_up(&mut self, id: TxnId) {
         let Some(txn) = self.txns.get(&id) else { return };
         let unsent = txn.attempts.is_empty();
@@ -513,21 +514,8 @@
                 server.limit *= EASE;
             }
             server.limit = server.limit.max(1.0);
-            if !matches!(outcome, Outcome::Moot | Outcome::Recalled | Outcome::Full) {
-                server.good += 2.0 * LEARN * (f64::from(served) - server.good);
-                if server.good < FAILING || outcome == Outcome::ConnectFailed {
-                    // Guards against dead and quick-failing servers, whatever ails them.
-                    server.left_out =
-                        self.now + shortest * (LEAVE_OUT * f64::powi(2.0, server.strikes.min(3)));
-                    server.strikes += 1;
-                    if outcome == Outcome::ConnectFailed {
-                        server.dead_until = server.left_out + shortest;
-                        server.shut = self.now + shortest * LEAVE_OUT;
-                    }
-                    server.good = (1.0 + FAILING) / 2.0;
-                } else if served && server.good > 1.0 - LEARN {
-                    server.strikes = 0;
-                }
+            if outcome == Outcome::ConnectFailed {
+                (server.good, server.shut) = (0.0, self.now + shortest * LEAVE_OUT);
             }
         }
         // Guards a key that the newest build answered, on trial or released, from any earlier one, even if
@@ -578,6 +566,7 @@
     fn note(&mut self, told: &Hearsay) {
         let usual_times = !self.on_trial(told.build) && !self.in_question();
         let served = told.fate == Fate::Ended(Outcome::Served);
+        let first = self.shortest_sla() * LEAVE_OUT;
         let server = self.marks.get(&told.mark).and_then(|ix| self.servers.get_mut(ix));
         let (Some(row), Some(server)) = (self.rows.get_mut(told.product), server) else { return };
         let took = row.sla * told.lag;
@@ -585,6 +574,22 @@
         if served || told.fate == Fate::Ended(Outcome::TimedOut) {
             server.pace += 3.0 * LEARN * (took.over(row.mean) - server.pace);
         }
+        // Guards against dead and quick-failing servers, whatever ails them; a speaker hears of them sooner.
+        if let Fate::Ended(
+            Outcome::Served | Outcome::Errored | Outcome::TimedOut | Outcome::Reset | Outcome::ConnectFailed,
+        ) = told.fate
+        {
+            server.good += 2.0 * LEARN * (f64::from(served) - server.good);
+            if server.good < FAILING {
+                server.left_out = self.now + first * f64::powi(2.0, server.strikes.min(3));
+                (server.strikes, server.good) = (server.strikes + 1, (1.0 + FAILING) / 2.0);
+            } else if served && server.good > 1.0 - LEARN {
+                server.strikes = 0;
+            }
+            if told.fate == Fate::Ended(Outcome::ConnectFailed) {
+                server.dead_until = self.now + first * 1.5;
+            }
+        }
         if served && usual_times {
             let usual = self.usual.entry(server.listed.model).or_insert(1.0);
             *usual += LEARN * LEARN * (took.over(row.mean) - *usual);
@@ -782,10 +787,16 @@
             }
             Message::Paces { shed, paces } if from == self.circle(self.terms.ordinal) => {
                 self.shed = shed.min(1.0 - LEARN);
+                let rest = self.shortest_sla() * LEAVE_OUT;
                 self.servers.values_mut().for_each(|s| s.pace = s.pace.min(1.0));
                 for (mark, pace) in paces {
                     let server = self.marks.get(&mark).and_then(|ix| self.servers.get_mut(ix));
-                    server.into_iter().for_each(|s| s.pace = pace);
+                    let Some(server) = server else { continue };
+                    if pace < LOST {
+                        server.pace = pace;
+                    } else {
+                        server.left_out = server.left_out.max(self.now + rest);
+                    }
                 }
             }
             Message::Paces { .. } => {}
@@ -797,16 +808,9 @@
                 self.members.insert(from, Member { since, told: self.now, open });
                 for told in fates {
                     // Guards against a server id used again: the build told must be the one listed.
-                    let server = self.marks.get(&told.mark).and_then(|ix| self.servers.get_mut(ix));
-                    let listed = server.filter(|s| s.listed.build & 63 == told.build);
-                    let unsent = told.fate == Fate::Unsent;
-                    let Some(build) = listed.as_ref().map(|s| s.listed.build).or(unsent.then_some(0)) else {
-                        continue;
-                    };
-                    if let Some(server) = listed.filter(|_| told.fate == Fate::Ended(Outcome::ConnectFailed))
-                    {
-                        server.dead_until = self.now + RETELL * LEAVE_OUT;
-                    }
+                    let server = self.marks.get(&told.mark).and_then(|ix| self.servers.get(ix));
+                    let listed = server.map(|s| s.listed.build).filter(|b| b & 63 == told.build);
+                    let Some(build) = listed.or((told.fate == Fate::Unsent).then_some(0)) else { continue };
                     let told = Hearsay { build, ..told };
                     self.note(&told);
                     self.learn(told);
@@ -851,12 +855,6 @@
 
     // ---- periodic work and output ----
 
-    /// What the circle's traffic came to of late.
-    fn lately(&self, span: Span) -> Flow {
-        let since = self.heard.since(self.now - span);
-        since.fold(Flow::default(), |all, f| all.with(f))
-    }
-
     /// Our submissions that may yet be answered: at servers that are not silent.
     fn open(&self) -> usize {
         self.servers.values().filter(|s| s.out > 0 && self.healthy(s)).map(|s| s.out).sum()
@@ -936,18 +934,7 @@
             }
             self.place(id);
         }
-        let edge = self.now - self.terms.release.window - self.terms.tick;
-        self.taken.forget(edge);
-        self.served.forget(edge);
-        self.looks.forget(edge);
-        self.heard.forget(edge);
-        self.exposed.forget(edge);
-        let edge = self.now - self.terms.rules.fall;
-        let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
-        for server in self.servers.values_mut() {
-            server.ghosts.retain(|g| self.now - *g < longest);
-            server.sends.forget(edge);
-        }
+        self.forget();
         self.judge();
     }
 
@@ -1024,23 +1011,28 @@
         out.push(Action::Vote { build, stage, verdict });
     }
 
-    /// Guards against servers that slow down unseen, as each of many gateways meets one seldom (departure H):
-    /// the speaker tells its circle the slowest, and the odds by weight spare them.
+    /// Guards against servers that slow down or fail unseen, as each of many gateways meets one seldom: the
+    /// speaker tells its circle the slowest, whom the odds by weight spare, and those left out (departure H).
     fn emit_paces(&mut self, out: &mut Vec<Action>) {
-        let circle = (0..self.terms.balancers).filter(|p| *p != self.terms.ordinal);
-        let often = if self.shed > 0.0 { self.shortest_sla() * PULSE } else { RETELL * 2.0 };
-        if self.now - self.paces_told < often || !self.terms.limits.tell {
+        let (since, pulse) = (self.now - self.paces_told, self.shortest_sla() * PULSE);
+        if since < pulse || !self.terms.limits.tell || !self.speaks() {
+            return;
+        }
+        let ready = self.servers.values().filter(|s| s.listed.lifecycle == Lifecycle::Ready);
+        let left_out = |s: &Server| self.now < s.left_out;
+        let paces = ready.map(|s| (s.listed.mark, if left_out(s) { LOST } else { s.pace }));
+        let mut slow: Vec<(u16, f64)> = paces.filter(|p| p.1 > 1.0 + EPSILON).collect();
+        let lost = slow.iter().filter(|p| p.1 >= LOST).count();
+        if self.shed == 0.0 && lost <= self.lost_told && since < RETELL * 2.0 {
             return;
         }
-        let slow = self.servers.values().filter(|s| s.pace > 1.0 + EPSILON);
-        let ready = slow.filter(|s| s.listed.lifecycle == Lifecycle::Ready);
-        let mut slow: Vec<(u16, f64)> = ready.map(|s| (s.listed.mark, s.pace)).collect();
         slow.sort_by(|a, b| b.1.total_cmp(&a.1));
         slow.truncate(MOST_PACES);
         let message = Message::Paces { shed: self.shed, paces: slow };
+        let circle = (0..self.terms.balancers).filter(|p| *p != self.terms.ordinal);
         let circle = circle.filter(|p| self.circle(*p) == self.terms.ordinal);
         out.extend(circle.map(|p| Action::Tell { to: Some(p), message: message.clone() }));
-        self.paces_told = self.now;
+        (self.paces_told, self.lost_told) = (self.now, lost);
     }
 
     fn emit_bits(&mut self, out: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -235,6 +235,7 @@
     /// The fates that the circle's speaker has not been told yet.
     pub untold: Vec<Hearsay>,
     pub paces_told: Point,
+    pub lost_told: usize,
     /// The part of txns given up on at once, against a jam.
     pub shed: f64,
     pub lowered: Point,
@@ -242,3 +243,42 @@
     pub passed_on: Point,
     pub unjudged: bool,
 }
+
+/// What is kept in order, without deciding anything.
+impl Gateway {
+    pub fn shortest_sla(&self) -> Span {
+        self.rows.iter().map(|r| r.sla).min().unwrap_or(Span(1_000_000))
+    }
+
+    pub fn look_again(&mut self, id: TxnId, at: Point) {
+        let Some(txn) = self.txns.get_mut(&id) else { return };
+        // Guards against a wait that outlasts the client: a look comes at its expiry at the latest.
+        let at = at.min(txn.expiry);
+        if let Some(before) = txn.due.replace(at) {
+            self.due.remove(&(before, id));
+        }
+        self.due.insert((at, id));
+    }
+
+    /// What the circle's traffic came to of late.
+    pub fn lately(&self, span: Span) -> Flow {
+        let since = self.heard.since(self.now - span);
+        since.fold(Flow::default(), |all, f| all.with(f))
+    }
+
+    /// Lets go of what no window holds any more.
+    pub fn forget(&mut self) {
+        let edge = self.now - self.terms.release.window - self.terms.tick;
+        self.taken.forget(edge);
+        self.served.forget(edge);
+        self.looks.forget(edge);
+        self.heard.forget(edge);
+        self.exposed.forget(edge);
+        let edge = self.now - self.terms.rules.fall;
+        let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
+        for server in self.servers.values_mut() {
+            server.ghosts.retain(|g| self.now - *g < longest);
+            server.sends.forget(edge);
+        }
+    }
+}
