--- /dev/null
+++ b/tests/decisions/circles.rs
@@ -0,0 +1,210 @@
+//! Many gateways: what a circle tells its speaker and hears from it.
+
+use expect_test::expect;
+use harrierdock::interface::*;
+use harrierdock::mail;
+
+use crate::desk::*;
+
+/// Fates of a circle's members as its speaker hears them: those of server 4, on trial, are good or not.
+fn hear(desk: &mut Desk, from: usize, good: bool) {
+    let fate = |server, good| Hearsay {
+        mark: server,
+        build: if server == 4 { 2 } else { 1 },
+        product: ASK,
+        fate: Fate::Ended(if good { Outcome::Served } else { Outcome::Errored }),
+        lag: 0.2,
+    };
+    let fates = vec![fate(0, true), fate(1, true), fate(2, true), fate(4, good)];
+    desk.mail(from, &mail::write(&Message::Fates { taken: 4, fresh: 4, open: 0, fates }));
+}
+
+fn one_of(balancers: usize, ordinal: usize) -> Desk {
+    let mut told = terms();
+    (told.balancers, told.ordinal) = (balancers, ordinal);
+    Desk::with(told, &[1, 1, 1, 1, 2], Phase::Trial)
+}
+
+#[test]
+fn a_quiet_gateway_tells_its_speaker_and_a_speaker_judges_for_its_circle() {
+    let mut quiet = one_of(400, 21);
+    quiet.traffic(2, 900, |_| (Outcome::Served, 125));
+    quiet.until(2500);
+    let mut lines = quiet.decisions();
+    for (case, good) in [("all failed", false), ("all served", true)] {
+        let mut speaker = one_of(400, 5);
+        for n in 0..40 {
+            hear(&mut speaker, 13 + 8 * n, good);
+        }
+        speaker.until(60);
+        lines += &format!("{case}: {}", speaker.decisions().lines().next().unwrap_or("nothing to tell"));
+        lines.push('\n');
+    }
+    expect![[r#"
+        1050: tell 5 1.1.0:0004WO
+        1950: tell 5 1.1.0:00C4WO
+        all failed: 50: tell 2.0.350.t
+        all served: nothing to tell
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn connections_that_were_not_made_are_not_held_against_the_build() {
+    let mut lines = String::new();
+    for fails in [Outcome::ConnectFailed, Outcome::Errored] {
+        let mut told = terms();
+        told.release.free = 1000.0;
+        let mut desk = Desk::with(told, &[1, 1, 1, 1, 2, 2, 2, 2], Phase::Trial);
+        let tried = std::cell::Cell::new(0);
+        desk.traffic(300, 10, |s| {
+            tried.set(tried.get() + usize::from(s > 3));
+            if s > 3 && tried.get() % 3 == 1 {
+                (fails, 250)
+            } else {
+                (Outcome::Served, 50)
+            }
+        });
+        let back = desk.decisions().contains("vote Back");
+        lines += &format!("{fails:?} once in three: {}\n", if back { "back" } else { "spared" });
+    }
+    expect![[r#"
+        ConnectFailed once in three: spared
+        Errored once in three: back
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn a_product_that_waits_at_every_server_is_not_held_against_the_build() {
+    let mut lines = String::new();
+    for (case, late) in [("one product", 1), ("all products", 3)] {
+        let mut told = terms();
+        (told.balancers, told.ordinal) = (400, 5);
+        let mut desk = Desk::with(told, &[1, 1, 1, 1, 1], Phase::Released);
+        let hear = |desk: &mut Desk, late: usize| {
+            let fate = Fate::Ended(Outcome::Served);
+            let lag = |product| if product < late { 1.5 } else { 0.2 };
+            let told = |product| Hearsay { mark: 0, build: 1, product, fate, lag: lag(product) };
+            let fates = [0, 1, 2].map(told).to_vec();
+            desk.mail(13, &mail::write(&Message::Fates { taken: 3, fresh: 3, open: 0, fates }));
+            desk.pass(40);
+        };
+        (0..300).for_each(|_| hear(&mut desk, 0));
+        desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![server(4, 2)] });
+        desk.stage(2, 0, Phase::Trial, 1.0);
+        (0..40).for_each(|_| hear(&mut desk, late));
+        lines += &format!("{case}: {}\n", desk.decisions().lines().next().unwrap_or("nothing"));
+    }
+    expect![[r#"
+        one product: 2000: tell 13 /0
+        all products: 2000: tell 13 /0
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn a_slow_server_is_told_to_the_circle_and_spared() {
+    let mut speaker = one_of(24, 5);
+    let told = |mark, lag| Hearsay { mark, build: 1, product: ASK, fate: Fate::Ended(Outcome::Served), lag };
+    for _ in 0..40 {
+        let fates = vec![told(0, 0.25), told(1, 0.9)];
+        speaker.mail(13, &mail::write(&Message::Fates { taken: 2, fresh: 2, open: 1, fates }));
+    }
+    speaker.until(2000);
+    let mut lines = speaker.decisions();
+    let said = lines.lines().next_back().and_then(|l| l.split(' ').next_back()).unwrap_or("").to_string();
+    let mut told = terms();
+    (told.balancers, told.ordinal) = (24, 13);
+    let mut member = Desk::with(told, &[1, 1], Phase::Released);
+    for from in [4, 5] {
+        member.mail(from, &said);
+        let used = member.traffic(40, 50, |_| (Outcome::Served, 125));
+        lines += &format!("told by {from}: {}\n", share(&used, 1));
+    }
+    expect![[r#"
+        2000: tell 13 /0006E
+        2000: tell 21 /0006E
+        told by 4: 19 of 40
+        told by 5: 18 of 40
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn a_jam_is_told_and_a_part_of_txns_declined_at_once() {
+    let mut speaker = one_of(24, 5);
+    let told = |product| Hearsay { mark: 0, build: 1, product, fate: Fate::Ended(Outcome::Served), lag: 1.2 };
+    for _ in 0..80 {
+        speaker.mail(
+            13,
+            &mail::write(&Message::Fates {
+                taken: 3,
+                fresh: 3,
+                open: 40,
+                fates: [0, 1, 2].map(told).to_vec(),
+            }),
+        );
+        speaker.pass(50);
+    }
+    let said = speaker.decisions().lines().rfind(|l| l.contains("tell 13")).unwrap_or("").to_string();
+    let mut told = terms();
+    (told.balancers, told.ordinal) = (24, 13);
+    let mut member = Desk::with(told, &[1, 1], Phase::Released);
+    member.mail(5, said.split(' ').next_back().unwrap_or(""));
+    member.txn(ASK, None);
+    let used = member.traffic(100, 20, |_| (Outcome::Served, 125));
+    let declined = member.decisions().lines().filter(|l| l.contains("decline")).count();
+    let lines = format!("{said}\nof 101 txns {declined} declined, {} sent\n", used.len());
+    expect![[r#"
+        3950: tell 13 /N002I
+        of 101 txns 1 declined, 99 sent
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn chance_drops_among_hundreds_do_not_add_up() {
+    // Members that are no speakers drop nothing for others, however many; nor does one speaker alone.
+    let mut desk = one_of(400, 5);
+    for from in 8..400 {
+        desk.mail(from, "2.0.1.t");
+    }
+    for _ in 0..9 {
+        desk.mail(2, "2.0.99.t");
+    }
+    let mut lines = format!("392 members and a speaker: {:?}\n", desk.decisions());
+    let mut desk = one_of(400, 21);
+    for from in 0..8 {
+        desk.mail(from, "2.0.3.t");
+    }
+    lines += &format!("all speakers at the cube of eta: {:?}\n", desk.decisions());
+    desk.mail(3, "2.0.7.t");
+    lines += &format!("and one at more: {}", desk.decisions());
+    expect![[r#"
+        392 members and a speaker: ""
+        all speakers at the cube of eta: ""
+        and one at more: 0: vote Back on 2 stage 0
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn messages_are_read_as_written_and_others_say_nothing() {
+    let fates = [(Fate::Ended(Outcome::Served), 1.0), (Fate::Complaint, 0.01), (Fate::Unsent, 1.01)];
+    let told = |&(fate, lag)| Hearsay { mark: 0xbeef, build: 61, product: 2, fate, lag };
+    let text = mail::write(&Message::Fates {
+        taken: 3,
+        fresh: 3,
+        open: 40,
+        fates: fates.iter().map(told).collect(),
+    });
+    let again = mail::read(&text).map(|m| mail::write(&m)) == Some(text.clone());
+    let late =
+        |m| matches!(m, Some(Message::Fates { fates, .. }) if fates[0].lag <= 1.0 && fates[2].lag > 1.0);
+    let odd = ["", "hi 7", "2.0.3", "2.0.3.x", "9:12", "x:", "2.0.-1.t"].map(|t| mail::read(t).is_some());
+    let lines = format!("{text} again {again}, late kept {}, odd read {odd:?}\n", late(mail::read(&text)));
+    expect![[r#"
+        3.3.40:lk_qWelk_qf0lk_qef again true, late kept true, odd read [false, false, false, false, false, false, false]
+    "#]].assert_eq(&lines);
+}
--- a/tests/desk/mod.rs
+++ b/tests/decisions/desk.rs
@@ -1,5 +1,6 @@
 //! A gateway at a desk: told events by hand at stated milliseconds, its decisions written down as a trace.
 
+use expect_test::Expect;
 use harrierdock::interface::*;
 use harrierdock::mail;
 use harrierdock::policy::Gateway;
@@ -9,6 +10,8 @@
 pub const NOTE: ProductIx = 1;
 pub const LODGE: ProductIx = 2;
 
+pub const FINE: fn(ServerIx) -> (Outcome, i64) = |_| (Outcome::Served, 50);
+
 pub fn ms(n: i64) -> Span {
     Span(n * 1000)
 }
@@ -218,3 +221,7 @@
 pub fn share(used: &[ServerIx], of: ServerIx) -> String {
     format!("{} of {}", used.iter().filter(|s| **s == of).count(), used.len())
 }
+
+pub fn check(desk: &Desk, expected: Expect) {
+    expected.assert_eq(&desk.trace);
+}
--- /dev/null
+++ b/tests/decisions/failures.rs
@@ -0,0 +1,144 @@
+//! Failures found, each as a small trace.
+
+use expect_test::expect;
+use harrierdock::interface::*;
+use harrierdock::time::Span;
+
+use crate::desk::*;
+
+#[test]
+fn complaints_send_a_wrong_build_back_and_one_does_not() {
+    let mut told = terms();
+    told.balancers = 2;
+    told.release.complaint_share = 0.15;
+    let mut desk = Desk::with(told, &[1, 1, 1, 2], Phase::Trial);
+    desk.traffic(1200, 10, FINE);
+    for n in 0..12 {
+        desk.tell(Event::Complaint { server: 3, product: ASK, age: ms(500) });
+        desk.trace.push_str(&format!("complaint {n}\n"));
+        desk.pass(60);
+        if desk.trace.contains("tell") {
+            break;
+        }
+    }
+    let from = desk.trace.find("complaint 0").unwrap_or(0);
+    expect![[r#"
+        complaint 0
+        complaint 1
+        complaint 2
+        complaint 3
+        12200: tell 2.0.5.t
+    "#]]
+    .assert_eq(&desk.trace[from..]);
+}
+
+#[test]
+fn quick_errors_at_one_of_several_servers_are_not_held_against_the_build() {
+    let mut lines = String::new();
+    let cases = [
+        ("one of three", vec![4]),
+        ("two of three", vec![3, 4]),
+        ("two of three, and one of the earlier build's", vec![0, 3, 4]),
+        ("three of three, and one of the earlier build's", vec![0, 2, 3, 4]),
+    ];
+    for (case, failing) in cases {
+        let mut told = terms();
+        told.release.free = 1000.0;
+        let mut desk = Desk::with(told, &[1, 1, 2, 2, 2], Phase::Trial);
+        let fails = |s| if failing.contains(&s) { (Outcome::Errored, 5) } else { (Outcome::Served, 50) };
+        desk.traffic(240, 10, fails);
+        lines += &format!("{case}: {}\n", desk.decisions().lines().next().unwrap_or("nothing"));
+    }
+    expect![[r#"
+        one of three: nothing
+        two of three: 840: vote Back on 2 stage 0
+        two of three, and one of the earlier build's: nothing
+        three of three, and one of the earlier build's: 640: vote Back on 2 stage 0
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn worse_service_goes_back_when_calm_and_not_while_machines_are_cold_or_traffic_is_higher() {
+    let mut lines = String::new();
+    for (case, age, apart, again) in [
+        ("warm", None, 10, false),
+        ("cold", Some(Span::ZERO), 10, false),
+        ("three times the traffic", None, 3, false),
+        ("three times, marked as repeats", None, 3, true),
+    ] {
+        let mut told = terms();
+        told.release.free = 1000.0;
+        told.marks_repeats = true;
+        let mut desk = Desk::with(told, &[1, 1], Phase::Released);
+        desk.until(20_000);
+        desk.traffic(1500, 10, FINE);
+        let fresh = [2, 3].map(|ix| Listed { age, ..server(ix, 2) });
+        desk.tell(Event::Roster { scope: Scope::Whole, lines: fresh.to_vec() });
+        desk.again = again;
+        desk.traffic(1000, apart, FINE);
+        desk.stage(2, 1, Phase::Trial, 1.0);
+        desk.traffic(150, apart, |_| (Outcome::Served, 700));
+        let vote = desk.trace.lines().find(|l| l.contains("vote")).unwrap_or("nothing").to_string();
+        lines += &format!("{case}: {vote}\n");
+    }
+    expect![[r#"
+        warm: 45250: vote Back on 2 stage 1
+        cold: nothing
+        three times the traffic: nothing
+        three times, marked as repeats: 38100: vote Back on 2 stage 1
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn dead_full_and_failing_servers_rest() {
+    let mut lines = String::new();
+    for bad in [Outcome::ConnectFailed, Outcome::Full, Outcome::Errored, Outcome::Served] {
+        let mut desk = Desk::with(terms(), &[1, 1, 1], Phase::Released);
+        let used = desk.traffic(120, 5, |s| if s == 0 { (bad, 2) } else { (Outcome::Served, 50) });
+        lines += &format!("{bad:?}: {}\n", share(&used, 0));
+    }
+    expect![[r#"
+        ConnectFailed: 1 of 121
+        Full: 3 of 123
+        Errored: 3 of 120
+        Served: 91 of 120
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn work_that_a_time_out_leaves_behind_fills_a_server() {
+    let mut desk = Desk::with(terms(), &[1], Phase::Released);
+    let mut open = Vec::new();
+    for _ in 0..12 {
+        open.push(desk.txn(LODGE, None));
+    }
+    desk.until(1500);
+    for txn in open {
+        if desk.sent.iter().any(|s| s.0 == txn) {
+            desk.close(txn, 0, Outcome::TimedOut, 1500);
+        }
+    }
+    desk.trace.clear();
+    desk.txn(ASK, None);
+    desk.until(1900);
+    check(
+        &desk,
+        expect![[r#"
+        1540: submit #13 to 0
+    "#]],
+    );
+}
+
+#[test]
+fn no_second_copy_goes_out_while_one_runs() {
+    let mut desk = Desk::with(terms(), &[1, 1, 1, 1, 1, 1, 1, 1], Phase::Released);
+    for n in 0..40 {
+        desk.until(n * 20);
+        desk.txn(ASK, None);
+    }
+    desk.until(1400);
+    expect!["24 submissions of 40 txns"].assert_eq(&format!("{} submissions of 40 txns", desk.sent.len()));
+}
--- /dev/null
+++ b/tests/decisions/rules.rs
@@ -0,0 +1,279 @@
+//! The five rules: answers, repeats, lists, cold servers, exposure and keys.
+
+use expect_test::expect;
+use harrierdock::interface::*;
+use harrierdock::time::Span;
+
+use crate::desk::*;
+
+#[test]
+fn a_txn_gets_one_final_answer_at_once_when_given_up_on() {
+    let mut desk = Desk::with(terms(), &[1], Phase::Released);
+    let (ask, lodge) = (desk.txn(ASK, None), desk.txn(LODGE, None));
+    let left = desk.txn(ASK, None);
+    desk.until(200);
+    desk.tell(Event::Left { id: TxnId(left) });
+    desk.close(left, 0, Outcome::Recalled, 200);
+    desk.until(1500);
+    desk.close(ask, 0, Outcome::TimedOut, 1500);
+    desk.close(lodge, 0, Outcome::TimedOut, 1500);
+    desk.until(4000);
+    check(
+        &desk,
+        expect![[r#"
+        0: submit #1 to 0
+        0: submit #2 to 0
+        0: submit #3 to 0
+        200: recall #3 attempt 0
+        1500: decline #1, back in 400 ms
+        1500: void #2
+    "#]],
+    );
+}
+
+#[test]
+fn a_wait_for_a_server_ends_with_the_client() {
+    let mut desk = Desk::with(terms(), &[1], Phase::Released);
+    let ask = desk.txn(ASK, None);
+    desk.until(1495);
+    desk.close(ask, 0, Outcome::Full, 1495);
+    desk.until(3000);
+    check(
+        &desk,
+        expect![[r#"
+        0: submit #1 to 0
+        1500: decline #1, back in 400 ms
+    "#]],
+    );
+}
+
+#[test]
+fn repeats_keep_to_the_product_its_group_and_its_memory() {
+    let mut desk = Desk::with(terms(), &[1, 1, 1, 1], Phase::Released);
+    let lodge = desk.txn(LODGE, None);
+    desk.close(lodge, 0, Outcome::Errored, 20); // may have run: no more
+    let lodge = desk.txn(LODGE, None);
+    desk.close(lodge, 0, Outcome::ConnectFailed, 20); // never ran: another server
+    let note = desk.txn(NOTE, None);
+    desk.close(note, 0, Outcome::Errored, 20); // the same zone only
+    let late = desk.txn(NOTE, None);
+    desk.until(998);
+    desk.close(late, 0, Outcome::Errored, 998); // its repeats are not remembered for longer
+    let zones: Vec<_> = desk.sent.iter().filter(|s| s.0 == note).map(|s| s.1 % 2).collect();
+    assert!(zones.len() >= 2 && zones.iter().all(|z| *z == zones[0]), "{zones:?}");
+    let ends: String =
+        desk.trace.lines().filter(|l| !l.contains("submit")).map(|l| format!("{l}\n")).collect();
+    expect![[r#"
+        40: void #1
+        998: void #4
+    "#]]
+    .assert_eq(&ends);
+}
+
+#[test]
+fn draining_and_gone_servers_get_nothing_and_a_list_is_asked_for() {
+    let mut desk =
+        Desk::with(Terms { discovery: Discovery::OnRequest, ..terms() }, &[1, 1, 1], Phase::Released);
+    let draining = Listed { lifecycle: Lifecycle::Draining, ..server(0, 1) };
+    desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![draining] });
+    desk.tell(Event::Roster { scope: Scope::Whole, lines: vec![server(1, 1)] });
+    let used = desk.traffic(20, 20, FINE);
+    desk.tell(Event::Roster { scope: Scope::Failed, lines: vec![] });
+    desk.until(3000);
+    let lines = format!("used 1: {}\n{}", share(&used, 1), desk.decisions());
+    expect![[r#"
+        used 1: 20 of 20
+        0: Listen
+        1400: Listen
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn a_cold_server_is_warmed_by_its_share_even_in_a_jam_of_retries() {
+    let mut desk = Desk::with(terms(), &[1, 1, 1, 1], Phase::Released);
+    desk.traffic(100, 20, FINE);
+    let cold = Listed { age: Some(Span::ZERO), ..server(0, 1) };
+    desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![cold] });
+    let down = |s| if s == 0 { (Outcome::Served, 50) } else { (Outcome::ConnectFailed, 1) };
+    let used = desk.traffic(200, 5, down);
+    expect!["5 of 9"].assert_eq(&share(&used, 0));
+}
+
+#[test]
+fn many_quiet_gateways_in_a_jam_leave_a_cold_server_alone() {
+    let mut lines = String::new();
+    for (case, cold, full) in [
+        ("one is cold", 1, Outcome::Served),
+        ("one is cold, the others full", 1, Outcome::Full),
+        ("half are cold, the others full", 5, Outcome::Full),
+    ] {
+        let mut reached = 0;
+        for n in 0..100 {
+            let mut desk = Desk::with(terms(), &[1; 10], Phase::Released);
+            desk.traffic(8 + n % 7, 250, FINE);
+            let lines = (0..cold).map(|s| Listed { age: Some(Span::ZERO), ..server(s, 1) }).collect();
+            desk.tell(Event::Roster { scope: Scope::Changes, lines });
+            let used = desk.traffic(4, 250, |s| if s < cold { (Outcome::Served, 50) } else { (full, 1) });
+            reached += used.iter().filter(|s| **s < cold).count();
+        }
+        lines += &format!("{case}: {reached} of 400 txns went to {cold} of ten\n");
+    }
+    expect![[r#"
+        one is cold: 28 of 400 txns went to 1 of ten
+        one is cold, the others full: 14 of 400 txns went to 1 of ten
+        half are cold, the others full: 143 of 400 txns went to 5 of ten
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn exposure_keeps_to_the_window_by_build_and_by_product() {
+    let mut by_product = terms();
+    by_product.release.counting = Counting::ByProduct;
+    let mut lines = String::new();
+    for (name, told) in [("together", terms()), ("by product", by_product)] {
+        for (case, stage, phase, cap) in [
+            ("cap 0.2", 0, Phase::Trial, 0.2),
+            ("cap 0", 0, Phase::GoingBack, 0.0),
+            ("withdrawn", 1, Phase::Withdrawn, 0.0),
+        ] {
+            let mut desk = Desk::with(told.clone(), &[1, 1, 2, 2, 2], Phase::Trial);
+            desk.stage(2, stage, phase, cap);
+            let used = desk.traffic(95, 20, FINE);
+            lines += &format!("{name}, {case}: {}\n", used.iter().filter(|s| **s >= 2).count());
+        }
+        let mut desk = Desk::with(told, &[1, 1, 2, 2, 2], Phase::Trial);
+        desk.stage(1, 1, Phase::Released, 1.0);
+        let used = desk.traffic(95, 20, FINE);
+        lines += &format!("{name}, unannounced: {}\n", used.iter().filter(|s| **s >= 2).count());
+    }
+    expect![[r#"
+        together, cap 0.2: 20
+        together, cap 0: 0
+        together, withdrawn: 0
+        together, unannounced: 20
+        by product, cap 0.2: 20
+        by product, cap 0: 0
+        by product, withdrawn: 0
+        by product, unannounced: 20
+    "#]]
+    .assert_eq(&lines);
+}
+
+#[test]
+fn guarded_stages_take_inquiries_only_and_answered_keys_stay() {
+    let mut told = terms();
+    told.release.guarded_stages = 1;
+    told.release.one_way = true;
+    let mut desk = Desk::with(told, &[1, 2], Phase::Trial);
+    assert_eq!(share(&desk.traffic(30, 20, FINE), 1), "0 of 30");
+    let mut pinned = None;
+    for key in 1..40 {
+        let txn = desk.txn(ASK, Some(key));
+        let to = desk.sent.last().map(|s| s.1);
+        desk.close(txn, 0, Outcome::Served, 30);
+        pinned = pinned.or((to == Some(1)).then_some(key));
+    }
+    desk.trace.clear();
+    desk.until(1000);
+    desk.txn(ASK, pinned);
+    desk.stage(2, 0, Phase::Released, 1.0);
+    desk.txn(ASK, pinned);
+    desk.stage(2, 0, Phase::GoingBack, 0.0);
+    desk.txn(ASK, pinned);
+    check(
+        &desk,
+        expect![[r#"
+        1000: submit #70 to 1
+        1000: submit #71 to 1
+        1000: submit #72 to 0
+    "#]],
+    );
+}
+
+#[test]
+fn a_key_stays_with_the_newest_build_where_its_answer_may_be_lost() {
+    let mut told = terms();
+    told.release.one_way = true;
+    let mut trace = String::new();
+    for outcome in [Outcome::Reset, Outcome::TimedOut, Outcome::Errored, Outcome::ConnectFailed] {
+        let mut desk = Desk::with(told.clone(), &[1, 2], Phase::Trial);
+        let mut key = 0;
+        let first = loop {
+            key += 1;
+            let txn = desk.txn(LODGE, Some(key));
+            if desk.sent.last() == Some(&(txn, 1)) {
+                break txn;
+            }
+            desk.close(txn, 0, Outcome::Served, 30);
+        };
+        desk.close(first, 0, outcome, 30);
+        if desk.sent.last() == Some(&(first, 0)) {
+            desk.close(first, 1, Outcome::Served, 30);
+        }
+        desk.pass(5000);
+        let used: Vec<ServerIx> = (0..20)
+            .filter_map(|_| {
+                desk.pass(100);
+                let txn = desk.txn(LODGE, Some(key));
+                let to = desk.sent.last().filter(|s| s.0 == txn)?.1;
+                // One that fails leaves the key as it was.
+                desk.close(txn, 0, Outcome::Errored, 30);
+                Some(to)
+            })
+            .collect();
+        trace += &format!("{outcome:?}: earlier build {}\n", share(&used, 0));
+    }
+    // Nor does it leave while its answer may be on its way.
+    let mut desk = Desk::with(told, &[1, 2], Phase::Trial);
+    let mut used: Vec<ServerIx> = Vec::new();
+    for key in 0..40 {
+        let [first, second] = [0; 2].map(|_| desk.txn(ASK, Some(key)));
+        let to: Vec<ServerIx> = desk.sent.iter().filter(|s| s.0 >= first).map(|s| s.1).collect();
+        used.extend(to.get(1).filter(|_| to[0] == 1));
+        [first, second].into_iter().for_each(|txn| desk.close(txn, 0, Outcome::Served, 30));
+        desk.pass(20);
+    }
+    trace += &format!("on its way: earlier build {}\n", share(&used, 0));
+    expect![[r#"
+        Reset: earlier build 0 of 20
+        TimedOut: earlier build 0 of 20
+        Errored: earlier build 5 of 20
+        ConnectFailed: earlier build 5 of 20
+        on its way: earlier build 0 of 20
+    "#]]
+    .assert_eq(&trace);
+}
+
+#[test]
+fn servers_and_keys_that_are_over_are_not_kept() {
+    let mut told = terms();
+    told.release.one_way = true;
+    let mut desk = Desk::with(told, &[1, 1], Phase::Released);
+    let mut trace = String::new();
+    for build in 2..30 {
+        let places = [build as usize * 2, build as usize * 2 + 1];
+        let lines = places.map(|ix| server(ix, build));
+        desk.tell(Event::Roster { scope: Scope::Changes, lines: lines.to_vec() });
+        desk.stage(build, 1, Phase::Trial, 1.0);
+        for key in 0..20 {
+            desk.pass(50);
+            let txn = desk.txn(ASK, Some(u64::from(build) * 100 + key));
+            desk.close(txn, 0, Outcome::Served, 30);
+        }
+        let during = desk.kept();
+        let gone = |ix| Listed { lifecycle: Lifecycle::Gone, ..server(ix, build - 1) };
+        let lines = places.map(|ix| gone(if build == 2 { ix - 4 } else { ix - 2 })).to_vec();
+        desk.tell(Event::Roster { scope: Scope::Changes, lines });
+        desk.stage(build, 1, Phase::Released, 1.0);
+        if build % 14 == 1 {
+            trace += &format!("build {build} on trial: {during}; released: {}\n", desk.kept());
+        }
+    }
+    expect![[r#"
+        build 15 on trial: 30 servers, 30 marks, 11 keys; released: 30 servers, 30 marks, 0 keys
+        build 29 on trial: 40 servers, 40 marks, 13 keys; released: 38 servers, 38 marks, 0 keys
+    "#]]
+    .assert_eq(&trace);
+}
