--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod connection;
 mod dues;
+mod errand;
 mod feed;
 pub mod logging;
 mod net;
@@ -13,6 +14,7 @@
 pub use clock::Clock;
 pub use connection::{Connection, Filled, Flushed, Purse};
 pub use dues::Dues;
+pub use errand::{Errand, Step};
 pub use feed::{Asking, Feed, Heard};
 pub use net::{ConnectionNo, Net};
 pub use pool::{Buffer, Descriptors, Pool};
