--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -11,6 +11,7 @@
 use harrierdock_sites::{Ending, Event as Crossing};
 use harrierdock_terms::Names;
 
+use crate::book::{Entry, Sent, Whereabouts};
 use crate::clients::Answer;
 use crate::counters::Count;
 use crate::due::Due;
@@ -18,47 +19,6 @@
 use crate::gateway::Gateway;
 use crate::room::{Asked, Notice};
 
-struct Sent {
-    server: ServerIx,
-    at: Point,
-    out: bool,
-    /// It never ran, for certain.
-    never_ran: bool,
-    /// Octets of the request's body.
-    octets: usize,
-}
-
-/// Where a txn is, of those two sites may have.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Whereabouts {
-    /// Nobody has been asked yet.
-    AtTheDoor,
-    Here,
-    Across,
-    /// Here, after it was across.
-    Back,
-}
-
-struct Entry {
-    product: ProductIx,
-    key: Option<Key>,
-    again: bool,
-    taken: Point,
-    expiry: Point,
-    overdue: Point,
-    answered: bool,
-    whereabouts: Whereabouts,
-    /// The other site has handed it over.
-    inward: bool,
-    sent: Vec<Sent>,
-}
-
-impl Entry {
-    fn may_have_run(&self) -> bool {
-        self.sent.iter().any(|s| !s.never_ran)
-    }
-}
-
 pub struct Driver {
     module: policy::Gateway,
     pub names: Names,
@@ -126,8 +86,9 @@
     fn notice(&mut self, now: Point, notice: Notice) {
         match notice {
             Notice::Event(event) => {
-                if let (Some(export), Event::Stage(news)) = (&mut self.export, &event) {
-                    export.stage(news);
+                if let Event::Stage(news) = &event {
+                    self.steward_news(news);
+                    self.export.iter_mut().for_each(|export| export.stage(news));
                 }
                 let listed = matches!(event, Event::Roster { .. });
                 self.take(now, event);
@@ -135,6 +96,7 @@
                     self.look_home(now);
                 }
             }
+            Notice::FleetMail { from, bytes } => self.fleet_mail(from, &bytes),
             Notice::Taken { id, product, key, again, left, inward } => {
                 let (expiry, overdue) = (now + left, now + left + self.driver.tick);
                 let entry = Entry {
@@ -298,8 +260,9 @@
             Action::Decline { id, retry_after } => self.declined(now, id, retry_after),
             Action::Void { id } => self.answer(id, Answer::Voided),
             Action::Vote { build, stage, verdict } => {
-                if let Some(platform) = &mut self.platform {
-                    platform.vote(&mut self.room, build, stage, verdict);
+                if !self.vote_by_steward(build, stage, verdict) {
+                    let room = &mut self.room;
+                    self.platform.iter_mut().for_each(|p| p.vote(room, build, stage, verdict));
                 }
             }
             Action::Tell { to, message } => {
--- a/crates/gateway/src/due.rs
+++ b/crates/gateway/src/due.rs
@@ -17,6 +17,12 @@
     Link,
     /// What goes between the sites is looked after.
     Sites,
+    /// What the fleet shares is looked after.
+    Fleet,
+    /// The steward's ballots and waves are looked after.
+    Steward,
+    /// A call of the installation has waited for its answer for as long as it may.
+    Call(ConnectionNo),
     /// Connections, streams and descriptors are looked after.
     Tend,
     /// The counters are logged.
--- /dev/null
+++ b/crates/gateway/src/duties.rs
@@ -0,0 +1,197 @@
+//! Duties on sockets: what `fleet` and `steward` ask for is done here, with the peers' road and the loop's dues.
+
+use calloop::Readiness;
+use harrierdock::interface::{Build, Event as ModuleEvent, PeerIx, Phase, StageNews, Verdict, Word};
+use harrierdock::time::{Point, Span};
+use harrierdock_fleet::{Duty, Event};
+use harrierdock_net::ConnectionNo;
+use harrierdock_steward::{self as ballots, Action, Answer, Event as StewardEvent};
+
+use crate::counters::Count;
+use crate::due::Due;
+use crate::fleet::{Asked, Duties};
+use crate::gateway::Gateway;
+use crate::room::Notice;
+use crate::steward::{self, Ended, Spans, Stewarding};
+use crate::told::Told;
+use crate::with::With;
+
+impl Gateway {
+    /// Begins this gateway's part in the fleet, where one is told.
+    pub fn begin_duties(&mut self, told: &Told, with: &With, spans: &Spans) -> Result<(), String> {
+        let Some(shared) = &with.fleet else { return Ok(()) };
+        let terms = shared.terms(&told.beside()?).map_err(|e| e.to_string())?;
+        let (now, own) = (self.room.now(), (terms.own, terms.ids.len()));
+        if let Some(steward) = &shared.steward {
+            self.stewarding = Some(Box::new(Stewarding::new(now, steward, &told.name, own, spans)));
+        }
+        tracing::info!("fleet: {}", shared.summary(&told.name));
+        let (duties, asked) = Duties::new(now, shared.clone(), terms, &told.name, told.seed());
+        self.duties = Some(Box::new(duties));
+        self.obey_fleet(asked);
+        Ok(())
+    }
+
+    /// Tells `crates/fleet`, and does what it asks for.
+    pub fn fleet(&mut self, event: Event) {
+        let now = self.room.now();
+        let asked = self.duties.as_mut().map(|d| d.take(now, event));
+        self.obey_fleet(asked.unwrap_or_default());
+    }
+
+    pub fn fleet_due(&mut self) {
+        self.fleet_armed = None;
+        self.fleet(Event::Wake);
+    }
+
+    fn obey_fleet(&mut self, asked: Vec<Asked>) {
+        for asked in asked {
+            match asked {
+                Asked::Send { to, bytes } => self.send_to(to, &bytes),
+                Asked::Holds { duty: Duty::Steward, epoch } => {
+                    self.steward(StewardEvent::Holds { epoch: epoch.0 });
+                }
+                Asked::Ended { duty: Duty::Steward } => self.steward(StewardEvent::Lost),
+                Asked::Holds { .. } | Asked::Ended { .. } => {}
+                Asked::WakeAt(at) => {
+                    let dues = &mut self.room.dues;
+                    self.fleet_armed.into_iter().for_each(|before| dues.clear(before, Due::Fleet));
+                    dues.set(at, Due::Fleet);
+                    self.fleet_armed = Some(at);
+                }
+            }
+        }
+    }
+
+    fn send_to(&mut self, to: PeerIx, bytes: &[u8]) {
+        if let Some(peers) = &self.peers {
+            peers.send(&mut self.room, to, bytes);
+        }
+    }
+
+    /// A datagram of a gateway of the fleet. What cannot be read changes nothing.
+    pub fn fleet_mail(&mut self, from: PeerIx, bytes: &[u8]) {
+        let now = self.room.now();
+        if bytes.first() == Some(&ballots::FIRST) && self.stewarding.is_some() {
+            match ballots::read(bytes) {
+                Ok(told) => self.steward(StewardEvent::Heard { from, told }),
+                Err(e) => {
+                    self.room.counters.add(Count::MailRefused);
+                    tracing::debug!("fleet: a ballot is refused: {e}");
+                }
+            }
+            return;
+        }
+        match self.duties.as_mut().map(|d| d.hear(now, from, bytes)) {
+            Some(Ok(asked)) => self.obey_fleet(asked),
+            _ => self.room.counters.add(Count::MailRefused),
+        }
+    }
+
+    /// The module votes. Gives back whether the vote goes to the steward, and not to the platform.
+    pub fn vote_by_steward(&mut self, build: Build, stage: usize, verdict: Verdict) -> bool {
+        if self.stewarding.is_none() {
+            return false;
+        }
+        self.room.counters.add(Count::Votes);
+        self.steward(StewardEvent::Cast(steward::ballot(build, stage, verdict)));
+        // To the module the vote stands: it renews it as it would at the platform.
+        let news = StageNews {
+            build,
+            stage,
+            phase: Phase::Trial,
+            cap: 0.0,
+            word: Word::Moot,
+            answers_vote: true,
+            age: Span::ZERO,
+        };
+        self.room.tell(Notice::Event(ModuleEvent::Stage(news)));
+        true
+    }
+
+    /// The platform has told how a build stands.
+    pub fn steward_news(&mut self, news: &StageNews) {
+        if let Some(event) = steward::stage(news).filter(|_| self.stewarding.is_some()) {
+            self.steward(event);
+        }
+    }
+
+    pub fn steward(&mut self, event: StewardEvent) {
+        let now = self.room.now();
+        let actions = self.stewarding.as_mut().map(|s| s.take(now, event));
+        for action in actions.unwrap_or_default() {
+            match action {
+                Action::Tell(told) => {
+                    let electors = self.duties.as_ref().map(|d| d.electors());
+                    let bytes = ballots::write(&told);
+                    electors.into_iter().flatten().for_each(|to| self.send_to(to, &bytes));
+                }
+                Action::Call { ballot, again } => self.call(ballot, again),
+                Action::Said(_) => {}
+                Action::Wake { after } => self.wake_steward(now + after),
+            }
+        }
+    }
+
+    fn wake_steward(&mut self, at: Point) {
+        let Some(stewarding) = &mut self.stewarding else { return };
+        let dues = &mut self.room.dues;
+        stewarding.due.into_iter().for_each(|before| dues.clear(before, Due::Steward));
+        dues.set(at, Due::Steward);
+        stewarding.due = Some(at);
+    }
+
+    pub fn steward_due(&mut self) {
+        if let Some(stewarding) = &mut self.stewarding {
+            stewarding.due = None;
+        }
+        self.steward(StewardEvent::Wake);
+    }
+
+    fn call(&mut self, ballot: ballots::Ballot, again: bool) {
+        let Some(stewarding) = &mut self.stewarding else { return };
+        let no = self.room.next_connection();
+        let ready = move |gateway: &mut Gateway, readiness| {
+            gateway.call_ready(no, readiness);
+            gateway.settle();
+        };
+        match stewarding.begin(&mut self.room.net, (ballot, again), no, ready) {
+            Some(due) => self.room.dues.set(due, Due::Call(no)),
+            None => self.steward(StewardEvent::Answered { ballot, answer: Answer::NotWritten }),
+        }
+    }
+
+    fn call_ready(&mut self, no: ConnectionNo, readiness: Readiness) {
+        let Gateway { stewarding, duties, room, .. } = self;
+        let may_act = |now| duties.as_ref().and_then(|d| d.may_act(now, Duty::Steward));
+        let ended = stewarding.as_mut().and_then(|s| s.serve(&mut room.net, no, readiness, may_act));
+        self.call_ended(ended);
+    }
+
+    pub fn give_up_call(&mut self, no: ConnectionNo) {
+        let ended = self.stewarding.as_mut().and_then(|s| s.give_up(&mut self.room.net, no));
+        self.call_ended(ended);
+    }
+
+    fn call_ended(&mut self, ended: Option<Ended>) {
+        let Some(Ended { ballot, answer, newest, no, due }) = ended else { return };
+        self.room.dues.clear(due, Due::Call(no));
+        self.steward(StewardEvent::Answered { ballot, answer });
+        if let Some(newest) = newest {
+            self.fleet(Event::Refused { duty: Duty::Steward, newest });
+        }
+    }
+
+    /// The file of our own was read again. What does not fit changes nothing, in one line.
+    pub fn renew_duties(&mut self, with: &With) {
+        let now = self.room.now();
+        match (&mut self.duties, &with.fleet) {
+            (Some(duties), Some(told)) => match duties.renew(now, told) {
+                Ok(asked) => self.obey_fleet(asked),
+                Err(e) => tracing::warn!("fleet: what is held stays: {e}"),
+            },
+            (None, None) => {}
+            _ => tracing::warn!("fleet: begins or ends with the next start only"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,198 @@
+//! This gateway's part in a fleet: messages on the peers' road to `crates/fleet` and back, the times it asks for,
+//! and the lines that say who holds what. Knows no socket: it takes bytes and points, and gives back what to do.
+
+use harrierdock::interface::PeerIx;
+use harrierdock::time::{Point, Span};
+use harrierdock_fleet::{form, Action, Duty, Epoch, Event, Fleet, Terms, Unread, Why};
+
+use crate::fleet_told::{FleetMisfit, FleetTold};
+
+/// Messages that begin from here on are of a fleet; no text does.
+pub const FLEET_FROM: u8 = 0xF5;
+/// How often messages that cannot be read are told in the log.
+const UNREAD_EVERY: Span = Span(10_000_000);
+
+/// What is asked of the driver.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Asked {
+    Send {
+        to: PeerIx,
+        bytes: Vec<u8>,
+    },
+    /// A duty is this gateway's from now on.
+    Holds {
+        duty: Duty,
+        epoch: Epoch,
+    },
+    Ended {
+        duty: Duty,
+    },
+    /// To be woken then, and at no earlier point asked for before.
+    WakeAt(Point),
+}
+
+/// A clock that a rehearsal lets run fast or slow. Only what `crates/fleet` is told goes by it.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    start: Point,
+    rate: f64,
+}
+
+impl Pace {
+    fn told(self, now: Point) -> Point {
+        if self.rate == 1.0 {
+            return now;
+        }
+        self.start + (now - self.start) * self.rate
+    }
+}
+
+pub struct Duties {
+    fleet: Fleet,
+    told: FleetTold,
+    name: String,
+    own: PeerIx,
+    pace: Pace,
+    form: u8,
+    unread: u64,
+    unread_told: Option<Point>,
+}
+
+impl Duties {
+    /// Begins, and would hold the told duties where this gateway is an elector.
+    pub fn new(
+        now: Point,
+        told: FleetTold,
+        terms: Terms,
+        name: &str,
+        seed: u64,
+    ) -> (Duties, Vec<Asked>) {
+        let rehearsal = told.rehearsal.as_ref();
+        let (rate, form) = rehearsal.map_or((1.0, form::FORM), |r| (r.clock_rate, r.form));
+        let pace = Pace { start: now, rate };
+        let (own, wanted) = (terms.own, terms.duties.clone());
+        let elector = terms.electorate.electors.contains(&own);
+        // Unix time in milliseconds, as points begin with it.
+        let incarnation = (now.0 / 1000) as u64;
+        let fleet = Fleet::new(terms, incarnation, seed ^ incarnation, now);
+        let mut duties = Duties { fleet, told, name: name.into(), own, pace, form, unread: 0, unread_told: None };
+        let mut asked = duties.take(now, Event::Wake);
+        for duty in wanted.into_iter().filter(|_| elector) {
+            asked.extend(duties.take(now, Event::Wants { duty, wants: true }));
+        }
+        (duties, asked)
+    }
+
+    /// The electors but for this gateway.
+    pub fn electors(&self) -> Vec<PeerIx> {
+        self.fleet.electorate().0.electors.iter().copied().filter(|e| *e != self.own).collect()
+    }
+
+    /// Whether this gateway may act in this duty right now. To be asked immediately before the bytes of each act go
+    /// out. Guards against acts of one that was stalled, cut off or late: no other place knows the time of the act.
+    pub fn may_act(&self, now: Point, duty: Duty) -> Option<Epoch> {
+        self.fleet.may_act(self.pace.told(now), duty)
+    }
+
+    /// A message of a gateway of the fleet.
+    ///
+    /// # Errors
+    /// It cannot be read, and changes nothing.
+    pub fn hear(&mut self, now: Point, from: PeerIx, bytes: &[u8]) -> Result<Vec<Asked>, Unread> {
+        let mut bytes = bytes.to_vec();
+        if let Some(form) = bytes.get_mut(1).filter(|_| self.form != form::FORM) {
+            // A rehearsal's other version: it reads its own form, and no other one.
+            *form = if *form == self.form { form::FORM } else { self.form };
+        }
+        match form::read(&bytes) {
+            Ok(message) => Ok(self.take(now, Event::Heard { from, message })),
+            Err(e) => {
+                self.unread += 1;
+                // Guards against a log full of one garbled road or an old build: a line in a while says how many.
+                if self.unread_told.is_none_or(|at| now - at >= UNREAD_EVERY) {
+                    let many = std::mem::take(&mut self.unread);
+                    self.unread_told = Some(now);
+                    let name = self.told.gateways.get(from).map_or("?", String::as_str);
+                    tracing::warn!("fleet: {many} messages refused lately, the last from {name}: {e}");
+                }
+                Err(e)
+            }
+        }
+    }
+
+    /// Tells `crates/fleet`, says what has changed, and gives back what is to be done.
+    pub fn take(&mut self, now: Point, event: Event) -> Vec<Asked> {
+        let actions = self.fleet.take(self.pace.told(now), event);
+        actions.into_iter().map(|action| self.asked(now, action)).collect()
+    }
+
+    fn asked(&self, now: Point, action: Action) -> Asked {
+        match action {
+            Action::Tell { to, message } => {
+                let mut bytes = form::write(&message);
+                if let Some(form) = bytes.get_mut(1) {
+                    *form = self.form;
+                }
+                Asked::Send { to, bytes }
+            }
+            Action::Holds { duty, epoch } => {
+                tracing::info!("fleet: holds {duty}, epoch {epoch}");
+                Asked::Holds { duty, epoch }
+            }
+            Action::Ended { duty, epoch, why } => {
+                match why {
+                    Why::HandedOn => tracing::info!("fleet: {duty} ended, epoch {epoch}: handed on"),
+                    Why::Lapsed => tracing::warn!("fleet: {duty} ended, epoch {epoch}: not renewed in time"),
+                    Why::Refused => tracing::warn!("fleet: {duty} ended, epoch {epoch}: a later one is known"),
+                }
+                Asked::Ended { duty }
+            }
+            // What is a span by a clock that runs fast is a shorter one by the loop's.
+            Action::Wake { after } => Asked::WakeAt(now + after / self.pace.rate),
+        }
+    }
+
+    /// Another file was read. What may change while running is the electorate; all else waits for the next start.
+    ///
+    /// # Errors
+    /// What does not fit: the running fleet goes on with what it had.
+    pub fn renew(&mut self, now: Point, told: &FleetTold) -> Result<Vec<Asked>, FleetMisfit> {
+        if told.differs_beyond_electorate(&self.told) {
+            tracing::warn!("fleet: what is told beside the electorate counts from the next start on only");
+        }
+        let same = (&told.electorate, told.electorate_number);
+        if same == (&self.told.electorate, self.told.electorate_number) {
+            return Ok(Vec::new());
+        }
+        let next = told.electorate(&self.name)?;
+        self.fleet.may_change(&next).map_err(FleetMisfit::of)?;
+        tracing::info!("fleet: electorate {} begins: {}", next.number, told.electorate.join(" "));
+        self.told.electorate = told.electorate.clone();
+        self.told.electorate_number = told.electorate_number;
+        let before = self.fleet.electorate().0.electors.contains(&self.own);
+        let after = next.electors.contains(&self.own);
+        let mut asked = self.take(now, Event::Electorate(next));
+        if before != after {
+            for duty in told.duties.iter().filter_map(|d| d.parse().ok()) {
+                asked.extend(self.take(now, Event::Wants { duty, wants: after }));
+            }
+        }
+        Ok(asked)
+    }
+
+    /// For the counters' line: what was counted, and who holds what as far as is known here.
+    pub fn counts(&self, now: Point) -> String {
+        let counts = self.fleet.counts();
+        let holder = |duty: &str| -> Option<&str> {
+            let known = self.fleet.holder(self.pace.told(now), duty.parse().ok()?)?;
+            self.told.gateways.get(known.holder).map(String::as_str)
+        };
+        let told = self.told.duties.iter();
+        let holders: String =
+            told.map(|duty| format!(" {duty}={}", holder(duty).unwrap_or("nobody"))).collect();
+        format!(
+            "fleet: taken={} handed-on={} lapsed={} outdated={} unlike={} absurd={}{holders}",
+            counts.taken, counts.handed_on, counts.lapsed, counts.outdated, counts.unlike, counts.absurd
+        )
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,10 +15,12 @@
 use crate::driver::Driver;
 use crate::due::Due;
 use crate::export::Export;
+use crate::fleet::Duties;
 use crate::peers::Peers;
 use crate::platform::Platform;
 use crate::room::Room;
 use crate::servers::Servers;
+use crate::steward::{Spans, Stewarding};
 use crate::told::{RolloutsTold, Told};
 use crate::with::With;
 
@@ -46,6 +48,11 @@
     pub across: Option<Across>,
     pub control: Option<Control>,
     pub export: Option<Box<Export>>,
+    /// This gateway's part in a fleet, and in the waves of a release, where they are told.
+    pub duties: Option<Box<Duties>>,
+    pub stewarding: Option<Box<Stewarding>>,
+    /// When the fleet's part asked to be woken.
+    pub fleet_armed: Option<Point>,
     /// The file of our own that a reload reads again.
     with: Option<PathBuf>,
     /// The file that a reload reads again.
@@ -101,11 +108,18 @@
         let tending = connect.clamp(LEAST, UNUSED / 4.0);
         let (products, sockets) = (names.products.clone(), told.limits.sockets);
         let clients = Clients::new(told.listen, products, idle, tending, sockets).map_err(listens)?;
-        let peers = Peers::open(&room, told, terms.ordinal).map_err(|e| format!("cannot hear peers: {e}"))?;
+        let on_mail = |gateway: &mut Gateway| {
+            if let Some(peers) = &gateway.peers {
+                peers.hear(&mut gateway.room);
+            }
+            gateway.settle();
+        };
+        let peers = Peers::open(&room.handle, told, terms.ordinal, on_mail);
+        let peers = peers.map_err(|e| format!("cannot hear peers: {e}"))?;
         let across = Across::open(&room, told, &with)?;
         let control = with.sites.as_ref().and_then(|s| s.control.as_ref()).map(|path| with.path(path));
         let control = control.map(|path| Control::open(&room.handle, path)).transpose()?;
-        let vote_wait = terms.release.vote_wait;
+        let (vote_wait, vote_life) = (terms.release.vote_wait, terms.release.vote_life);
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, connect));
         let discovery = Discovery::new(told.discovery, connect);
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
@@ -132,6 +146,9 @@
             across,
             control,
             export,
+            duties: None,
+            stewarding: None,
+            fleet_armed: None,
             with: with_path,
             path: told.path.clone(),
             vote_wait,
@@ -148,6 +165,9 @@
         }
         let now = gateway.room.now();
         gateway.sites(now, harrierdock_sites::Event::Wake);
+        let heartbeat = with.fleet.as_ref().map_or(tending, |f| Span(i64::from(f.heartbeat_ms) * 1000));
+        let spans = Spans { vote_life, call_wait: vote_wait.max(tending), heartbeat };
+        gateway.begin_duties(told, &with, &spans)?;
         gateway.settle();
         gateway.look_ready();
         gateway.clients.open(&gateway.room)?;
@@ -168,6 +188,9 @@
                 Due::Txn(id) => self.overdue(id),
                 Due::Link => self.link_due(),
                 Due::Sites => self.sites_due(),
+                Due::Fleet => self.fleet_due(),
+                Due::Steward => self.steward_due(),
+                Due::Call(no) => self.give_up_call(no),
                 Due::Tend => self.tend(),
                 Due::End => self.try_to_end(),
                 Due::Report => {
@@ -244,7 +267,7 @@
         tracing::info!("told to reload");
         if self.with.is_some() {
             match With::read(self.with.as_deref()) {
-                Ok(with) => self.renew(&with),
+                Ok(with) => self.renew(&told, &with),
                 Err(e) => tracing::warn!("told to reload, the keys held stay: {e}"),
             }
         }
@@ -256,11 +279,13 @@
     }
 
     /// The file of our own was read again: new keys, and new collectors.
-    fn renew(&mut self, with: &With) {
-        if let Err(e) = with.check_flows() {
+    fn renew(&mut self, told: &Told, with: &With) {
+        let fleet = told.beside().and_then(|b| with.check_fleet(&b).map_err(|e| e.to_string()));
+        if let Err(e) = with.check_flows().and(fleet) {
             return tracing::warn!("told to reload, what is told beside the configuration stays: {e}");
         }
         self.renew_keys(with);
+        self.renew_duties(with);
         if self.export.is_none() && with.flows.is_some() {
             tracing::warn!("flows: export begins with the next start only");
         }
@@ -288,6 +313,8 @@
             return;
         }
         tracing::info!("told to end");
+        // Before clients are parted, so that another has taken over while they still are.
+        self.fleet(harrierdock_fleet::Event::Ending);
         self.ending = Some(self.room.now());
         self.room.due_in(COMING, Due::End);
         self.clients.turn(Serving::Ending);
@@ -320,6 +347,7 @@
         room.counters.set(Count::NoBuffer, room.net.no_buffer);
         room.counters.set(Count::StreamsOpened, room.net.streams_opened);
         let (held, lent) = (room.descriptors.held, room.pool.lent);
+        self.duties.iter().for_each(|duties| tracing::info!("counts: {}", duties.counts(room.net.now())));
         tracing::info!("counts: {} open={held} lent={lent} owed={}", room.counters, self.driver.owed());
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,6 +2,7 @@
 //! alone speaks with the module.
 
 mod across;
+mod book;
 mod clients;
 mod command_line;
 mod control;
@@ -9,7 +10,10 @@
 mod discovery;
 mod driver;
 mod due;
+mod duties;
 mod export;
+mod fleet;
+mod fleet_told;
 mod flow_file;
 mod flow_report;
 mod gateway;
@@ -19,6 +23,7 @@
 mod request;
 mod room;
 mod servers;
+mod steward;
 mod told;
 mod with;
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 
 use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction};
+use calloop::{Interest, LoopHandle, Mode, PostAction};
 use harrierdock::interface::{Event, Message, PeerIx};
 use harrierdock::mail;
 
 use crate::counters::Count;
-use crate::gateway::Gateway;
+use crate::fleet::FLEET_FROM;
 use crate::room::{Notice, Room};
 use crate::told::Told;
 
@@ -28,25 +28,27 @@
 
 impl Peers {
     /// None where the gateway was told of no peers.
-    pub fn open(room: &Room, told: &Told, own: PeerIx) -> io::Result<Option<Peers>> {
+    pub fn open<D>(
+        handle: &LoopHandle<'static, D>,
+        told: &Told,
+        own: PeerIx,
+        on_mail: impl Fn(&mut D) + 'static,
+    ) -> io::Result<Option<Peers>> {
         let Some(address) = told.peer_listen else { return Ok(None) };
         let socket = UdpSocket::bind(address)?;
         socket.set_nonblocking(true)?;
         tracing::info!("{} hears peers on {}", told.name, socket.local_addr()?);
         let socket = Rc::new(socket);
         let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-        let call = |_, _: &mut _, gateway: &mut Gateway| {
-            if let Some(peers) = &gateway.peers {
-                peers.hear(&mut gateway.room);
-            }
-            gateway.settle();
+        let call = move |_, _: &mut _, data: &mut D| {
+            on_mail(data);
             Ok(PostAction::Continue)
         };
-        room.handle.insert_source(source, call).map_err(|e| io::Error::other(e.error))?;
+        handle.insert_source(source, call).map_err(|e| io::Error::other(e.error))?;
         Ok(Some(Peers { socket, addresses: told.peers.clone(), all: told.peers_all, own }))
     }
 
-    fn hear(&self, room: &mut Room) {
+    pub fn hear(&self, room: &mut Room) {
         let mut bytes = [0_u8; MOST + 1];
         for _ in 0..READ_MOST {
             let (size, sender) = match self.socket.recv_from(&mut bytes) {
@@ -56,6 +58,11 @@
                 Err(_) => continue,
             };
             let from = self.addresses.iter().position(|a| *a == sender).filter(|p| *p != self.own);
+            if let Some(from) = from.filter(|_| size <= MOST && bytes[0] >= FLEET_FROM && size > 0) {
+                room.counters.add(Count::MailHeard);
+                room.tell(Notice::FleetMail { from, bytes: bytes[..size].to_vec() });
+                continue;
+            }
             let said = std::str::from_utf8(&bytes[..size]).ok().filter(|_| size <= MOST);
             let Some((from, message)) = from.zip(said.and_then(mail::read)) else {
                 room.counters.add(Count::MailRefused);
@@ -71,11 +78,19 @@
             Some(peer) => self.addresses.get(peer).copied(),
             None => self.all,
         };
-        let text = mail::write(message);
-        room.counters.must(text.len() <= MOST, "a message to a peer fits a datagram");
-        if let Some(address) = address.filter(|_| text.len() <= MOST) {
+        self.send_bytes(room, address, mail::write(message).as_bytes());
+    }
+
+    /// A message of the fleet, to one gateway.
+    pub fn send(&self, room: &mut Room, to: PeerIx, bytes: &[u8]) {
+        self.send_bytes(room, self.addresses.get(to).copied(), bytes);
+    }
+
+    fn send_bytes(&self, room: &mut Room, address: Option<SocketAddr>, bytes: &[u8]) {
+        room.counters.must(bytes.len() <= MOST, "a message to a peer fits a datagram");
+        if let Some(address) = address.filter(|_| bytes.len() <= MOST) {
             // A datagram may be lost on its way as well.
-            if self.socket.send_to(text.as_bytes(), address).is_ok() {
+            if self.socket.send_to(bytes, address).is_ok() {
                 room.counters.add(Count::MailSent);
             }
         }
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::ops::{Deref, DerefMut};
 
-use harrierdock::interface::{Event, Key, Outcome, ProductIx, TxnId};
+use harrierdock::interface::{Event, Key, Outcome, PeerIx, ProductIx, TxnId};
 use harrierdock::time::{Point, Span};
 use harrierdock_net::{Buffer, Dues, Net};
 use harrierdock_sites::InwardNo;
@@ -49,6 +49,11 @@
         told: Option<Body>,
     },
     Event(Event),
+    /// A message of a fleet, as it came.
+    FleetMail {
+        from: PeerIx,
+        bytes: Vec<u8>,
+    },
 }
 
 pub struct Room {
--- /dev/null
+++ b/crates/gateway/src/steward.rs
@@ -0,0 +1,233 @@
+//! The steward's calls of the installation: which call is due is decided in `crates/steward`, whether it may go out is
+//! asked in the moment before its bytes do.
+
+use std::net::SocketAddr;
+
+use calloop::Readiness;
+use harrierdock::interface::{StageNews, Verdict, Word};
+use harrierdock::interface::{Build, Phase};
+use harrierdock::time::{Point, Span};
+use harrierdock_fleet::Epoch;
+use harrierdock_net::{ConnectionNo, Errand, Net, Step};
+use harrierdock_steward::{Action, Answer, Ballot, Event, Said, Standing, Steward, Terms, Wave, Way};
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::fleet_told::StewardTold;
+
+const PATH: &str = "/waves";
+
+/// What the installation says with an answer.
+#[derive(Deserialize)]
+struct Held {
+    /// The latest epoch it has seen.
+    epoch: u64,
+    /// What was asked for is done already.
+    done: bool,
+}
+
+/// A call under way.
+struct Out {
+    no: ConnectionNo,
+    ballot: Ballot,
+    again: bool,
+    errand: Errand,
+    epoch: Option<Epoch>,
+    due: Point,
+}
+
+/// What became of a call.
+pub struct Ended {
+    pub ballot: Ballot,
+    pub answer: Answer,
+    /// The installation knows this later epoch.
+    pub newest: Option<Epoch>,
+    pub no: ConnectionNo,
+    pub due: Point,
+}
+
+pub struct Stewarding {
+    steward: Steward,
+    installation: SocketAddr,
+    name: String,
+    incarnation: u64,
+    /// How long a call may take.
+    wait: Span,
+    out: Option<Out>,
+    /// When it asked to be woken.
+    pub due: Option<Point>,
+}
+
+fn plain(ballot: Ballot) -> String {
+    let Ballot { wave: Wave { build, stage }, way } = ballot;
+    format!("build {build} stage {stage} {}", word(way))
+}
+
+fn word(way: Way) -> &'static str {
+    match way {
+        Way::On => "on",
+        Way::Back => "back",
+    }
+}
+
+/// What a module's vote is to the steward: a hold, or a vote taken away, moves nothing.
+pub fn ballot(build: Build, stage: usize, verdict: Verdict) -> Option<Ballot> {
+    let way = match verdict {
+        Verdict::On => Way::On,
+        Verdict::Back => Way::Back,
+        Verdict::Hold | Verdict::Withdraw => return None,
+    };
+    Some(Ballot { wave: Wave { build, stage }, way })
+}
+
+/// How the wave stands by the platform's news.
+pub fn stage(news: &StageNews) -> Option<Event> {
+    let standing = match news.phase {
+        Phase::Trial => Standing::Trial,
+        Phase::Released => Standing::Released,
+        Phase::GoingBack | Phase::Withdrawn => Standing::Over,
+    };
+    let wave = Wave { build: news.build, stage: news.stage };
+    (news.word == Word::Valid).then_some(Event::Stage { wave, standing })
+}
+
+/// Spans that the steward goes by, beside what is told.
+pub struct Spans {
+    pub vote_life: Span,
+    pub call_wait: Span,
+    pub heartbeat: Span,
+}
+
+impl Stewarding {
+    pub fn new(
+        now: Point,
+        told: &StewardTold,
+        name: &str,
+        (own, gateways): (usize, usize),
+        spans: &Spans,
+    ) -> Stewarding {
+        let incarnation = (now.0 / 1000) as u64;
+        let terms = Terms {
+            own,
+            gateways,
+            on_votes: told.on_votes,
+            back_votes: told.back_votes,
+            bound: Span(i64::from(told.bound_ms) * 1000),
+            vote_life: spans.vote_life,
+            // As often as leases are renewed: a lost ballot costs no more than a lost renewal.
+            retell: spans.heartbeat,
+            retry: spans.call_wait / 2.0,
+            incarnation,
+        };
+        Stewarding {
+            steward: Steward::new(now, terms),
+            installation: told.installation,
+            name: name.into(),
+            incarnation,
+            wait: spans.call_wait,
+            out: None,
+            due: None,
+        }
+    }
+
+    /// Tells `crates/steward`, says what is worth a line, and gives back the rest.
+    pub fn take(&mut self, now: Point, event: Event) -> Vec<Action> {
+        let actions = self.steward.take(now, event);
+        let said = |action: &Action| match action {
+            Action::Said(said) => {
+                self.say(*said);
+                false
+            }
+            _ => true,
+        };
+        actions.into_iter().filter(said).collect()
+    }
+
+    fn say(&self, said: Said) {
+        match said {
+            Said::Done { ballot, votes } => {
+                tracing::info!("fleet: steward: {} is done, on {votes} votes", plain(ballot));
+            }
+            Said::Barred { ballot, epoch } => {
+                tracing::warn!("fleet: steward: {} refused, epoch {epoch} is over", plain(ballot));
+            }
+            Said::Overdue { wave, on, back, needs, holds } => {
+                let holder = if holds { "this gateway is steward" } else { "another is steward, or nobody" };
+                tracing::warn!(
+                    "fleet: steward: build {} stage {} has no decision in its time: {on} votes on, {back} back, \
+                     {needs} needed; {holder}",
+                    wave.build,
+                    wave.stage
+                );
+            }
+        }
+    }
+
+    /// Begins a call: the connection first. Gives back when it must have had its answer; none if it could not begin.
+    pub fn begin<D>(
+        &mut self,
+        net: &mut Net<D>,
+        (ballot, again): (Ballot, bool),
+        no: ConnectionNo,
+        on_ready: impl Fn(&mut D, Readiness) + 'static,
+    ) -> Option<Point> {
+        let errand = Errand::begin(net, self.installation, on_ready)?;
+        let due = net.now() + self.wait;
+        self.out = Some(Out { no, ballot, again, errand, epoch: None, due });
+        Some(due)
+    }
+
+    /// The call's connection is ready. `may_act` is asked when the bytes can go out, and not before.
+    pub fn serve<D>(
+        &mut self,
+        net: &mut Net<D>,
+        no: ConnectionNo,
+        readiness: Readiness,
+        may_act: impl FnOnce(Point) -> Option<Epoch>,
+    ) -> Option<Ended> {
+        let out = self.out.as_mut().filter(|o| o.no == no)?;
+        let (answer, newest) = match out.errand.serve(net, readiness) {
+            Step::Waits => return None,
+            Step::Up => {
+                let Some(epoch) = may_act(net.now()) else {
+                    tracing::info!("fleet: steward: {} is left: not steward any more", plain(out.ballot));
+                    return self.end(net, Answer::NotWritten, None);
+                };
+                let Ballot { wave, way } = out.ballot;
+                let body = json!({"image": wave.build, "ring": wave.stage, "way": word(way), "epoch": epoch.0,
+                    "gateway": self.name, "start": self.incarnation, "again": out.again});
+                out.epoch = Some(epoch);
+                if out.errand.post(net, PATH, body.to_string().as_bytes()) {
+                    return None;
+                }
+                (Answer::Unknown, None)
+            }
+            Step::Answered { status, body } => {
+                let held = serde_json::from_slice::<Held>(&body).ok();
+                let newest = held.as_ref().map(|h| Epoch(h.epoch)).filter(|e| Some(*e) > out.epoch);
+                match (status, held) {
+                    (200, _) => (Answer::Done, None),
+                    (409, _) if newest.is_some() => (Answer::Older, newest),
+                    (409, Some(Held { done: true, .. })) => (Answer::Done, None),
+                    _ => (Answer::Unknown, None),
+                }
+            }
+            Step::Failed => (Answer::Unknown, None),
+        };
+        self.end(net, answer, newest)
+    }
+
+    /// It has not had its answer in its time.
+    pub fn give_up<D>(&mut self, net: &mut Net<D>, no: ConnectionNo) -> Option<Ended> {
+        self.out.as_ref().filter(|o| o.no == no)?;
+        self.end(net, Answer::Unknown, None)
+    }
+
+    fn end<D>(&mut self, net: &mut Net<D>, answer: Answer, newest: Option<Epoch>) -> Option<Ended> {
+        let Out { no, ballot, errand, epoch, due, .. } = self.out.take()?;
+        errand.close(net);
+        // What never went out was not done, for certain.
+        let answer = if answer == Answer::Unknown && epoch.is_none() { Answer::NotWritten } else { answer };
+        Some(Ended { ballot, answer, newest, no, due })
+    }
+}
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -9,6 +9,7 @@
 use serde_json::{Map, Value};
 
 use crate::discovery::ListTold;
+use crate::fleet_told::Beside;
 use crate::platform::NewsTold;
 use crate::with::With;
 
@@ -101,11 +102,14 @@
     pub fn checked(&self, with: Option<&Path>) -> Result<String, String> {
         let held = With::read(with)?;
         self.check_with(with, &held)?;
-        let summary = self.summary()?;
-        let Some(sites) = &held.sites else { return Ok(summary) };
-        let (own, other) = (sites.own(&self.name), &sites.other);
-        let more = format!("{own} links on {} with {} of {}", sites.listen, other.gateways.len(), other.site);
-        Ok(format!("{summary}\n{more}"))
+        let mut lines = vec![self.summary()?];
+        if let Some(sites) = &held.sites {
+            let (own, other) = (sites.own(&self.name), &sites.other);
+            let many = other.gateways.len();
+            lines.push(format!("{own} links on {} with {many} of {}", sites.listen, other.site));
+        }
+        lines.extend(held.fleet.as_ref().map(|f| f.summary(&self.name)));
+        Ok(lines.join("\n"))
     }
 
     /// Refuses a file that does not go with the configuration.
@@ -113,7 +117,15 @@
         let (_, names) = self.terms()?;
         let products: Vec<&str> = names.products.iter().map(String::as_str).collect();
         let file = path.map_or(String::new(), |p| format!("{}: ", p.display()));
-        with.check(&self.name, &products).map_err(|e| format!("{file}{e}"))
+        let fleet = with.check_fleet(&self.beside()?).map_err(|e| e.to_string());
+        fleet.and_then(|()| with.check(&self.name, &products)).map_err(|e| format!("{file}{e}"))
+    }
+
+    /// The configuration's side of what a fleet is told.
+    pub fn beside(&self) -> Result<Beside<'_>, String> {
+        let ordinal = self.terms()?.0.ordinal;
+        let (peers, hears) = (self.peers.len(), self.peer_listen.is_some());
+        Ok(Beside { name: &self.name, ordinal, peers, hears })
     }
 
     /// What the configuration holds, in one line.
--- a/crates/gateway/src/with.rs
+++ b/crates/gateway/src/with.rs
@@ -9,6 +9,8 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 
+use crate::fleet_told::{Beside, FleetMisfit, FleetTold};
+
 /// What an installation has beyond the platform's configuration. Without the file, or with nothing in it, the
 /// gateway is what it is without.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
@@ -18,6 +20,8 @@
     pub sites: Option<Between>,
     /// Flow export.
     pub flows: Option<FlowsTold>,
+    /// Duties that one gateway of a fleet holds at a time.
+    pub fleet: Option<FleetTold>,
     /// The folder that paths in the file are relative to.
     #[serde(skip)]
     folder: PathBuf,
@@ -245,11 +249,19 @@
         self.flows.as_ref().map_or(Ok(()), FlowsTold::check)
     }
 
-    /// Descriptors to keep aside: the link's socket, the control socket and its callers; collectors and a file.
+    /// What is wrong with what it tells of a fleet beside the configuration.
+    pub fn check_fleet(&self, beside: &Beside) -> Result<(), FleetMisfit> {
+        self.fleet.as_ref().map_or(Ok(()), |f| f.terms(beside).map(|_| ()))
+    }
+
+    /// Descriptors to keep aside: the link's socket, the control socket and its callers; collectors and a file;
+    /// the steward's calls.
     pub fn descriptors(&self) -> usize {
         let sites = if self.sites.is_some() { 6 } else { 0 };
         let flows = self.flows.as_ref().map_or(0, |f| f.collectors.len() + usize::from(f.file.is_some()));
-        sites + flows
+        // The steward's call, and one before it that is being closed.
+        let fleet = if self.fleet.is_some() { 2 } else { 0 };
+        sites + flows + fleet
     }
 
     /// A path in the file.
--- /dev/null
+++ b/crates/rehearse/src/fleet/judge.rs
@@ -0,0 +1,132 @@
+//! What a fleet did, against the rules, and how it went.
+
+use std::collections::BTreeMap;
+
+use harrierdock::time::Span;
+use serde::Serialize;
+
+use super::crew::{Crew, Gateway};
+use super::Day;
+use crate::world::{Answer, Txn, World, EXPIRY, SLA};
+
+#[derive(Debug, Default, Serialize)]
+pub struct Report {
+    pub ok: bool,
+    pub seed: u64,
+    pub faults: Vec<String>,
+    pub gateways: usize,
+    pub taken: u64,
+    pub answered_once: u64,
+    pub lost: u64,
+    pub answered_twice: u64,
+    pub effects_twice: u64,
+    /// By what the installation saw.
+    pub two_holders: u64,
+    pub epochs_back: u64,
+    pub waves_advanced: u64,
+    pub waves_double: u64,
+    pub votes_at_platform: u64,
+    /// The longest time in which nobody held the duty, by the gateways' log.
+    pub gap_ms: BTreeMap<String, f64>,
+    pub held_share: BTreeMap<String, f64>,
+    /// The longest pause between two waves, by what the installation saw.
+    pub wave_pause_ms: f64,
+    pub revenue_share: f64,
+    pub declined_share: f64,
+    pub bytes_a_gateway_s: f64,
+    pub cpu_share: f64,
+    pub datagrams: u64,
+    pub datagrams_not_passed: u64,
+    pub datagrams_garbled: u64,
+    pub broken_lines: u64,
+    pub crashes: u64,
+}
+
+/// The times, in Unix seconds, in which a gateway held a duty, by its own lines.
+fn holdings(gateway: &Gateway, duty: &str, end: f64) -> Vec<(f64, f64)> {
+    let (holds, ended) = (format!(" fleet: holds {duty},"), format!(" fleet: {duty} ended,"));
+    let mut found: Vec<(f64, f64)> = Vec::new();
+    let mut since = None;
+    for line in &gateway.lines {
+        let Some(at) = line.split(' ').next().and_then(|t| t.parse::<f64>().ok()) else { continue };
+        if line.contains(&holds) {
+            since = Some(at);
+        } else if let Some(from) = since.take_if(|_| line.contains(&ended)) {
+            found.push((from, at));
+        }
+    }
+    found.extend(since.map(|from| (from, end)));
+    // Whoever is killed or stalled holds nothing that anybody could see.
+    for holding in &mut found {
+        let stop = gateway.stops.iter().filter(|s| **s >= holding.0 && **s < holding.1);
+        holding.1 = stop.copied().fold(holding.1, f64::min);
+    }
+    found
+}
+
+/// The longest gap, and the part of the time since the first holding in which somebody held the duty.
+fn gaps(crew: &Crew, duty: &str, end: f64) -> (f64, f64) {
+    let mut all: Vec<(f64, f64)> = crew.gateways.iter().flat_map(|g| holdings(g, duty, end)).collect();
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let Some(&(first, _)) = all.first() else { return (f64::INFINITY, 0.0) };
+    let (mut until, mut most, mut none) = (first, 0.0_f64, 0.0);
+    for (from, to) in all.into_iter().chain([(end, end)]) {
+        let gap = (from.min(end) - until).max(0.0);
+        (most, none) = (most.max(gap), none + gap);
+        until = until.max(to);
+    }
+    (most, 1.0 - none / (end - first).max(0.001))
+}
+
+pub fn judge(day: &Day, crew: &Crew, world: &World, faults: Vec<String>, ran: f64) -> Report {
+    let mut report = Report { seed: day.seed, faults, gateways: day.gateways, ..Report::default() };
+    // Whoever was stalled within a txn's time could not answer it.
+    let stalled = |txn: &Txn, g: usize| {
+        let until = txn.asked + EXPIRY + Span::secs(0.5);
+        crew.gateways[g].stalls.iter().any(|(from, to)| *from < until && to.is_none_or(|to| to > txn.asked))
+    };
+    let (mut asked, mut earned, mut declined, mut all) = (0.0, 0.0, 0_u64, 0_u64);
+    for txn in &world.txns {
+        all += 1;
+        asked += txn.product.revenue();
+        let in_time = txn.answer.is_some_and(|(a, at)| a == Answer::Settled && at - txn.asked <= SLA);
+        earned += f64::from(in_time) * txn.product.revenue();
+        declined += u64::from(txn.answer.is_some_and(|(a, _)| a == Answer::Declined));
+        report.answered_twice += u64::from(txn.twice);
+        report.effects_twice +=
+            u64::from(txn.product == crate::world::Product::Lodge && txn.runs.len() > 1);
+        let taken = txn.gateway.filter(|(g, life)| !crew.killed.contains(&(*g, *life)) && !stalled(txn, *g));
+        if taken.is_some() {
+            report.taken += 1;
+            report.answered_once += u64::from(txn.answer.is_some() && !txn.twice);
+            report.lost += u64::from(txn.answer.is_none());
+        }
+    }
+    (report.revenue_share, report.declined_share) =
+        (earned / f64::max(asked, 1.0), declined as f64 / all.max(1) as f64);
+    let seen = crew.installation.judged();
+    (report.two_holders, report.epochs_back) = (seen.two_holders, seen.epochs_back);
+    (report.waves_advanced, report.waves_double) = (seen.advanced, seen.double);
+    report.votes_at_platform = seen.votes;
+    report.wave_pause_ms = seen.pause_most.as_secs_f64() * 1000.0;
+    // The run's end, before all were told to end.
+    let end = crew.over_at;
+    for duty in ["steward", "heir"] {
+        let (most, held) = gaps(crew, duty, end);
+        report.gap_ms.insert(duty.into(), (most * 1000.0).round());
+        report.held_share.insert(duty.into(), (held * 1000.0).round() / 1000.0);
+    }
+    let counted = crew.relay.counted();
+    let bytes: u64 = counted.fleet_bytes.iter().sum();
+    report.bytes_a_gateway_s = bytes as f64 / (ran + f64::from(day.lease_ms) / 1000.0) / day.gateways as f64;
+    let cpu: f64 = crew.gateways.iter().map(|g| g.cpu).sum();
+    report.cpu_share = cpu / 1e6 / ran / day.gateways as f64;
+    (report.datagrams, report.datagrams_not_passed) = (counted.datagrams, counted.not_passed);
+    report.datagrams_garbled = counted.garbled;
+    (report.broken_lines, report.crashes) = (crew.broken, crew.crashes);
+    let r = &report;
+    let broken = r.lost + r.answered_twice + r.effects_twice + r.two_holders + r.epochs_back;
+    let broken = broken + r.waves_double + r.votes_at_platform + r.broken_lines + r.crashes;
+    report.ok = broken == 0 && report.taken > 0 && report.waves_advanced > 0;
+    report
+}
--- /dev/null
+++ b/crates/rehearse/src/fleet/mod.rs
@@ -0,0 +1,153 @@
+//! The rehearsal of one fleet: built gateways that share duties, with faults between them by the seed. The rules are
+//! judged by what those saw who were acted on; how fast it went is told and not judged.
+
+pub mod crew;
+pub mod faults;
+pub mod installation;
+mod judge;
+pub mod relay;
+
+use std::path::Path;
+
+use calloop::EventLoop;
+use harrierdock::time::{Point, Span};
+use harrierdock_net::{Descriptors, Net, Pool};
+use nanorand::{Rng, WyRand};
+
+use crate::processes::program;
+use crate::world::{Door, Due, World};
+use crew::{Crew, Ending};
+use faults::{Fault, Kind};
+pub use judge::Report;
+
+/// What is played.
+#[derive(Clone)]
+pub struct Day {
+    pub seed: u64,
+    pub gateways: usize,
+    pub seconds: f64,
+    /// Drawn by the seed where none is named.
+    pub faults: Vec<Fault>,
+    pub servers: usize,
+    /// Txns a second.
+    pub rate: f64,
+    pub lease_ms: u32,
+    pub heartbeat_ms: u32,
+    /// How long after a wave was moved the next stage is told.
+    pub pause_ms: u64,
+}
+
+impl Default for Day {
+    fn default() -> Day {
+        Day {
+            seed: 1,
+            gateways: 5,
+            seconds: 12.0,
+            faults: Vec::new(),
+            servers: 4,
+            rate: 60.0,
+            lease_ms: 1000,
+            heartbeat_ms: 250,
+            pause_ms: 100,
+        }
+    }
+}
+
+/// What the script does next.
+#[derive(Clone, Copy)]
+enum Step {
+    Begin(usize),
+    End(usize),
+    /// These gateways, a tenth of all, are restarted in order.
+    Restart(usize, usize),
+    StopArrivals,
+    Over,
+}
+
+pub fn play(day: &Day, progress: impl FnMut(f64)) -> Result<Report, String> {
+    let folder = std::env::temp_dir().join(format!("harrierdock-fleet-{}-{}", std::process::id(), day.seed));
+    std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    let played = on_stage(day, &folder, progress);
+    let _ = std::fs::remove_dir_all(&folder);
+    played
+}
+
+/// A loop with servers, clients and a door for each gateway.
+pub fn world(event_loop: &EventLoop<'static, World>, day: &Day) -> Result<World, String> {
+    let net = Net::new(event_loop.handle(), Pool::new(2048), Descriptors::new(4096, 0));
+    let mut world = World::new(net, day.seed, true);
+    world.rate = [day.rate, 0.0];
+    (0..day.servers).try_for_each(|_| world.add_server(0))?;
+    let door = Door { site: 0, address: None, life: 0, alive: false, open: false, weight: 1.0 };
+    world.doors = vec![door; day.gateways];
+    Ok(world)
+}
+
+fn script(day: &Day, faults: &[Fault], from: Point) -> Vec<(Point, Step)> {
+    let at = |second: f64| from + Span::secs(second);
+    let mut steps = vec![(at(day.seconds), Step::StopArrivals), (at(day.seconds + 2.2), Step::Over)];
+    for (ix, fault) in faults.iter().enumerate() {
+        let (begin, end) = (fault.second, (fault.second + fault.seconds).min(day.seconds));
+        steps.push((at(begin), Step::Begin(ix)));
+        steps.push((at(end), Step::End(ix)));
+        // Restarts go through the fleet within the fault's time; another form comes by restarts, and goes so.
+        let tenth = day.gateways.div_ceil(10);
+        let rolls: Vec<f64> = match fault.kind {
+            Kind::Restart => vec![begin],
+            Kind::Mixed => vec![begin, end],
+            _ => vec![],
+        };
+        for roll in rolls {
+            let groups = day.gateways.div_ceil(tenth);
+            for group in 0..groups {
+                let second = roll + 0.01 + fault.seconds * group as f64 / groups as f64;
+                steps.push((at(second.min(day.seconds)), Step::Restart(ix, group)));
+            }
+        }
+    }
+    steps.sort_by_key(|s| s.0);
+    steps
+}
+
+fn on_stage(day: &Day, folder: &Path, mut progress: impl FnMut(f64)) -> Result<Report, String> {
+    let mut event_loop: EventLoop<World> = EventLoop::try_new().map_err(|e| e.to_string())?;
+    let mut world = world(&event_loop, day)?;
+    let faults = match &day.faults[..] {
+        [] => faults::draw(&mut WyRand::new_seed(day.seed ^ 0x4641_554c_5453), day.seconds),
+        told => told.to_vec(),
+    };
+    let mut crew = Crew::new(program()?, folder.into(), day).map_err(|e| e.to_string())?;
+    (0..day.gateways).try_for_each(|ix| crew.start(&mut world, ix))?;
+    // Electors are silent for one lease after their start.
+    let from = world.now() + Span(i64::from(day.lease_ms) * 1000);
+    let mut steps = script(day, &faults, from).into_iter().peekable();
+    let mut whom = vec![Vec::new(); faults.len()];
+    (world.arriving, world.found) = (true, crate::world::Found::default());
+    world.dues.set(from, Due::Arrival(0));
+    let tenth = day.gateways.div_ceil(10);
+    let nap = Span(20_000);
+    loop {
+        let due = world.dues.next().into_iter().chain(steps.peek().map(|s| s.0)).min();
+        let wait = due.unwrap_or(from).min(world.now() + nap);
+        event_loop.dispatch(world.net.clock.until(wait), &mut world).map_err(|e| e.to_string())?;
+        world.fall_due();
+        crew.look(&mut world)?;
+        let now = world.now();
+        progress((now - from).as_secs() / (day.seconds + 2.2));
+        let Some((_, step)) = steps.next_if(|s| s.0 <= now) else { continue };
+        match step {
+            Step::Begin(ix) => whom[ix] = crew.befall(&mut world, faults[ix].kind),
+            Step::End(ix) => crew.relent(&mut world, faults[ix].kind, &whom[ix])?,
+            Step::Restart(ix, group) => {
+                let some = group * tenth..((group + 1) * tenth).min(day.gateways);
+                some.filter(|g| whom[ix].contains(g)).for_each(|g| crew.end(&mut world, g, Ending::Restarts));
+            }
+            Step::StopArrivals => world.arriving = false,
+            Step::Over => break,
+        }
+    }
+    let ran = (world.now() - from).as_secs();
+    crew.close(&mut world)?;
+    let told: Vec<String> = faults.iter().map(Fault::to_string).collect();
+    Ok(judge::judge(day, &crew, &world, told, ran))
+}
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -7,7 +7,8 @@
 use bpaf::Bpaf;
 use harrierdock_rehearse::collector::Road;
 use harrierdock_rehearse::sites::{self, At, Cut, Day};
-use harrierdock_rehearse::{core, flows, membership};
+use harrierdock_rehearse::fleet::faults::Fault;
+use harrierdock_rehearse::{core, fleet, flows, membership};
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde::Serialize;
 
@@ -146,6 +147,27 @@
         #[bpaf(long("listen"), argument("ADDRESS"), fallback("127.0.0.1:0".parse().expect("an address")))]
         listen: std::net::SocketAddr,
     },
+    /// One fleet of built gateways that share duties: stalls, kills, cuts, restarts between them, by the seed.
+    #[bpaf(command)]
+    Fleet {
+        #[bpaf(long("seed"), argument("N"), fallback(1))]
+        seed: u64,
+        #[bpaf(long("gateways"), argument("G"), fallback(5))]
+        gateways: usize,
+        /// How long clients come
+        #[bpaf(long("seconds"), argument("S"), fallback(12.0))]
+        seconds: f64,
+        /// A fault, as stall@2+3: stall, kill, kill-most, cut, cut-half, cut-one-way, slow, skew, restart, mixed.
+        /// Two or three are drawn by the seed where none is named
+        #[bpaf(long("fault"), argument("KIND@T+D"))]
+        fault: Vec<Fault>,
+        /// Txns a second
+        #[bpaf(long("rate"), argument("R"), fallback(60.0))]
+        rate: f64,
+        /// The duties' lease in milliseconds; a quarter of it is the heartbeat
+        #[bpaf(long("lease"), argument("MS"), fallback(1000))]
+        lease: u32,
+    },
     /// Membership without sockets: rounds and bytes until a change is known to all, at 0, 10 and 30% loss.
     #[bpaf(command)]
     Membership {
@@ -269,6 +291,17 @@
             flows::collect(listen, road.parse()?, seconds, csv.as_deref(), parquet.as_deref())?;
             Ok(true)
         }
+        Command::Fleet { seed, gateways, seconds, fault, rate, lease } => {
+            if gateways < 3 || seconds <= 0.0 || rate <= 0.0 || lease < 100 {
+                return Err("--gateways is 3 or more, --lease 100 or more, --seconds and --rate above 0".into());
+            }
+            let (faults, heartbeat_ms) = (fault, lease / 4);
+            let day =
+                fleet::Day { seed, gateways, seconds, faults, rate, lease_ms: lease, heartbeat_ms, ..Default::default() };
+            let bar = bar(1000);
+            let found = fleet::play(&day, |part| bar.set_position((part * 1000.0) as u64))?;
+            end(&found, found.ok)
+        }
         Command::Membership { seed, gateways, bound } => {
             let bar = bar(30);
             let found = membership::play(gateways.max(1), seed, bound, || bar.inc(1));
