--- a/crates/rehearse/src/fleet/mod.rs
+++ b/crates/rehearse/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 use calloop::EventLoop;
 use harrierdock::time::{Point, Span};
 use harrierdock_net::{Descriptors, Net, Pool};
-use nanorand::{Rng, WyRand};
+use nanorand::WyRand;
 
 use crate::processes::program;
 use crate::world::{Door, Due, World};
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -129,7 +129,8 @@
     pub bound: Span,
     /// A vote that is not renewed lapses after so long.
     pub vote_life: Span,
-    /// How often a standing ballot is told again: datagrams may be lost, and another may be steward meanwhile.
+    /// How soon a ballot is told again at first, as datagrams may be lost; then after twice as long each time, up to
+    /// half a vote's life, so that a ballot that stands for long costs little.
     pub retell: Span,
     /// After a call that failed or was not answered.
     pub retry: Span,
@@ -150,8 +151,8 @@
     number: u32,
     /// The own module's vote and when it was cast.
     cast: Option<(Ballot, Point)>,
-    /// When the own ballot is told next.
-    telling: Option<Point>,
+    /// When the own ballot is told next, and how long after that once more.
+    telling: Option<(Point, Span)>,
     /// The last of each gateway: bounded by the number of gateways told.
     heard: BTreeMap<PeerIx, Heard>,
     wave: Option<(Wave, Standing)>,
@@ -226,7 +227,7 @@
         let changed = self.cast.map(|c| c.0) != ballot;
         self.cast = ballot.map(|b| (b, self.now));
         if changed {
-            self.telling = Some(self.now);
+            self.telling = Some((self.now, self.terms.retell));
         }
     }
 
@@ -305,11 +306,12 @@
             self.cast = None;
             self.telling = None;
         }
-        if self.telling.is_some_and(|at| at <= self.now) {
+        if let Some((_, after)) = self.telling.filter(|(at, _)| *at <= self.now) {
             self.number += 1;
             let ballot = self.cast.map(|c| c.0);
             out.push(Action::Tell(Told { incarnation: self.terms.incarnation, number: self.number, ballot }));
-            self.telling = ballot.map(|_| self.now + self.terms.retell);
+            let next = (after * 2.0).min(self.terms.vote_life / 2.0);
+            self.telling = ballot.map(|_| (self.now + after, next));
         }
         let free = self.out.is_none() && self.now >= self.rests;
         let may = self.holds.is_some() && self.holds != self.barred;
@@ -326,7 +328,7 @@
         }
         out.extend(self.said.drain(..).map(Action::Said));
         let resting = due.filter(|_| self.out.is_none()).map(|_| self.rests);
-        let next = [self.telling, self.overdue, resting].into_iter().flatten().min();
+        let next = [self.telling.map(|t| t.0), self.overdue, resting].into_iter().flatten().min();
         // What was set for an earlier point still comes; only a nearer one is asked for anew.
         if let Some(at) = next.filter(|at| self.armed.is_none_or(|a| a <= self.now || *at < a)) {
             self.armed = Some(at);
