--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,19 +5,33 @@
 //! A holder asks `may_act` with the time of that very moment before each act, and the act carries the epoch it
 //! gets; whoever is acted on asks a `Guard`.
 
+mod elector;
 pub mod form;
 mod guard;
+mod hear;
+mod seat;
+mod seek;
 mod terms;
+mod voters;
 
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 
 use harrierdock::time::{Point, Span};
+use nanorand::{Rng, WyRand};
 use serde::{Deserialize, Serialize};
 
+use elector::Elector;
+use seat::Seat;
+use voters::Voters;
+
 pub use form::{Ballot, Body, Holding, Message, Unread};
 pub use guard::{Guard, Stale};
 pub use terms::{id_of, Duty, Electorate, Misfit, NodeIx, Terms, Told};
 
+/// The shortest wait asked for. Guards against a driver that wakes this without end.
+const SHORTEST: Span = Span(1_000);
+
 /// The number of a holding: each that follows has a higher one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Epoch(pub u64);
@@ -101,46 +115,139 @@
 
 pub struct Fleet {
     terms: Terms,
+    incarnation: u64,
+    chance: WyRand,
+    voters: Voters,
+    digest: u8,
+    elector: Elector,
+    seats: BTreeMap<Duty, Seat>,
+    known: BTreeMap<Duty, Known>,
+    /// By place: the newest process of each gateway that was heard.
+    peers: Vec<u64>,
+    counts: Counts,
+    ending: bool,
+    next_hearsay: Point,
+    /// Where the telling of what is known stands.
+    told: usize,
+    /// Messages of this gateway to itself, as elector and as asker.
+    own: VecDeque<Body>,
+    actions: Vec<Action>,
 }
 
 impl Fleet {
     /// `incarnation` is Unix time in milliseconds at this process' start; `seed` another at each start.
-    pub fn new(terms: Terms, _incarnation: u64, _seed: u64, _now: Point) -> Fleet {
-        Fleet { terms }
+    pub fn new(terms: Terms, incarnation: u64, seed: u64, now: Point) -> Fleet {
+        let nodes = terms.ids.len();
+        // A grant lasts no longer than the silence that would follow a start, by the same clock.
+        let longest = terms.silence / (1.0 + terms.drift);
+        let floor = Epoch(incarnation.saturating_add((terms.silence.0 / 1000).max(0) as u64));
+        let elector = Elector::new(&terms.duties, now + terms.silence, floor, longest);
+        let voters = Voters::new(terms.electorate.clone(), nodes, terms.own, terms.silence);
+        let digest = voters::digest(&terms.electorate.electors, &terms.ids);
+        let mut chance = WyRand::new_seed(seed);
+        let next_hearsay = now + terms.heartbeat * chance.generate::<f64>();
+        let mut fleet = Fleet {
+            incarnation,
+            chance,
+            voters,
+            digest,
+            elector,
+            seats: BTreeMap::new(),
+            known: BTreeMap::new(),
+            peers: vec![0; nodes],
+            counts: Counts::default(),
+            ending: false,
+            next_hearsay,
+            told: 0,
+            own: VecDeque::new(),
+            actions: Vec::new(),
+            terms,
+        };
+        for duty in fleet.terms.duties.clone() {
+            let place = if nodes <= elector::WAITING { 0 } else { elector::WAITING };
+            fleet.seats.insert(duty, Seat::new(now, place));
+        }
+        fleet
     }
 
-    /// The first commit of the interface: nothing is held yet, which is each duty's safe state.
-    pub fn take(&mut self, _now: Point, _event: Event) -> Vec<Action> {
-        vec![Action::Wake { after: self.terms.heartbeat }]
+    pub fn take(&mut self, now: Point, event: Event) -> Vec<Action> {
+        // Guards against a process that stood still: what lapsed meanwhile has ended before anything is heard.
+        self.lapse(now);
+        match event {
+            Event::Heard { from, message } => self.hear(now, from, message),
+            Event::Wake => {}
+            Event::Wants { duty, wants } => self.want(now, duty, wants),
+            Event::Refused { duty, newest } => self.refused(now, duty, newest),
+            Event::Ending => {
+                self.ending = true;
+                for duty in self.terms.duties.clone() {
+                    self.want(now, duty, false);
+                }
+            }
+            Event::Electorate(next) => {
+                self.voters.follow(next);
+                self.digest = voters::digest(&self.voters.told().electors, &self.terms.ids);
+            }
+        }
+        self.voters.judge(now);
+        self.settle_own(now);
+        for duty in self.terms.duties.clone() {
+            self.seek(now, duty);
+            self.settle_own(now);
+        }
+        self.hearsay(now);
+        let due = self.seats.values().filter_map(Seat::due).chain([self.next_hearsay]).min();
+        let after = due.map_or(self.terms.heartbeat, |due| due - now);
+        self.actions.push(Action::Wake { after: after.max(SHORTEST) });
+        std::mem::take(&mut self.actions)
     }
 
     /// Whether this gateway may act in this duty at this moment, and in which epoch. To be asked immediately
-    /// before each act, with a fresh reading of a clock that never steps.
-    pub fn may_act(&self, _now: Point, _duty: Duty) -> Option<Epoch> {
-        None
+    /// before each act, with a fresh reading of a clock that never steps. Guards against a deposed holder that
+    /// acts on; it harms one whose renewals are late: it stops although nobody else has the duty yet.
+    pub fn may_act(&self, now: Point, duty: Duty) -> Option<Epoch> {
+        let (epoch, until) = self.seats.get(&duty)?.held()?;
+        (now < until).then_some(epoch)
     }
 
     /// Who holds a duty as known here.
-    pub fn holder(&self, _now: Point, _duty: Duty) -> Option<Known> {
-        None
+    pub fn holder(&self, now: Point, duty: Duty) -> Option<Known> {
+        let own = self.seats.get(&duty).and_then(Seat::held).filter(|(_, until)| now < *until);
+        let own = own.map(|(epoch, until)| Known { holder: self.terms.own, epoch, until });
+        own.or_else(|| self.known.get(&duty).copied())
     }
 
     /// Whether this electorate may follow the held one now.
-    pub fn may_change(&self, _next: &Electorate) -> Result<(), Misfit> {
-        Ok(())
+    pub fn may_change(&self, next: &Electorate) -> Result<(), Misfit> {
+        self.voters.may_follow(next)
     }
 
-    /// The electorate that counts, and whether the one before has to agree as well yet.
+    /// The electorate that counts, and whether it is in force: until then the one before has to agree as well.
     pub fn electorate(&self) -> (&Electorate, bool) {
-        (&self.terms.electorate, false)
+        (self.voters.told(), self.voters.in_force())
     }
 
     pub fn counts(&self) -> Counts {
-        Counts::default()
+        self.counts
     }
 
-    /// Whether all that was held is handed on: the process may end.
+    /// Whether all that was held is handed on, and told twice: an ending process may end.
     pub fn done(&self) -> bool {
-        true
+        self.ending && self.seats.values().all(|s| s.again.is_none() && s.held().is_none())
+    }
+
+    fn settle_own(&mut self, now: Point) {
+        while let Some(body) = self.own.pop_front() {
+            self.read(now, self.terms.own, self.incarnation, body);
+        }
+    }
+
+    fn tell(&mut self, to: NodeIx, body: Body) {
+        if to == self.terms.own {
+            return self.own.push_back(body);
+        }
+        let electorate = self.voters.told().number;
+        let message = Message { incarnation: self.incarnation, electorate, digest: self.digest, body };
+        self.actions.push(Action::Tell { to, message });
     }
 }
--- /dev/null
+++ b/crates/fleet/src/seat.rs
@@ -0,0 +1,121 @@
+//! Where a gateway stands with a duty: it waits, asks, takes or holds. Kept apart from how it is told.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use harrierdock::time::{Point, Span};
+
+use crate::{Epoch, NodeIx};
+
+/// Renewals whose votes are still counted. Older ones are past the lease.
+const ROUNDS: usize = 4;
+
+#[derive(Clone, Debug)]
+pub struct Round {
+    pub no: u16,
+    /// When it was asked: the lease counts from then.
+    pub sent: Point,
+    pub votes: BTreeSet<NodeIx>,
+}
+
+#[derive(Clone, Debug)]
+pub enum State {
+    /// Nothing is under way; asks again at `next`.
+    Waits {
+        next: Point,
+    },
+    /// Has asked one elector whether it is free.
+    Looks {
+        epoch: Epoch,
+        at: NodeIx,
+        until: Point,
+    },
+    /// Has asked all whether it may begin.
+    Asks {
+        epoch: Epoch,
+        after: Option<Epoch>,
+        until: Point,
+        open: BTreeSet<NodeIx>,
+        no: BTreeSet<NodeIx>,
+    },
+    /// Has asked all to hold it.
+    Takes {
+        epoch: Epoch,
+        round: Round,
+        until: Point,
+        no: BTreeSet<NodeIx>,
+    },
+    Holds {
+        epoch: Epoch,
+        until: Point,
+        renew: Point,
+        rounds: VecDeque<Round>,
+        last: u16,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Seat {
+    pub wants: bool,
+    pub state: State,
+    /// The electors' latest word on how many wait before this one.
+    pub place: usize,
+    /// Tries in a row that came to nothing.
+    pub fails: u32,
+    /// How long others hold it yet, by the latest try.
+    pub left: Span,
+    /// Who comes next, as electors have said with their latest votes.
+    pub heirs: BTreeSet<NodeIx>,
+    /// What was given up is told once more then: one message may be lost.
+    pub again: Option<(Point, Epoch, Option<NodeIx>)>,
+    /// Which elector is looked at next.
+    pub turn: usize,
+}
+
+impl Seat {
+    pub fn new(next: Point, place: usize) -> Seat {
+        Seat {
+            wants: false,
+            state: State::Waits { next },
+            place,
+            fails: 0,
+            left: Span::ZERO,
+            heirs: BTreeSet::new(),
+            again: None,
+            turn: 0,
+        }
+    }
+
+    /// Until when it is held, by this gateway's own clock.
+    pub fn held(&self) -> Option<(Epoch, Point)> {
+        match &self.state {
+            State::Holds { epoch, until, .. } => Some((*epoch, *until)),
+            _ => None,
+        }
+    }
+
+    /// When something is due.
+    pub fn due(&self) -> Option<Point> {
+        let state = match &self.state {
+            State::Waits { next } => self.wants.then_some(*next),
+            State::Looks { until, .. } | State::Asks { until, .. } | State::Takes { until, .. } => {
+                Some(*until)
+            }
+            State::Holds { until, renew, .. } => Some(*until.min(renew)),
+        };
+        state.into_iter().chain(self.again.map(|a| a.0)).min()
+    }
+
+    /// Begins another renewal, and says its number.
+    pub fn renew(&mut self, now: Point, heartbeat: Span) -> Option<(Epoch, u16)> {
+        let State::Holds { epoch, renew, rounds, last, .. } = &mut self.state else { return None };
+        // The first round is the one that began; its number is used for nothing else.
+        *last = last.checked_add(1).unwrap_or(2);
+        *renew = now + heartbeat;
+        rounds.push_back(Round { no: *last, sent: now, votes: BTreeSet::new() });
+        if rounds.len() > ROUNDS {
+            rounds.pop_front();
+        }
+        self.heirs.clear();
+        Some((*epoch, *last))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/seek.rs
@@ -0,0 +1,311 @@
+//! How a gateway that would hold a duty comes by it, keeps it, and gives it up.
+
+use std::collections::BTreeSet;
+
+use harrierdock::time::{Point, Span};
+use nanorand::Rng;
+
+use crate::elector::WAITING;
+use crate::seat::State;
+use crate::{Action, Body, Duty, Epoch, Fleet, NodeIx, Why};
+
+/// Heartbeats for which answers are waited for.
+pub const PATIENCE: f64 = 0.5;
+/// Heartbeats between the tries of two that wait. Guards against two that take the votes from each other: it is
+/// longer than a round on the roads of one site. It harms a take-over by its length for each that is gone.
+const APART: f64 = 1.0 / 16.0;
+/// Waiting ones that look as soon as the lease they know of runs out; later ones in turn look seldom.
+const NEAR: usize = 2;
+/// Doublings of the wait after tries that came to nothing.
+const DOUBLINGS: u32 = 4;
+/// Heartbeats after which what was given up is told once more.
+const AGAIN: f64 = 1.0 / 8.0;
+
+impl Fleet {
+    /// A number by which this elector, and any other, ranks a gateway that waits: another order for each duty.
+    pub(crate) fn rank(&self, duty: Duty, node: NodeIx) -> u64 {
+        let id = self.terms.ids.get(node).copied().unwrap_or(0);
+        let kind = match duty {
+            Duty::Steward => 1 << 16,
+            Duty::Heir => 1 << 17,
+            Duty::Speaker(circle) => u64::from(circle),
+        };
+        let mixed = (u64::from(id) << 20 ^ kind).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+    }
+
+    /// For how long one that waits is remembered without being heard: it comes to each elector in turn.
+    pub(crate) fn waiting_lasts(&self) -> Span {
+        self.terms.lease * (self.voters.told().electors.len() as f64 + 1.5)
+    }
+
+    pub(crate) fn tell_all(&mut self, body: Body) {
+        for to in self.voters.all() {
+            self.tell(to, body.clone());
+        }
+    }
+
+    /// What has run out by this gateway's own clock has ended.
+    pub(crate) fn lapse(&mut self, now: Point) {
+        for duty in self.terms.duties.clone() {
+            let held = self.seats.get(&duty).and_then(|s| s.held());
+            if let Some((epoch, _)) = held.filter(|(_, until)| now >= *until) {
+                self.counts.lapsed += 1;
+                self.give_up(now, duty, epoch, Why::Lapsed);
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Point, duty: Duty, epoch: Epoch, why: Why) {
+        self.actions.push(Action::Ended { duty, epoch, why });
+        let heir = match why {
+            Why::HandedOn => self.heir(duty),
+            Why::Lapsed | Why::Refused => None,
+        };
+        self.tell_all(Body::Release { duty, epoch });
+        if let Some(heir) = heir {
+            self.tell(heir, Body::Pass { duty, epoch });
+        }
+        let again = now + self.terms.heartbeat * AGAIN;
+        self.wait(now, duty, Span::ZERO);
+        if let Some(seat) = self.seats.get_mut(&duty) {
+            seat.again = Some((again, epoch, heir));
+        }
+        if let Some(known) = self.known.get_mut(&duty).filter(|k| k.epoch == epoch) {
+            known.until = known.until.min(now);
+        }
+    }
+
+    /// Who is to have it next: an elector that waits, or the first of those that electors know to wait.
+    fn heir(&self, duty: Duty) -> Option<NodeIx> {
+        let heirs = self.seats.get(&duty)?.heirs.iter().filter(|h| **h != self.terms.own);
+        heirs.min_by_key(|h| (!self.voters.votes(**h), self.rank(duty, **h))).copied()
+    }
+
+    pub(crate) fn want(&mut self, now: Point, duty: Duty, wants: bool) {
+        let wants = wants && !self.ending;
+        let first = self.elector.silent_until();
+        let votes = self.voters.votes(self.terms.own);
+        let Some(seat) = self.seats.get_mut(&duty) else { return };
+        if std::mem::replace(&mut seat.wants, wants) == wants {
+            return;
+        }
+        if wants {
+            // Guards against a whole fleet that asks at once after a start: electors are near, others by chance.
+            let near = votes || seat.place < NEAR;
+            let next = if near { first.max(now) + self.spread(duty) } else { now + self.seldom() };
+            if let Some(seat) = self.seats.get_mut(&duty) {
+                seat.state = State::Waits { next };
+            }
+            return;
+        }
+        match seat.state {
+            State::Holds { epoch, .. } => {
+                self.counts.handed_on += 1;
+                self.give_up(now, duty, epoch, Why::HandedOn);
+            }
+            State::Takes { epoch, .. } => {
+                self.tell_all(Body::Release { duty, epoch });
+                self.wait(now, duty, Span::ZERO);
+            }
+            _ => self.wait(now, duty, Span::ZERO),
+        }
+    }
+
+    pub(crate) fn refused(&mut self, now: Point, duty: Duty, newest: Epoch) {
+        self.elector.learn(duty, newest);
+        let held = self.seats.get(&duty).and_then(|s| s.held());
+        if let Some((epoch, _)) = held.filter(|(epoch, _)| *epoch < newest) {
+            self.give_up(now, duty, epoch, Why::Refused);
+        }
+    }
+
+    /// An elector's vote has become free in order: it tries soon if it waits itself, should the heir not.
+    pub(crate) fn gave_up(&mut self, now: Point, duty: Duty, epoch: Epoch) {
+        if let Some(known) = self.known.get_mut(&duty).filter(|k| k.epoch == epoch) {
+            known.until = known.until.min(now);
+        }
+        let soon = now + self.terms.heartbeat * APART + self.spread(duty);
+        if let Some(seat) = self.seats.get_mut(&duty).filter(|s| s.wants) {
+            if let State::Waits { next } = &mut seat.state {
+                *next = soon.min(*next);
+            }
+        }
+    }
+
+    /// The holder has passed it to this gateway.
+    pub(crate) fn passed(&mut self, now: Point, duty: Duty, after: Epoch) {
+        let Some(seat) = self.seats.get(&duty).filter(|s| s.wants) else { return };
+        let waits = match seat.state {
+            State::Waits { .. } | State::Looks { .. } => true,
+            // It had asked before it was passed on, or the message has come twice.
+            State::Asks { after: known, .. } => known != Some(after),
+            State::Takes { .. } | State::Holds { .. } => false,
+        };
+        // Guards against an old copy: whoever passed on an epoch that others have left behind has passed nothing.
+        if waits && self.elector.newest(duty) <= after {
+            self.elector.learn(duty, after);
+            self.ask_all(now, duty, Some(after));
+        }
+    }
+
+    /// How long this one waits more than others that would hold the duty.
+    fn spread(&mut self, duty: Duty) -> Span {
+        let own = self.terms.own;
+        let electors = self.voters.all();
+        let rank = self.rank(duty, own);
+        let before = if self.voters.votes(own) {
+            electors.iter().filter(|e| self.rank(duty, **e) < rank).count()
+        } else {
+            electors.len() + self.seats.get(&duty).map_or(0, |s| s.place)
+        };
+        self.terms.heartbeat * (APART * (before as f64 + 0.5 * self.chance.generate::<f64>()))
+    }
+
+    /// How long one waits that is not among the first: all such together look about once a lease.
+    fn seldom(&mut self) -> Span {
+        let share = (self.terms.ids.len() as f64 / 2.0).max(1.0);
+        self.terms.lease * (share * 2.0 * self.chance.generate::<f64>()).max(0.5)
+    }
+
+    /// Nothing is under way any more; `left` is how long another holds it yet.
+    fn wait(&mut self, now: Point, duty: Duty, left: Span) {
+        let own = self.terms.own;
+        let (spread, seldom) = (self.spread(duty), self.seldom());
+        let chance = self.chance.generate::<f64>();
+        let votes = self.voters.votes(own);
+        let Some(seat) = self.seats.get_mut(&duty) else { return };
+        let apart = self.terms.heartbeat * APART;
+        let next = if left > Span::ZERO {
+            seat.fails = 0;
+            match seat.place {
+                place if votes || place < NEAR => now + left + spread,
+                place if place < WAITING => now + left + self.terms.lease * (1.0 + chance),
+                _ => now + left + seldom,
+            }
+        } else {
+            seat.fails = (seat.fails + 1).min(DOUBLINGS);
+            now + spread + apart * (chance * f64::from(1u32 << seat.fails))
+        };
+        seat.state = State::Waits { next };
+    }
+
+    /// Asks all electors whether this gateway may begin a holding.
+    pub(crate) fn ask_all(&mut self, now: Point, duty: Duty, after: Option<Epoch>) {
+        let newest = self.elector.newest(duty).0.max(self.incarnation);
+        let epoch = Epoch(newest.saturating_add(1));
+        let until = now + self.terms.heartbeat * PATIENCE;
+        let Some(seat) = self.seats.get_mut(&duty) else { return };
+        seat.left = Span::ZERO;
+        seat.state = State::Asks { epoch, after, until, open: BTreeSet::new(), no: BTreeSet::new() };
+        self.tell_all(Body::Ask { duty, epoch, after });
+    }
+
+    /// An elector has said no.
+    pub(crate) fn refused_by(
+        &mut self,
+        now: Point,
+        from: NodeIx,
+        duty: Duty,
+        to: Epoch,
+        left: Span,
+        place: u8,
+    ) {
+        if !self.voters.votes(from) {
+            return;
+        }
+        let all = self.voters.all().len();
+        let Some(seat) = self.seats.get_mut(&duty) else { return };
+        seat.place = usize::from(place).min(WAITING);
+        match &mut seat.state {
+            State::Looks { epoch, at, .. } if *epoch == to && *at == from => match left {
+                Span::ZERO => self.ask_all(now, duty, None),
+                left => self.wait(now, duty, left),
+            },
+            State::Asks { epoch, open, no, .. } if *epoch == to => {
+                no.insert(from);
+                seat.left = seat.left.max(left);
+                if no.len() + open.len() >= all {
+                    let left = seat.left;
+                    self.wait(now, duty, left);
+                }
+            }
+            State::Takes { epoch, round, no, .. } if *epoch == to => {
+                no.insert(from);
+                seat.left = seat.left.max(left);
+                if no.len() + round.votes.len() >= all {
+                    let (epoch, left) = (*epoch, seat.left);
+                    self.tell_all(Body::Release { duty, epoch });
+                    self.wait(now, duty, left);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Does what is due for a duty.
+    pub(crate) fn seek(&mut self, now: Point, duty: Duty) {
+        let Some(seat) = self.seats.get_mut(&duty) else { return };
+        if let Some((_, epoch, heir)) = seat.again.take_if(|(at, ..)| *at <= now) {
+            self.tell_all(Body::Release { duty, epoch });
+            if let Some(heir) = heir {
+                self.tell(heir, Body::Pass { duty, epoch });
+            }
+        }
+        let Some(seat) = self.seats.get_mut(&duty) else { return };
+        let wants = seat.wants;
+        match &seat.state {
+            State::Waits { next } if wants && *next <= now => self.look(now, duty),
+            State::Looks { until, .. } if *until <= now => match seat.place {
+                // An elector that is gone says nothing: one of the first asks them all.
+                place if place < NEAR => self.ask_all(now, duty, None),
+                _ => {
+                    let next = now + self.seldom();
+                    if let Some(seat) = self.seats.get_mut(&duty) {
+                        seat.state = State::Waits { next };
+                    }
+                }
+            },
+            State::Asks { until, .. } if *until <= now => {
+                let left = seat.left;
+                self.wait(now, duty, left);
+            }
+            State::Takes { epoch, until, .. } if *until <= now => {
+                let (epoch, left) = (*epoch, seat.left);
+                self.tell_all(Body::Release { duty, epoch });
+                self.wait(now, duty, left);
+            }
+            State::Holds { renew, .. } if *renew <= now => {
+                let heartbeat = self.terms.heartbeat;
+                if let Some((epoch, round)) = seat.renew(now, heartbeat) {
+                    let lease_ms = (self.terms.lease.0 / 1000) as u16;
+                    self.tell_all(Body::Take { duty, epoch, round, lease_ms });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Looks whether the duty is free: an elector by its own vote, which costs nothing, others at one elector.
+    fn look(&mut self, now: Point, duty: Duty) {
+        let own = self.terms.own;
+        if self.voters.votes(own) {
+            return match self.elector.granted(now, duty).filter(|(to, _)| *to != own) {
+                Some((_, until)) => self.wait(now, duty, until - now),
+                None if now < self.elector.silent_until() => {
+                    let left = self.elector.silent_until() - now;
+                    self.wait(now, duty, left);
+                }
+                None => self.ask_all(now, duty, None),
+            };
+        }
+        let electors = self.voters.told().electors.clone();
+        let epoch = Epoch(self.elector.newest(duty).0.max(self.incarnation).saturating_add(1));
+        let until = now + self.terms.heartbeat * PATIENCE;
+        let Some(seat) = self.seats.get_mut(&duty) else { return };
+        seat.turn = (seat.turn + 1) % electors.len().max(1);
+        let Some(at) = electors.get(seat.turn).copied() else { return };
+        seat.state = State::Looks { epoch, at, until };
+        self.tell(at, Body::Ask { duty, epoch, after: None });
+    }
+}
