--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -96,7 +96,7 @@
                     self.look_home(now);
                 }
             }
-            Notice::FleetMail { from, bytes } => self.fleet_mail(from, &bytes),
+            Notice::FleetMail { from, bytes } => self.fleet_mail(from, bytes),
             Notice::Taken { id, product, key, again, left, inward } => {
                 let (expiry, overdue) = (now + left, now + left + self.driver.tick);
                 let entry = Entry {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -47,7 +47,7 @@
     fn obey_fleet(&mut self, asked: Vec<Asked>) {
         for asked in asked {
             match asked {
-                Asked::Send { to, bytes } => self.send_to(to, &bytes),
+                Asked::Send { to, bytes } => self.send_to(to, bytes),
                 Asked::Holds { duty: Duty::Steward, epoch } => {
                     self.steward(StewardEvent::Holds { epoch: epoch.0 });
                 }
@@ -63,17 +63,19 @@
         }
     }
 
-    fn send_to(&mut self, to: PeerIx, bytes: &[u8]) {
-        if let Some(peers) = &self.peers {
-            peers.send(&mut self.room, to, bytes);
+    fn send_to(&mut self, to: PeerIx, mut bytes: Vec<u8>) {
+        if let Some((peers, duties)) = self.peers.as_ref().zip(self.duties.as_ref()) {
+            duties.reform(&mut bytes);
+            peers.send(&mut self.room, to, &bytes);
         }
     }
 
     /// A datagram of a gateway of the fleet. What cannot be read changes nothing.
-    pub fn fleet_mail(&mut self, from: PeerIx, bytes: &[u8]) {
+    pub fn fleet_mail(&mut self, from: PeerIx, mut bytes: Vec<u8>) {
         let now = self.room.now();
+        self.duties.iter().for_each(|duties| duties.reform(&mut bytes));
         if bytes.first() == Some(&ballots::FIRST) && self.stewarding.is_some() {
-            match ballots::read(bytes) {
+            match ballots::read(&bytes) {
                 Ok(told) => self.steward(StewardEvent::Heard { from, told }),
                 Err(e) => {
                     self.room.counters.add(Count::MailRefused);
@@ -82,7 +84,7 @@
             }
             return;
         }
-        match self.duties.as_mut().map(|d| d.hear(now, from, bytes)) {
+        match self.duties.as_mut().map(|d| d.hear(now, from, &bytes)) {
             Some(Ok(asked)) => self.obey_fleet(asked),
             _ => self.room.counters.add(Count::MailRefused),
         }
@@ -124,7 +126,7 @@
                 Action::Tell(told) => {
                     let electors = self.duties.as_ref().map(|d| d.electors());
                     let bytes = ballots::write(&told);
-                    electors.into_iter().flatten().for_each(|to| self.send_to(to, &bytes));
+                    electors.into_iter().flatten().for_each(|to| self.send_to(to, bytes.to_vec()));
                 }
                 Action::Call { ballot, again } => self.call(ballot, again),
                 Action::Said(_) => {}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -94,17 +94,20 @@
         self.fleet.may_act(self.pace.told(now), duty)
     }
 
+    /// A rehearsal's other version of messages writes another form, and reads that one alone: the second byte of a
+    /// message, whichever way it goes.
+    pub fn reform(&self, bytes: &mut [u8]) {
+        if let Some(form) = bytes.get_mut(1).filter(|_| self.form != form::FORM) {
+            *form = if *form == self.form { form::FORM } else { self.form };
+        }
+    }
+
     /// A message of a gateway of the fleet.
     ///
     /// # Errors
     /// It cannot be read, and changes nothing.
     pub fn hear(&mut self, now: Point, from: PeerIx, bytes: &[u8]) -> Result<Vec<Asked>, Unread> {
-        let mut bytes = bytes.to_vec();
-        if let Some(form) = bytes.get_mut(1).filter(|_| self.form != form::FORM) {
-            // A rehearsal's other version: it reads its own form, and no other one.
-            *form = if *form == self.form { form::FORM } else { self.form };
-        }
-        match form::read(&bytes) {
+        match form::read(bytes) {
             Ok(message) => Ok(self.take(now, Event::Heard { from, message })),
             Err(e) => {
                 self.unread += 1;
@@ -128,13 +131,7 @@
 
     fn asked(&self, now: Point, action: Action) -> Asked {
         match action {
-            Action::Tell { to, message } => {
-                let mut bytes = form::write(&message);
-                if let Some(form) = bytes.get_mut(1) {
-                    *form = self.form;
-                }
-                Asked::Send { to, bytes }
-            }
+            Action::Tell { to, message } => Asked::Send { to, bytes: form::write(&message) },
             Action::Holds { duty, epoch } => {
                 tracing::info!("fleet: holds {duty}, epoch {epoch}");
                 Asked::Holds { duty, epoch }
