--- /dev/null
+++ b/crates/rehearse/src/duties/world.rs
@@ -0,0 +1,389 @@
+//! A fleet without sockets in simulated time: every gateway has its clock, which runs fast or slow, its process,
+//! which ends, stands still and starts anew, and its road to each other, which loses, delays and garbles.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use harrierdock::time::{Point, Span};
+use harrierdock_fleet::{form, Action, Body, Duty, Epoch, Event, Fleet, Guard, NodeIx, Terms, Told};
+use nanorand::{Rng, WyRand};
+
+pub const LEASE: Span = Span(2_000_000);
+pub const HEARTBEAT: Span = Span(800_000);
+pub const DRIFT: f64 = 0.02;
+pub const DUTIES: [Duty; 3] = [Duty::Steward, Duty::Heir, Duty::Speaker(1)];
+/// How often a holder acts.
+const ACTS: Span = Span(50_000);
+/// Unix time at the world's start, in milliseconds, and by how much a gateway's may be off either way.
+const UNIX: u64 = 1_790_000_000_000;
+const UNIX_OFF: f64 = 900.0;
+
+pub struct Node {
+    fleet: Option<Fleet>,
+    /// Which process it is: what was meant for an earlier one is lost.
+    life: u32,
+    rate: f64,
+    /// The reading of its clock at the world's start.
+    reading: i64,
+    unix_off: i64,
+    pub still_until: Point,
+    wake: u64,
+    ending: bool,
+}
+
+enum Happening {
+    Wake { node: NodeIx, life: u32, no: u64 },
+    Mail { from: NodeIx, to: NodeIx, bytes: Vec<u8> },
+    Start { node: NodeIx },
+    Exit { node: NodeIx, life: u32 },
+    Acts,
+    Arrives { duty: Duty, epoch: Epoch, node: NodeIx },
+}
+
+/// How roads are at the moment.
+#[derive(Clone, Debug, Default)]
+pub struct Roads {
+    pub loss: f64,
+    pub doubled: f64,
+    pub garbled: f64,
+    pub late: f64,
+    /// The longest delay, in seconds.
+    pub delay: f64,
+    /// Nothing passes from the first set to the others; nor back, unless one way.
+    pub cut: Option<(BTreeSet<NodeIx>, bool)>,
+}
+
+/// What happened to a duty.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turn {
+    pub at: Point,
+    pub duty: Duty,
+    pub node: NodeIx,
+    pub held: bool,
+}
+
+pub struct World {
+    pub now: Point,
+    pub chance: WyRand,
+    pub told: Told,
+    pub nodes: Vec<Node>,
+    pub roads: Roads,
+    queue: BinaryHeap<Reverse<(Point, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    no: u64,
+    guard: Guard,
+    /// By duty, who believes to hold it, in which epoch.
+    pub believers: BTreeMap<Duty, BTreeMap<NodeIx, Epoch>>,
+    /// By duty, the newest epoch in which somebody could act, in true time.
+    newest: BTreeMap<Duty, (Epoch, NodeIx)>,
+    pub turns: Vec<Turn>,
+    pub two_holders: u64,
+    pub epochs_back: u64,
+    pub acts: u64,
+    pub refused: u64,
+    /// An admitted act of another gateway in the same epoch.
+    pub guard_saw_two: u64,
+    admitted: BTreeMap<Duty, (Epoch, NodeIx)>,
+    pub unread: u64,
+    /// Bytes sent: of all leases; of all by gateway.
+    pub lease_bytes: u64,
+    pub sent_bytes: Vec<u64>,
+    pub longest: usize,
+}
+
+impl World {
+    pub fn new(seed: u64, gateways: usize, electors: usize) -> World {
+        let mut chance = WyRand::new_seed(seed);
+        let names: Vec<String> = (0..gateways).map(|i| format!("gateway-{i:03}")).collect();
+        // Electors are spread over the fleet, as an operator would name them.
+        let electorate = (0..electors).map(|i| names[i * gateways / electors].clone()).collect();
+        let told = Told {
+            own: names[0].clone(),
+            names,
+            electorate,
+            electorate_number: 1,
+            lease: LEASE,
+            heartbeat: HEARTBEAT,
+            longest_lease: None,
+            drift: DRIFT,
+            duties: DUTIES.iter().map(Duty::to_string).collect(),
+        };
+        let mut node = |_| Node {
+            fleet: None,
+            life: 0,
+            rate: 1.0 + DRIFT * (2.0 * chance.generate::<f64>() - 1.0),
+            reading: chance.generate_range(0..1_000_000_000_000_i64),
+            unix_off: (UNIX_OFF * (2.0 * chance.generate::<f64>() - 1.0)) as i64,
+            still_until: Point(0),
+            wake: 0,
+            ending: false,
+        };
+        let nodes: Vec<Node> = (0..gateways).map(&mut node).collect();
+        let mut world = World {
+            now: Point(0),
+            chance,
+            told,
+            nodes,
+            roads: Roads { delay: 0.002, ..Roads::default() },
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            no: 0,
+            guard: Guard::default(),
+            believers: BTreeMap::new(),
+            newest: BTreeMap::new(),
+            turns: Vec::new(),
+            two_holders: 0,
+            epochs_back: 0,
+            acts: 0,
+            refused: 0,
+            guard_saw_two: 0,
+            admitted: BTreeMap::new(),
+            unread: 0,
+            lease_bytes: 0,
+            sent_bytes: vec![0; gateways],
+            longest: 0,
+        };
+        for node in 0..gateways {
+            let after = Span::secs(0.3 * world.chance.generate::<f64>());
+            world.add(Point(0) + after, Happening::Start { node });
+        }
+        world.add(Point(0), Happening::Acts);
+        world
+    }
+
+    fn terms(&self, own: NodeIx) -> Terms {
+        let told = Told { own: self.told.names[own].clone(), ..self.told.clone() };
+        told.terms().expect("the rehearsal tells terms that fit")
+    }
+
+    pub fn electors(&self) -> Vec<NodeIx> {
+        self.told.electorate().expect("the rehearsal tells terms that fit").electors
+    }
+
+    fn add(&mut self, at: Point, happening: Happening) {
+        self.no += 1;
+        self.queue.push(Reverse((at, self.no)));
+        self.happenings.insert(self.no, happening);
+    }
+
+    fn clock(&self, node: NodeIx) -> Point {
+        let n = &self.nodes[node];
+        Point(n.reading + (self.now.0 as f64 * n.rate) as i64)
+    }
+
+    pub fn alive(&self, node: NodeIx) -> bool {
+        self.nodes[node].fleet.is_some()
+    }
+
+    /// Ends a process without a word; it starts anew so much later.
+    pub fn kill(&mut self, node: NodeIx, back: Option<Span>) {
+        self.end(node);
+        if let Some(back) = back {
+            self.add(self.now + back, Happening::Start { node });
+        }
+    }
+
+    fn end(&mut self, node: NodeIx) {
+        let n = &mut self.nodes[node];
+        n.fleet = None;
+        n.life += 1;
+        for believers in self.believers.values_mut() {
+            believers.remove(&node);
+        }
+        for duty in DUTIES {
+            self.mark(duty, node, false);
+        }
+    }
+
+    /// Ends a process in order, and starts it anew.
+    pub fn restart(&mut self, node: NodeIx, back: Option<Span>) {
+        let life = self.nodes[node].life;
+        if self.nodes[node].ending || !self.alive(node) {
+            return;
+        }
+        self.nodes[node].ending = true;
+        self.give(node, Event::Ending);
+        self.add(self.now + Span::secs(0.3), Happening::Exit { node, life });
+        if let Some(back) = back {
+            self.add(self.now + Span::secs(0.3) + back, Happening::Start { node });
+        }
+    }
+
+    pub fn holder(&self, duty: Duty) -> Option<NodeIx> {
+        let believers = self.believers.get(&duty)?;
+        believers.keys().copied().find(|node| self.acting(*node, duty).is_some())
+    }
+
+    fn acting(&self, node: NodeIx, duty: Duty) -> Option<Epoch> {
+        self.nodes[node].fleet.as_ref()?.may_act(self.clock(node), duty)
+    }
+
+    fn mark(&mut self, duty: Duty, node: NodeIx, held: bool) {
+        let last = self.turns.iter().rev().find(|t| t.duty == duty && t.node == node);
+        if last.is_some_and(|t| t.held) != held {
+            self.turns.push(Turn { at: self.now, duty, node, held });
+        }
+    }
+
+    fn give(&mut self, node: NodeIx, event: Event) {
+        let clock = self.clock(node);
+        let Some(fleet) = &mut self.nodes[node].fleet else { return };
+        for action in fleet.take(clock, event) {
+            match action {
+                Action::Tell { to, message } => {
+                    let lease = !matches!(message.body, Body::Hearsay { .. });
+                    self.post(node, to, form::write(&message), lease);
+                }
+                Action::Holds { duty, epoch } => {
+                    self.believers.entry(duty).or_default().insert(node, epoch);
+                    self.mark(duty, node, true);
+                }
+                Action::Ended { duty, .. } => {
+                    self.believers.entry(duty).or_default().remove(&node);
+                    self.mark(duty, node, false);
+                }
+                Action::Wake { after } => {
+                    let (life, rate) = (self.nodes[node].life, self.nodes[node].rate);
+                    self.nodes[node].wake += 1;
+                    let no = self.nodes[node].wake;
+                    self.add(self.now + after / rate, Happening::Wake { node, life, no });
+                }
+            }
+        }
+        self.judge(node);
+    }
+
+    /// A holding that overlaps another does so from the moment one of both begins or is renewed: then it is seen.
+    fn judge(&mut self, node: NodeIx) {
+        for duty in DUTIES {
+            let Some(epoch) = self.acting(node, duty) else { continue };
+            let others = self.believers.get(&duty).into_iter().flat_map(BTreeMap::keys);
+            let two = others.filter(|other| **other != node && self.acting(**other, duty).is_some()).count();
+            self.two_holders += two as u64;
+            let newest = self.newest.entry(duty).or_insert((epoch, node));
+            if epoch < newest.0 || (epoch == newest.0 && node != newest.1) {
+                self.epochs_back += 1;
+            }
+            *newest = (*newest).max((epoch, node));
+        }
+    }
+
+    fn post(&mut self, from: NodeIx, to: NodeIx, bytes: Vec<u8>, lease: bool) {
+        self.longest = self.longest.max(bytes.len());
+        self.sent_bytes[from] += bytes.len() as u64;
+        if lease {
+            self.lease_bytes += bytes.len() as u64;
+        }
+        let roads = self.roads.clone();
+        if let Some((part, one_way)) = &roads.cut {
+            let (out, back) = (part.contains(&from), part.contains(&to));
+            if out != back && (out || !one_way) {
+                return;
+            }
+        }
+        let copies = if self.chance.generate::<f64>() < roads.doubled { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.chance.generate::<f64>() < roads.loss {
+                continue;
+            }
+            let mut bytes = bytes.clone();
+            if self.chance.generate::<f64>() < roads.garbled {
+                let at = self.chance.generate_range(0..bytes.len());
+                bytes[at] ^= self.chance.generate_range(1..=255_u8);
+            }
+            // A late one comes after others that were sent long after it.
+            let longest = if self.chance.generate::<f64>() < roads.late { 2.5 } else { roads.delay };
+            let delay = Span::secs(0.0002 + longest * self.chance.generate::<f64>());
+            self.add(self.now + delay, Happening::Mail { from, to, bytes });
+        }
+    }
+
+    fn start(&mut self, node: NodeIx) {
+        if self.alive(node) {
+            return;
+        }
+        let incarnation = UNIX.saturating_add_signed(self.now.0 / 1000 + self.nodes[node].unix_off);
+        let (terms, clock, seed) = (self.terms(node), self.clock(node), self.chance.generate());
+        self.nodes[node].fleet = Some(Fleet::new(terms, incarnation, seed, clock));
+        (self.nodes[node].ending, self.nodes[node].still_until) = (false, self.now);
+        for duty in DUTIES {
+            // A circle is of a tenth of the fleet, and of five at the least.
+            if !matches!(duty, Duty::Speaker(_)) || node.is_multiple_of((self.nodes.len() / 5).clamp(1, 10)) {
+                self.give(node, Event::Wants { duty, wants: true });
+            }
+        }
+    }
+
+    fn act(&mut self) {
+        let all: Vec<(Duty, NodeIx)> =
+            self.believers.iter().flat_map(|(d, b)| b.keys().map(|n| (*d, *n))).collect();
+        for (duty, node) in all {
+            match self.acting(node, duty) {
+                None => self.mark(duty, node, false),
+                // A process that stands still acts when it goes on; one that stops between its check and its act
+                // sends the act late, which is up to the guard.
+                Some(_) if self.nodes[node].still_until > self.now => {}
+                Some(epoch) => {
+                    self.mark(duty, node, true);
+                    let paused = if self.chance.generate::<f64>() < 0.02 { 4.0 } else { 0.01 };
+                    let delay = Span::secs(paused * self.chance.generate::<f64>());
+                    self.add(self.now + delay, Happening::Arrives { duty, epoch, node });
+                }
+            }
+        }
+        self.add(self.now + ACTS, Happening::Acts);
+    }
+
+    fn arrives(&mut self, duty: Duty, epoch: Epoch, node: NodeIx) {
+        self.acts += 1;
+        if self.guard.admit(duty, epoch).is_err() {
+            self.refused += 1;
+            if let (Some(newest), true) = (self.guard.newest(duty), self.alive(node)) {
+                self.give(node, Event::Refused { duty, newest });
+            }
+            return;
+        }
+        let admitted = self.admitted.insert(duty, (epoch, node));
+        if admitted.is_some_and(|(e, n)| e > epoch || (e == epoch && n != node)) {
+            self.guard_saw_two += 1;
+        }
+    }
+
+    pub fn run(&mut self, to: Point) {
+        while let Some(Reverse((at, no))) = self.queue.peek().copied().filter(|Reverse((at, _))| *at <= to) {
+            self.queue.pop();
+            self.now = at;
+            let Some(happening) = self.happenings.remove(&no) else { continue };
+            let of = match &happening {
+                Happening::Wake { node, .. } | Happening::Exit { node, .. } => Some(*node),
+                Happening::Mail { to, .. } => Some(*to),
+                _ => None,
+            };
+            let still = of.map(|n| self.nodes[n].still_until).filter(|until| *until > at);
+            if let Some(until) = still {
+                self.add(until, happening);
+                continue;
+            }
+            match happening {
+                Happening::Wake { node, life, no } => {
+                    if life == self.nodes[node].life && no == self.nodes[node].wake {
+                        self.give(node, Event::Wake);
+                    }
+                }
+                Happening::Mail { from, to, bytes } => match form::read(&bytes) {
+                    Ok(message) => self.give(to, Event::Heard { from, message }),
+                    Err(_) => self.unread += 1,
+                },
+                Happening::Start { node } => self.start(node),
+                Happening::Exit { node, life } => {
+                    if life == self.nodes[node].life {
+                        self.end(node);
+                    }
+                }
+                Happening::Acts => self.act(),
+                Happening::Arrives { duty, epoch, node } => self.arrives(duty, epoch, node),
+            }
+        }
+        self.now = to;
+    }
+}
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod collector;
 pub mod core;
+pub mod duties;
 pub mod flows;
 pub mod membership;
 pub mod processes;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -7,7 +7,7 @@
 use bpaf::Bpaf;
 use harrierdock_rehearse::collector::Road;
 use harrierdock_rehearse::sites::{self, At, Cut, Day};
-use harrierdock_rehearse::{core, flows, membership};
+use harrierdock_rehearse::{core, duties, flows, membership};
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde::Serialize;
 
@@ -146,6 +146,19 @@
         #[bpaf(long("listen"), argument("ADDRESS"), fallback("127.0.0.1:0".parse().expect("an address")))]
         listen: std::net::SocketAddr,
     },
+    /// Duties of one fleet without sockets, in simulated time: kills, stalls, cuts, skewed clocks, by the seed.
+    #[bpaf(command)]
+    Duties {
+        /// The first seed
+        #[bpaf(long("seed"), argument("N"), fallback(1))]
+        seed: u64,
+        /// How many seeds are played
+        #[bpaf(long("seeds"), argument("N"), fallback(100))]
+        seeds: u64,
+        /// Gateways of the fleet, five at the least
+        #[bpaf(long("gateways"), argument("G"), fallback(5))]
+        gateways: usize,
+    },
     /// Membership without sockets: rounds and bytes until a change is known to all, at 0, 10 and 30% loss.
     #[bpaf(command)]
     Membership {
@@ -269,6 +282,11 @@
             flows::collect(listen, road.parse()?, seconds, csv.as_deref(), parquet.as_deref())?;
             Ok(true)
         }
+        Command::Duties { seed, seeds, gateways } => {
+            let bar = bar(seeds);
+            let found = duties::play(seed, seeds, gateways, || bar.inc(1));
+            end(&found, found.ok)
+        }
         Command::Membership { seed, gateways, bound } => {
             let bar = bar(30);
             let found = membership::play(gateways.max(1), seed, bound, || bar.inc(1));
