--- a/crates/fleet/src/elector.rs
+++ b/crates/fleet/src/elector.rs
@@ -9,6 +9,8 @@
 
 /// Waiting gateways that an elector knows by duty, best ranks first. Guards against growing with the fleet.
 pub const WAITING: usize = 8;
+/// Those of them that look as soon as the lease they know of runs out; later ones in turn look seldom.
+pub const NEAR: usize = 2;
 /// Holdings given up that an elector remembers by duty: more than can be under way on a slow road at once.
 const CLOSED: usize = 8;
 
@@ -19,6 +21,13 @@
     pub incarnation: u64,
 }
 
+/// For how long one that waits is remembered without being heard: the first look often, later ones seldom.
+#[derive(Clone, Copy, Debug)]
+pub struct Lasts {
+    pub near: Span,
+    pub later: Span,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     to: Asker,
@@ -157,9 +166,15 @@
     }
 
     /// How many that wait are heard before this one, which is heard now.
-    pub fn place(&mut self, now: Point, duty: Duty, rank: u64, node: NodeIx, lasting: Span) -> usize {
+    pub fn place(&mut self, now: Point, duty: Duty, rank: u64, node: NodeIx, lasts: Lasts) -> usize {
         let Some(vote) = self.votes.get_mut(&duty) else { return WAITING };
-        vote.waiting.retain(|_, (_, heard)| now - *heard <= lasting);
+        let mut before = 0;
+        vote.waiting.retain(|_, (_, heard)| {
+            let lasting = if before < NEAR { lasts.near } else { lasts.later };
+            let stays = now - *heard <= lasting;
+            before += usize::from(stays);
+            stays
+        });
         vote.waiting.insert(rank, (node, now));
         if vote.waiting.len() > WAITING {
             vote.waiting.pop_last();
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -32,8 +32,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ballot {
     pub epoch: Epoch,
-    /// The lowest bits of the asker's incarnation.
-    pub asker: u32,
+    /// The asker's incarnation in few bits.
+    pub asker: u16,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/fleet/src/hear.rs
+++ b/crates/fleet/src/hear.rs
@@ -28,6 +28,12 @@
     Span(i64::from(ms) * 1000)
 }
 
+/// A process' start in few bits, for answers. Two starts of one gateway are told apart by their epochs as well:
+/// a later process asks for newer ones only.
+pub(crate) fn asker(incarnation: u64) -> u16 {
+    (incarnation ^ (incarnation >> 16) ^ (incarnation >> 32)) as u16
+}
+
 impl Fleet {
     pub(crate) fn hear(&mut self, now: Point, from: NodeIx, message: Message) {
         let Message { incarnation, electorate, digest, body } = message;
@@ -60,7 +66,7 @@
         match body {
             Body::Ask { duty, epoch, after } => {
                 let answer = self.elector.ask(now, duty, by, epoch, after);
-                let ballot = Ballot { epoch, asker: incarnation as u32 };
+                let ballot = Ballot { epoch, asker: asker(incarnation) };
                 if answer == Answer::Yes {
                     return self.tell(from, Body::Open { duty, ballot });
                 }
@@ -68,9 +74,11 @@
             }
             Body::Take { duty, epoch, round, lease_ms } => {
                 let answer = self.elector.take(now, duty, by, epoch, span(lease_ms), round > 1);
-                let ballot = Ballot { epoch, asker: incarnation as u32 };
+                let ballot = Ballot { epoch, asker: asker(incarnation) };
                 if answer == Answer::Yes {
-                    let waiting = self.first_waiting(now, duty, from);
+                    // Said every other time: it changes seldom.
+                    let said = from == self.terms.own || round % 2 == 1;
+                    let waiting = if said { self.first_waiting(now, duty, from) } else { None };
                     return self.tell(from, Body::Granted { duty, ballot, round, waiting });
                 }
                 self.refuse(now, duty, by, ballot, answer);
@@ -90,7 +98,7 @@
                 if let Some(holder) = self.terms.place(holder).filter(|_| left_ms > 0) {
                     self.know(duty, Known { holder, epoch, until: now + span(left_ms) });
                 }
-                if ballot.asker == self.incarnation as u32 {
+                if ballot.asker == asker(self.incarnation) {
                     self.refused_by(now, from, duty, ballot.epoch, span(left_ms), place);
                 }
             }
@@ -108,8 +116,8 @@
 
     fn refuse(&mut self, now: Point, duty: Duty, by: Asker, ballot: Ballot, answer: Answer) {
         let Answer::No { newest, left, holder } = answer else { return };
-        let (rank, lasting) = (self.rank(duty, by.node), self.waiting_lasts());
-        let place = self.elector.place(now, duty, rank, by.node, lasting) as u8;
+        let (rank, lasts) = (self.rank(duty, by.node), self.waiting_lasts());
+        let place = self.elector.place(now, duty, rank, by.node, lasts) as u8;
         let holder = holder.and_then(|h| self.terms.ids.get(h).copied()).unwrap_or(0);
         let left_ms = if left > Span::ZERO { ms_up(left) } else { 0 };
         self.tell(by.node, Body::Held { duty, ballot, epoch: newest, left_ms, place, holder });
@@ -122,13 +130,13 @@
         let first = if waits && own != but {
             Some(own)
         } else {
-            self.elector.first(now, duty, but, self.waiting_lasts())
+            self.elector.first(now, duty, but, self.waiting_lasts().near)
         };
         first.and_then(|ix| self.terms.ids.get(ix).copied())
     }
 
     fn opened(&mut self, now: Point, from: NodeIx, duty: Duty, ballot: Ballot) {
-        if ballot.asker != self.incarnation as u32 || !self.voters.votes(from) {
+        if ballot.asker != asker(self.incarnation) || !self.voters.votes(from) {
             return;
         }
         let Some(seat) = self.seats.get_mut(&duty) else { return };
@@ -160,7 +168,7 @@
         no: u16,
         waiting: Option<u32>,
     ) {
-        if ballot.asker != self.incarnation as u32 || !self.voters.votes(from) {
+        if ballot.asker != asker(self.incarnation) || !self.voters.votes(from) {
             return;
         }
         let waiting = waiting.and_then(|id| self.terms.place(id)).filter(|ix| *ix != self.terms.own);
--- a/crates/fleet/src/seat.rs
+++ b/crates/fleet/src/seat.rs
@@ -67,7 +67,7 @@
     pub heirs: BTreeSet<NodeIx>,
     /// What was given up is told once more then: one message may be lost.
     pub again: Option<(Point, Epoch, Option<NodeIx>)>,
-    /// Which elector is looked at next.
+    /// How many electors in turn have said nothing.
     pub turn: usize,
 }
 
@@ -115,7 +115,10 @@
         if rounds.len() > ROUNDS {
             rounds.pop_front();
         }
-        self.heirs.clear();
+        // Electors say who waits with odd rounds.
+        if *last % 2 == 1 {
+            self.heirs.clear();
+        }
         Some((*epoch, *last))
     }
 }
--- a/crates/fleet/src/seek.rs
+++ b/crates/fleet/src/seek.rs
@@ -5,7 +5,7 @@
 use harrierdock::time::{Point, Span};
 use nanorand::Rng;
 
-use crate::elector::WAITING;
+use crate::elector::{Lasts, NEAR, WAITING};
 use crate::seat::State;
 use crate::{Action, Body, Duty, Epoch, Fleet, NodeIx, Why};
 
@@ -14,8 +14,10 @@
 /// Heartbeats between the tries of two that wait. Guards against two that take the votes from each other: it is
 /// longer than a round on the roads of one site. It harms a take-over by its length for each that is gone.
 const APART: f64 = 1.0 / 16.0;
-/// Waiting ones that look as soon as the lease they know of runs out; later ones in turn look seldom.
-const NEAR: usize = 2;
+/// Leases between the looks of those that wait behind the first.
+const LATER: f64 = 12.0;
+/// One look in so many goes to the first elector again, after it said nothing.
+const BACK: u32 = 8;
 /// Doublings of the wait after tries that came to nothing.
 const DOUBLINGS: u32 = 4;
 /// Heartbeats after which what was given up is told once more.
@@ -34,9 +36,8 @@
         (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
     }
 
-    /// For how long one that waits is remembered without being heard: it comes to each elector in turn.
-    pub(crate) fn waiting_lasts(&self) -> Span {
-        self.terms.lease * (self.voters.told().electors.len() as f64 + 1.5)
+    pub(crate) fn waiting_lasts(&self) -> Lasts {
+        Lasts { near: self.terms.lease * 4.0, later: self.terms.lease * (2.0 * LATER) }
     }
 
     pub(crate) fn tell_all(&mut self, body: Body) {
@@ -93,7 +94,7 @@
         if wants {
             // Guards against a whole fleet that asks at once after a start: electors are near, others by chance.
             let near = votes || seat.place < NEAR;
-            let next = if near { first.max(now) + self.spread(duty) } else { now + self.seldom() };
+            let next = first.max(now) + if near { self.spread(duty) } else { self.early() };
             if let Some(seat) = self.seats.get_mut(&duty) {
                 seat.state = State::Waits { next };
             }
@@ -164,8 +165,13 @@
 
     /// How long one waits that is not among the first: all such together look about once a lease.
     fn seldom(&mut self) -> Span {
-        let share = (self.terms.ids.len() as f64 / 2.0).max(1.0);
-        self.terms.lease * (share * 2.0 * self.chance.generate::<f64>()).max(0.5)
+        self.terms.lease * (2.0 * self.terms.ids.len() as f64 * self.chance.generate::<f64>()).max(0.5)
+    }
+
+    /// How long one waits that no elector has told its place. If all of a large fleet would hold the duty, they
+    /// look 64 times a lease in sum, each once: nobody knows yet how many they are, and few must not wait long.
+    fn early(&mut self) -> Span {
+        self.terms.lease * ((self.terms.ids.len() as f64 / 64.0).max(1.0) * self.chance.generate::<f64>())
     }
 
     /// Nothing is under way any more; `left` is how long another holds it yet.
@@ -179,8 +185,9 @@
         let next = if left > Span::ZERO {
             seat.fails = 0;
             match seat.place {
-                place if votes || place < NEAR => now + left + spread,
-                place if place < WAITING => now + left + self.terms.lease * (1.0 + chance),
+                place if votes || place == 0 => now + left + spread,
+                place if place < NEAR => now + left + self.terms.lease * place as f64 + spread,
+                place if place < WAITING => now + left + self.terms.lease * (LATER * (0.5 + chance)),
                 _ => now + left + seldom,
             }
         } else {
@@ -256,16 +263,16 @@
         let wants = seat.wants;
         match &seat.state {
             State::Waits { next } if wants && *next <= now => self.look(now, duty),
-            State::Looks { until, .. } if *until <= now => match seat.place {
-                // An elector that is gone says nothing: one of the first asks them all.
-                place if place < NEAR => self.ask_all(now, duty, None),
-                _ => {
-                    let next = now + self.seldom();
-                    if let Some(seat) = self.seats.get_mut(&duty) {
-                        seat.state = State::Waits { next };
-                    }
+            State::Looks { until, .. } if *until <= now => {
+                // An elector that is gone says nothing: one of the first asks them all, others the next.
+                seat.turn = seat.turn.wrapping_add(1);
+                let near = seat.place < NEAR;
+                let next = now + self.early();
+                match self.seats.get_mut(&duty) {
+                    Some(seat) if !near => seat.state = State::Waits { next },
+                    _ => self.ask_all(now, duty, None),
                 }
-            },
+            }
             State::Asks { until, .. } if *until <= now => {
                 let left = seat.left;
                 self.wait(now, duty, left);
@@ -299,12 +306,17 @@
                 None => self.ask_all(now, duty, None),
             };
         }
-        let electors = self.voters.told().electors.clone();
+        // All look at one, the same for all, so that it knows who waits before whom; another duty has another.
+        let mut electors = self.voters.told().electors.clone();
+        electors.sort_by_key(|e| self.rank(duty, *e));
+        let back = self.chance.generate_range(0..BACK) == 0;
         let epoch = Epoch(self.elector.newest(duty).0.max(self.incarnation).saturating_add(1));
         let until = now + self.terms.heartbeat * PATIENCE;
         let Some(seat) = self.seats.get_mut(&duty) else { return };
-        seat.turn = (seat.turn + 1) % electors.len().max(1);
-        let Some(at) = electors.get(seat.turn).copied() else { return };
+        if back {
+            seat.turn = 0;
+        }
+        let Some(at) = electors.get(seat.turn % electors.len().max(1)).copied() else { return };
         seat.state = State::Looks { epoch, at, until };
         self.tell(at, Body::Ask { duty, epoch, after: None });
     }
