--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -60,13 +60,7 @@
 
 impl Duties {
     /// Begins, and would hold the told duties where this gateway is an elector.
-    pub fn new(
-        now: Point,
-        told: FleetTold,
-        terms: Terms,
-        name: &str,
-        seed: u64,
-    ) -> (Duties, Vec<Asked>) {
+    pub fn new(now: Point, told: FleetTold, terms: Terms, name: &str, seed: u64) -> (Duties, Vec<Asked>) {
         let rehearsal = told.rehearsal.as_ref();
         let (rate, form) = rehearsal.map_or((1.0, form::FORM), |r| (r.clock_rate, r.form));
         let pace = Pace { start: now, rate };
@@ -75,7 +69,8 @@
         // Unix time in milliseconds, as points begin with it.
         let incarnation = (now.0 / 1000) as u64;
         let fleet = Fleet::new(terms, incarnation, seed ^ incarnation, now);
-        let mut duties = Duties { fleet, told, name: name.into(), own, pace, form, unread: 0, unread_told: None };
+        let mut duties =
+            Duties { fleet, told, name: name.into(), own, pace, form, unread: 0, unread_told: None };
         let mut asked = duties.take(now, Event::Wake);
         for duty in wanted.into_iter().filter(|_| elector) {
             asked.extend(duties.take(now, Event::Wants { duty, wants: true }));
@@ -140,7 +135,9 @@
                 match why {
                     Why::HandedOn => tracing::info!("fleet: {duty} ended, epoch {epoch}: handed on"),
                     Why::Lapsed => tracing::warn!("fleet: {duty} ended, epoch {epoch}: not renewed in time"),
-                    Why::Refused => tracing::warn!("fleet: {duty} ended, epoch {epoch}: a later one is known"),
+                    Why::Refused => {
+                        tracing::warn!("fleet: {duty} ended, epoch {epoch}: a later one is known")
+                    }
                 }
                 Asked::Ended { duty }
             }
--- a/crates/gateway/src/fleet_told.rs
+++ b/crates/gateway/src/fleet_told.rs
@@ -105,7 +105,9 @@
 pub enum FleetMisfit {
     #[error("fleet.{field}: {misfit}")]
     Terms { field: &'static str, misfit: Misfit },
-    #[error("fleet.gateways: {names} names for {peers} of the configuration's `peers`: name each, in that order")]
+    #[error(
+        "fleet.gateways: {names} names for {peers} of the configuration's `peers`: name each, in that order"
+    )]
     Peers { names: usize, peers: usize },
     #[error(
         "fleet.gateways: {own} is at place {place}, the configuration's ordinal is {ordinal}: put them in one order"
@@ -221,11 +223,8 @@
 
     /// The same but for the electorate, which may change while running.
     pub fn differs_beyond_electorate(&self, other: &FleetTold) -> bool {
-        let plain = |told: &FleetTold| FleetTold {
-            electorate: Vec::new(),
-            electorate_number: 0,
-            ..told.clone()
-        };
+        let plain =
+            |told: &FleetTold| FleetTold { electorate: Vec::new(), electorate_number: 0, ..told.clone() };
         plain(self) != plain(other)
     }
 
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use calloop::Readiness;
-use harrierdock::interface::{StageNews, Verdict, Word};
 use harrierdock::interface::{Build, Phase};
+use harrierdock::interface::{StageNews, Verdict, Word};
 use harrierdock::time::{Point, Span};
 use harrierdock_fleet::Epoch;
 use harrierdock_net::{ConnectionNo, Errand, Net, Step};
--- /dev/null
+++ b/crates/gateway/tests/fleet.rs
@@ -0,0 +1,264 @@
+//! Several processes of the program that share a duty: killed, stalled, cut off, ended in order, of two forms. Each
+//! verdict is about the rules, by what the installation saw; waits are for events, and bounded.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use harrierdock::time::Span;
+use harrierdock_rehearse::fleet::crew::{Ending, Odd};
+use harrierdock_rehearse::fleet::installation::Seen;
+use harrierdock_rehearse::fleet::{Day, Stage};
+use harrierdock_rehearse::scripted::BOUND;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+
+struct Fleet {
+    stage: Stage,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    fn new(name: &str, day: Day) -> Fleet {
+        let folder = format!("{}/fleet-{name}-{}", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        fs::create_dir_all(&folder).unwrap();
+        let folder = PathBuf::from(folder);
+        let stage = Stage::new(&day, env!("CARGO_BIN_EXE_harrierdock").into(), &folder).unwrap();
+        Fleet { stage, folder }
+    }
+
+    fn start(name: &str) -> Fleet {
+        let mut fleet = Fleet::new(name, Day { rate: 20.0, servers: 2, ..Day::default() });
+        fleet.stage.start().unwrap();
+        fleet
+    }
+
+    /// Plays on until this holds.
+    fn until(&mut self, what: &str, mut holds: impl FnMut(&Stage) -> bool) {
+        let from = Instant::now();
+        while !holds(&self.stage) {
+            assert!(from.elapsed() < BOUND, "not in time: {what}");
+            let soon = self.stage.world.now();
+            self.stage.turn(soon + Span(20_000)).unwrap();
+        }
+    }
+
+    fn advanced(stage: &Stage) -> u64 {
+        stage.crew.installation.judged().advanced
+    }
+
+    fn until_more_waves(&mut self, more: u64) {
+        let wanted = Fleet::advanced(&self.stage) + more;
+        self.until("more waves", |stage| Fleet::advanced(stage) >= wanted);
+    }
+
+    /// The holder, once its calls have been seen.
+    fn holder(&mut self) -> usize {
+        self.until_more_waves(2);
+        self.until("a holder", |stage| stage.crew.holder("steward").is_some());
+        self.stage.crew.holder("steward").unwrap()
+    }
+
+    fn last_epoch(&self) -> u64 {
+        self.stage.crew.installation.calls().last().map_or(0, |c| c.epoch)
+    }
+
+    /// Waits for a wave advanced by another one than this.
+    fn until_another_advances(&mut self, than: usize) {
+        let (name, epoch) = (self.stage.crew.gateways[than].name.clone(), self.last_epoch());
+        self.until("another steward", |stage| {
+            let calls = stage.crew.installation.calls();
+            calls.iter().any(|c| c.gateway != name && c.epoch > epoch && c.seen == Seen::Advanced)
+        });
+    }
+
+    /// What must hold at the end of each.
+    fn judge(mut self) {
+        let Stage { world, crew, .. } = &mut self.stage;
+        world.arriving = false;
+        crew.close(world).unwrap();
+        let seen = crew.installation.judged();
+        let wrong = (seen.two_holders, seen.epochs_back, seen.double, seen.votes);
+        assert_eq!(wrong, (0, 0, 0, 0), "two holders, epochs back, doubled, votes: {seen:?}");
+        assert_eq!((crew.broken, crew.crashes), (0, 0), "broken lines, crashes");
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn a_killed_holder_is_followed_by_another_with_a_later_epoch() {
+    let mut fleet = Fleet::start("kill");
+    let holder = fleet.holder();
+    let Stage { world, crew, .. } = &mut fleet.stage;
+    crew.kill(world, holder);
+    fleet.until_another_advances(holder);
+    // Back again, it holds under no epoch of before.
+    let Stage { world, crew, .. } = &mut fleet.stage;
+    crew.start(world, holder).unwrap();
+    fleet.until_more_waves(3);
+    fleet.judge();
+}
+
+/// A door in front of the installation that can be kept shut: a connection begun meanwhile waits.
+struct Shut {
+    listener: TcpListener,
+    held: Vec<TcpStream>,
+    address: SocketAddr,
+}
+
+impl Shut {
+    fn new() -> Shut {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        // One that nobody takes fills what a listener keeps.
+        Shut { listener, held: vec![TcpStream::connect(address).unwrap()], address }
+    }
+
+    /// Whether a connection waits outside: sent, and not acknowledged.
+    fn somebody_waits(&self) -> bool {
+        let waits = format!(":{:04X} 02 ", self.address.port());
+        fs::read_to_string("/proc/net/tcp").unwrap().lines().any(|l| l.contains(&waits))
+    }
+
+    /// Lets all in from here on, on to the installation.
+    fn open(self, to: SocketAddr) {
+        thread::spawn(move || {
+            drop(self.held);
+            for near in self.listener.incoming().map_while(Result::ok) {
+                let far = TcpStream::connect(to).unwrap();
+                let pass = |mut from: TcpStream, mut to: TcpStream| {
+                    let mut bytes = [0; 4096];
+                    while let Ok(size @ 1..) = from.read(&mut bytes) {
+                        if to.write_all(&bytes[..size]).is_err() {
+                            break;
+                        }
+                    }
+                    let _ = to.shutdown(std::net::Shutdown::Write);
+                };
+                let (near_too, far_too) = (near.try_clone().unwrap(), far.try_clone().unwrap());
+                thread::spawn(move || pass(near, far));
+                thread::spawn(move || pass(far_too, near_too));
+            }
+        });
+    }
+}
+
+/// The call is begun in good time, its bytes would go out past the lease: the check is made in between. It fails
+/// where the lease is not asked in the moment before.
+#[test]
+fn a_holder_stalled_between_its_call_and_its_bytes_leaves_the_call() {
+    let day = Day { rate: 20.0, servers: 2, pause_ms: 3_600_000, ..Day::default() };
+    let mut fleet = Fleet::new("stall", day);
+    let door = Shut::new();
+    let installation = fleet.stage.crew.installation.address;
+    fleet.stage.crew.called_at = door.address;
+    fleet.stage.start().unwrap();
+    fleet.until("a holder whose call waits", |stage| {
+        stage.crew.holder("steward").is_some() && door.somebody_waits()
+    });
+    let holder = fleet.stage.crew.holder("steward").unwrap();
+    let Stage { world, crew, .. } = &mut fleet.stage;
+    // Cut off as well, so that no message tells it on waking that its lease is over.
+    crew.cut(&[holder], true, true);
+    thread::sleep(Duration::from_millis(5));
+    // It tries again after each call that had no answer: it is stopped while one waits.
+    loop {
+        crew.stall(world, holder);
+        if door.somebody_waits() {
+            break;
+        }
+        crew.go_on(world, holder);
+        thread::sleep(Duration::from_millis(20));
+    }
+    door.open(installation);
+    fleet.until_another_advances(holder);
+    // Its connection has come up long since.
+    thread::sleep(Duration::from_millis(1200));
+    let Stage { world, crew, .. } = &mut fleet.stage;
+    crew.go_on(world, holder);
+    fleet.until("it leaves the call", |stage| stage.crew.logged(holder, "not steward any more"));
+    fleet.judge();
+}
+
+#[test]
+fn a_holder_that_is_cut_off_one_way_gives_the_duty_up() {
+    for heard in [true, false] {
+        let mut fleet = Fleet::start(if heard { "deaf" } else { "mute" });
+        let holder = fleet.holder();
+        fleet.stage.crew.cut(&[holder], heard, !heard);
+        fleet.until_another_advances(holder);
+        fleet.until("it knows", |stage| stage.crew.logged(holder, "steward ended"));
+        fleet.stage.crew.relay.change(|now| now.cut.clear());
+        fleet.until_more_waves(3);
+        fleet.judge();
+    }
+}
+
+#[test]
+fn a_holder_told_to_end_hands_the_duty_on_before_it_has_ended() {
+    let mut fleet = Fleet::start("order");
+    for _ in 0..3 {
+        let holder = fleet.holder();
+        let Stage { world, crew, .. } = &mut fleet.stage;
+        crew.end(world, holder, Ending::Ends);
+        // While the one before still answers its clients: clients may come for 0.7 s after the signal.
+        fleet.until("another holds", |stage| stage.crew.holder("steward").is_some_and(|h| h != holder));
+        assert!(fleet.stage.crew.gateways[holder].process.is_some(), "handed on, not taken over");
+        fleet.until("it said so", |stage| stage.crew.logged(holder, "steward ended, epoch"));
+        assert!(fleet.stage.crew.logged(holder, ": handed on"));
+        fleet.until("it has ended", |stage| stage.crew.gateways[holder].process.is_none());
+        let Stage { world, crew, .. } = &mut fleet.stage;
+        crew.start(world, holder).unwrap();
+    }
+    fleet.judge();
+}
+
+#[test]
+fn gateways_of_another_form_are_refused_plainly_and_hold_nothing_without_a_majority() {
+    let mut fleet = Fleet::new("mixed", Day { rate: 20.0, servers: 2, ..Day::default() });
+    let other = Odd { other_form: true, ..Odd::default() };
+    [0, 1].into_iter().for_each(|ix| fleet.stage.crew.gateways[ix].odd = other);
+    fleet.stage.start().unwrap();
+    fleet.until_more_waves(5);
+    fleet.until("refusals", |stage| (0..5).all(|ix| stage.crew.logged(ix, "messages refused lately")));
+    for ix in [0, 1] {
+        assert!(!fleet.stage.crew.logged(ix, "fleet: holds"), "g{ix} holds with two of five");
+    }
+    fleet.judge();
+}
+
+#[test]
+fn a_bad_file_at_a_reload_changes_nothing_and_a_next_electorate_is_taken_on() {
+    let mut fleet = Fleet::start("reload");
+    fleet.holder();
+    let mut with = fleet.stage.crew.with(0);
+    let reload = |fleet: &Fleet, ix: usize, with: &Value| {
+        let path = fleet.folder.join(format!("g{ix}-sites.json"));
+        fs::write(&path, with.to_string()).unwrap();
+        fleet.stage.crew.gateways[ix].process.as_ref().unwrap().signal(Signal::HUP);
+    };
+    with["fleet"]["electorate"] = json!(["g0", "g1"]);
+    reload(&fleet, 0, &with);
+    fleet.until("a line", |stage| stage.crew.logged(0, "fleet.electorate: 2 electors"));
+    fleet.until_more_waves(2);
+    with["fleet"]["electorate"] = json!(["g0", "g1", "g2", "g3"]);
+    with["fleet"]["electorate_number"] = json!(2);
+    // One that has not yet heard that the first is in force says so, and is told again.
+    let begun = |stage: &Stage, ix: usize| stage.crew.logged(ix, "electorate 2 begins");
+    for _ in 0..BOUND.as_secs() {
+        let left: Vec<usize> = (0..5).filter(|ix| !begun(&fleet.stage, *ix)).collect();
+        left.iter().for_each(|ix| reload(&fleet, *ix, &with));
+        let until = fleet.stage.world.now() + Span::secs(if left.is_empty() { 0.0 } else { 1.0 });
+        fleet.until("time", |stage| stage.world.now() >= until);
+    }
+    assert!((0..5).all(|ix| begun(&fleet.stage, ix)));
+    fleet.until_more_waves(3);
+    fleet.judge();
+}
