--- a/crates/fleet/src/hear.rs
+++ b/crates/fleet/src/hear.rs
@@ -94,7 +94,11 @@
                 self.granted(now, from, duty, ballot, round, waiting);
             }
             Body::Held { duty, ballot, epoch, left_ms, place, holder } => {
-                self.elector.learn(duty, epoch);
+                // It may be no epoch of any holding, but what that elector will not begin below after its start: so
+                // it binds this gateway's next try, and not its own vote.
+                if let Some(seat) = self.seats.get_mut(&duty) {
+                    seat.above = seat.above.max(epoch);
+                }
                 if let Some(holder) = self.terms.place(holder).filter(|_| left_ms > 0) {
                     self.know(duty, Known { holder, epoch, until: now + span(left_ms) });
                 }
--- a/crates/fleet/src/seat.rs
+++ b/crates/fleet/src/seat.rs
@@ -63,6 +63,8 @@
     pub fails: u32,
     /// How long others hold it yet, by the latest try.
     pub left: Span,
+    /// The next try's epoch is above this one.
+    pub above: Epoch,
     /// Who comes next, as electors have said with their latest votes.
     pub heirs: BTreeSet<NodeIx>,
     /// What was given up is told once more then: one message may be lost.
@@ -79,6 +81,7 @@
             place,
             fails: 0,
             left: Span::ZERO,
+            above: Epoch(0),
             heirs: BTreeSet::new(),
             again: None,
             turn: 0,
--- a/crates/fleet/src/seek.rs
+++ b/crates/fleet/src/seek.rs
@@ -197,10 +197,16 @@
         seat.state = State::Waits { next };
     }
 
+    /// Above all that this gateway knows of, and above its own start.
+    fn next_epoch(&self, duty: Duty) -> Epoch {
+        let above = self.seats.get(&duty).map_or(Epoch(0), |s| s.above);
+        let newest = self.elector.newest(duty).max(above).max(Epoch(self.incarnation));
+        Epoch(newest.0.saturating_add(1))
+    }
+
     /// Asks all electors whether this gateway may begin a holding.
     pub(crate) fn ask_all(&mut self, now: Point, duty: Duty, after: Option<Epoch>) {
-        let newest = self.elector.newest(duty).0.max(self.incarnation);
-        let epoch = Epoch(newest.saturating_add(1));
+        let epoch = self.next_epoch(duty);
         let until = now + self.terms.heartbeat * PATIENCE;
         let Some(seat) = self.seats.get_mut(&duty) else { return };
         seat.left = Span::ZERO;
@@ -310,7 +316,7 @@
         let mut electors = self.voters.told().electors.clone();
         electors.sort_by_key(|e| self.rank(duty, *e));
         let back = self.chance.generate_range(0..BACK) == 0;
-        let epoch = Epoch(self.elector.newest(duty).0.max(self.incarnation).saturating_add(1));
+        let epoch = self.next_epoch(duty);
         let until = now + self.terms.heartbeat * PATIENCE;
         let Some(seat) = self.seats.get_mut(&duty) else { return };
         if back {
