--- a/src/policy/judging.rs
+++ b/src/policy/judging.rs
@@ -37,7 +37,9 @@
         // An answer is as cold as its server was when it was asked.
         let warmth = self.warmth_at(server, self.now - took);
         let in_time = served && told.lag <= 1.0;
-        let paired = self.runs.0 < 1.0;
+        // Guards against a silent zone held against a build (K): its time-outs are told late, and not of both
+        // arms alike. Harms by a slow build that is told later while a zone is cut off.
+        let paired = self.runs.0 < 1.0 && self.now - self.cut >= self.terms.rules.ramp;
         let usual = mean * self.usual.get(&server.listed.model).copied().unwrap_or(1.0);
         let quick = served && took <= usual * QUICK / warmth;
         if served || outcome == Outcome::TimedOut {
@@ -97,13 +99,15 @@
         }
     }
 
-    /// No known cause but the build for worse service: as many servers as ever, warm, none dead, and
-    /// no more traffic.
+    /// No known cause but the build for worse service: as many servers as ever, warm, none dead, no zone
+    /// silent, and no more traffic.
     pub(super) fn calm(&self) -> bool {
         let alive = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
         let warm: f64 = self.servers.values().filter(alive).map(|s| self.warmth(s)).sum();
         let fresh = self.lately(self.terms.release.window).fresh as f64;
-        warm >= CALM * self.fleet as f64 && BUSIER * (fresh - fresh.sqrt()) <= self.rate
+        warm >= CALM * self.fleet as f64
+            && BUSIER * (fresh - fresh.sqrt()) <= self.rate
+            && self.now >= self.cut
     }
 
     fn pay(&mut self, side: Side, arm: Arm, ix: ServerIx, sum: f64, count: f64) {
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -142,7 +142,7 @@
         }
         for zone in self.zones.values_mut().filter(|z| z.owed > DEAF && now >= z.left_out) {
             zone.left_out = now + first * f64::powi(2.0, zone.strikes.min(3));
-            (zone.strikes, zone.failed) = (zone.strikes + 1, 0.0);
+            (zone.strikes, zone.failed, self.cut) = (zone.strikes + 1, 0.0, zone.left_out);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -240,6 +240,8 @@
     pub shed: f64,
     pub lowered: Point,
     pub zones: BTreeMap<ZoneIx, Zone>,
+    /// Until when a silent zone was left out last.
+    pub cut: Point,
     pub passed_on: Point,
     pub unjudged: bool,
 }
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -142,3 +142,42 @@
     desk.until(1400);
     expect!["24 submissions of 40 txns"].assert_eq(&format!("{} submissions of 40 txns", desk.sent.len()));
 }
+
+#[test]
+fn a_silent_zone_is_not_held_against_a_build_that_runs_there() {
+    let mut lines = String::new();
+    let cases = [
+        ("all its servers, in a zone that is silent", [1, 2, 1, 2, 1, 2]),
+        ("its servers alone, in both zones", [1, 1, 1, 1, 2, 2]),
+    ];
+    for (case, builds) in cases {
+        let mut told = terms();
+        told.release.free = 1000.0;
+        let mut desk = Desk::new(told);
+        desk.until(20_000);
+        let listed = builds.iter().enumerate().map(|(ix, b)| server(ix, *b)).collect();
+        desk.tell(Event::Roster { scope: Scope::Whole, lines: listed });
+        desk.stage(2, 0, Phase::Trial, 1.0);
+        desk.traffic(300, 10, FINE);
+        let (silent, mut open) = (|ix: ServerIx| builds[ix] == 2, Vec::new());
+        for n in 0..400 {
+            desk.pass(10);
+            let txn = desk.txn(LODGE, None);
+            match desk.sent.last().filter(|s| s.0 == txn).map(|s| s.1) {
+                Some(to) if silent(to) => open.push((n, txn)),
+                Some(_) => desk.close(txn, 0, Outcome::Served, 50),
+                None => {}
+            }
+            for (_, txn) in open.extract_if(.., |o| o.0 + 150 <= n) {
+                desk.close(txn, 0, Outcome::TimedOut, 1500);
+            }
+        }
+        let back = desk.decisions().lines().find(|l| l.contains("vote Back")).map(str::to_string);
+        lines += &format!("{case}: {}\n", back.unwrap_or("kept".into()));
+    }
+    expect![[r#"
+        all its servers, in a zone that is silent: kept
+        its servers alone, in both zones: 26200: vote Back on 2 stage 0
+    "#]]
+    .assert_eq(&lines);
+}
