--- a/crates/rehearse/src/fleet/relay.rs
+++ b/crates/rehearse/src/fleet/relay.rs
@@ -18,6 +18,7 @@
 const DATAGRAM_MOST: usize = 512;
 /// Fleet messages begin with a byte from here on; the module's are text.
 const FLEET_FROM: u8 = 0xF5;
+const BALLOT: u8 = harrierdock_steward::FIRST;
 /// How long the thread sleeps at the most, so that it sees that it is to end.
 const NAP: Duration = Duration::from_millis(20);
 
@@ -40,8 +41,9 @@
     pub datagrams: u64,
     pub not_passed: u64,
     pub garbled: u64,
-    /// Bytes of fleet messages that each gateway sent.
+    /// Bytes of fleet messages that each gateway sent, and those of them that were ballots.
     pub fleet_bytes: Vec<u64>,
+    pub ballot_bytes: u64,
 }
 
 #[derive(Default)]
@@ -167,6 +169,7 @@
             let mut shared = locked(&shared);
             if bytes[0] >= FLEET_FROM {
                 shared.counted.fleet_bytes[from] += size as u64;
+                shared.counted.ballot_bytes += if bytes[0] == BALLOT { size as u64 } else { 0 };
             }
             let all: Vec<usize> = match to == from {
                 true => (0..self.gateways).filter(|p| *p != from).collect(),
