--- a/crates/rehearse/src/fleet/crew.rs
+++ b/crates/rehearse/src/fleet/crew.rs
@@ -163,7 +163,8 @@
             "peers": doors, "peers_all": doors[ix], "rollouts": {"address": self.installation.address},
             "known": list(1, true, &members), "settings": settings(self.day.gateways, ix)});
         let with = self.with(ix);
-        let process = Process::start(&self.program, &self.folder, &gateway.name, &told, Some(&with))?;
+        let with = Some(&with).filter(|_| !self.day.off);
+        let process = Process::start(&self.program, &self.folder, &gateway.name, &told, with)?;
         if let Some(peers) = process.peers {
             self.relay.lead(ix, peers);
         }
--- a/crates/rehearse/src/fleet/mod.rs
+++ b/crates/rehearse/src/fleet/mod.rs
@@ -35,6 +35,8 @@
     pub heartbeat_ms: u32,
     /// How long after a wave was moved the next stage is told.
     pub pause_ms: u64,
+    /// Gateways are told of no fleet: what all this costs is the difference.
+    pub off: bool,
 }
 
 impl Default for Day {
@@ -49,6 +51,7 @@
             lease_ms: 1000,
             heartbeat_ms: 250,
             pause_ms: 100,
+            off: false,
         }
     }
 }
