--- a/crates/fleet/src/elector.rs
+++ b/crates/fleet/src/elector.rs
@@ -15,7 +15,7 @@
 const CLOSED: usize = 8;
 
 /// A process of a gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Asker {
     pub node: NodeIx,
     pub incarnation: u64,
@@ -28,14 +28,14 @@
     pub later: Span,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Grant {
     to: Asker,
     epoch: Epoch,
     until: Point,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Vote {
     /// No older epoch is let begin.
     newest: Epoch,
@@ -60,6 +60,7 @@
     },
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Elector {
     /// Guards against a second holder by a vote given before this start and forgotten with it. It harms a start
     /// of all at once: nothing is held for one lease.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! A holder asks `may_act` with the time of that very moment before each act, and the act carries the epoch it
 //! gets; whoever is acted on asks a `Guard`.
 
-mod elector;
+pub mod elector;
 pub mod form;
 mod guard;
 mod hear;
--- a/src/time.rs
+++ b/src/time.rs
@@ -2,10 +2,10 @@
 
 use std::ops::{Add, Div, Mul, Sub};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Point(pub i64);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(pub i64);
 
 impl Span {
