--- a/crates/rehearse/src/processes.rs
+++ b/crates/rehearse/src/processes.rs
@@ -109,6 +109,10 @@
         }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends it a signal, if it is still there.
     pub fn signal(&self, signal: Signal) {
         let _ = kill_process(Pid::from_child(&self.child), signal);
