--- a/crates/fleet/src/elector.rs
+++ b/crates/fleet/src/elector.rs
@@ -142,7 +142,10 @@
         if let Some(no) = vote.taken(now, by) {
             return no;
         }
-        let begins = epoch > vote.newest || (epoch == vote.newest && vote.open_to == Some(by));
+        // Guards against an older epoch after a newer one: a start in between has forgotten the newer one, but the
+        // promise to the older one as well. It harms a begin whose question was lost on its way here: this vote
+        // comes with the first renewal.
+        let begins = epoch == vote.newest && vote.open_to == Some(by);
         // Guards against a lease that outlasts this elector's silence after a start.
         let bounded = Span::ZERO < lease && lease <= self.longest;
         let older = vote.grant.is_some_and(|g| g.to == by && g.epoch > epoch);
