--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -76,7 +76,10 @@
         self.duties.iter().for_each(|duties| duties.reform(&mut bytes));
         if bytes.first() == Some(&ballots::FIRST) && self.stewarding.is_some() {
             match ballots::read(&bytes) {
-                Ok(told) => self.steward(StewardEvent::Heard { from, told }),
+                Ok(told) => {
+                    self.room.counters.add(Count::MailHeard);
+                    self.steward(StewardEvent::Heard { from, told });
+                }
                 Err(e) => {
                     self.room.counters.add(Count::MailRefused);
                     tracing::debug!("fleet: a ballot is refused: {e}");
@@ -85,7 +88,10 @@
             return;
         }
         match self.duties.as_mut().map(|d| d.hear(now, from, &bytes)) {
-            Some(Ok(asked)) => self.obey_fleet(asked),
+            Some(Ok(asked)) => {
+                self.room.counters.add(Count::MailHeard);
+                self.obey_fleet(asked);
+            }
             _ => self.room.counters.add(Count::MailRefused),
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -59,7 +59,6 @@
             };
             let from = self.addresses.iter().position(|a| *a == sender).filter(|p| *p != self.own);
             if let Some(from) = from.filter(|_| size <= MOST && bytes[0] >= FLEET_FROM && size > 0) {
-                room.counters.add(Count::MailHeard);
                 room.tell(Notice::FleetMail { from, bytes: bytes[..size].to_vec() });
                 continue;
             }
