--- a/crates/fleet/src/seek.rs
+++ b/crates/fleet/src/seek.rs
@@ -198,10 +198,12 @@
     }
 
     /// Above all that this gateway knows of, and above its own start.
-    fn next_epoch(&self, duty: Duty) -> Epoch {
-        let above = self.seats.get(&duty).map_or(Epoch(0), |s| s.above);
-        let newest = self.elector.newest(duty).max(above).max(Epoch(self.incarnation));
-        Epoch(newest.0.saturating_add(1))
+    /// Guards against a try that counts votes of an earlier one: no number is used twice by a process.
+    fn next_epoch(&mut self, duty: Duty) -> Epoch {
+        let newest = self.elector.newest(duty).max(Epoch(self.incarnation));
+        let Some(seat) = self.seats.get_mut(&duty) else { return newest };
+        seat.above = Epoch(newest.max(seat.above).0.saturating_add(1));
+        seat.above
     }
 
     /// Asks all electors whether this gateway may begin a holding.
