--- a/crates/fleet/src/elector.rs
+++ b/crates/fleet/src/elector.rs
@@ -15,7 +15,7 @@
 const CLOSED: usize = 8;
 
 /// A process of a gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Asker {
     pub node: NodeIx,
     pub incarnation: u64,
@@ -28,14 +28,14 @@
     pub later: Span,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Grant {
     to: Asker,
     epoch: Epoch,
     until: Point,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Vote {
     /// No older epoch is let begin.
     newest: Epoch,
@@ -60,6 +60,7 @@
     },
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Elector {
     /// Guards against a second holder by a vote given before this start and forgotten with it. It harms a start
     /// of all at once: nothing is held for one lease.
@@ -141,7 +142,10 @@
         if let Some(no) = vote.taken(now, by) {
             return no;
         }
-        let begins = epoch > vote.newest || (epoch == vote.newest && vote.open_to == Some(by));
+        // Guards against an older epoch after a newer one: a start in between has forgotten the newer one, but the
+        // promise to the older one as well. It harms a begin whose question was lost on its way here: this vote
+        // comes with the first renewal.
+        let begins = epoch == vote.newest && vote.open_to == Some(by);
         // Guards against a lease that outlasts this elector's silence after a start.
         let bounded = Span::ZERO < lease && lease <= self.longest;
         let older = vote.grant.is_some_and(|g| g.to == by && g.epoch > epoch);
