--- a/crates/fleet/src/elector.rs
+++ b/crates/fleet/src/elector.rs
@@ -1,5 +1,5 @@
-//! An elector: lets one gateway at a time have a duty, for so long, and forgets it only by its own clock. All is
-//! kept in memory: so one that has started anew keeps silent until whatever it gave before has lapsed.
+//! An elector: lets one gateway at a time have a duty, for so long, and forgets it only by its own clock. All
+//! is kept in memory: so one that has started anew keeps silent until whatever it gave before has lapsed.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -42,7 +42,8 @@
     /// Who may begin the newest.
     open_to: Option<Asker>,
     grant: Option<Grant>,
-    /// The last that holders gave up: guards against a late copy of a renewal, which would hold the next one up.
+    /// The last that holders gave up: guards against a late copy of a renewal, which would hold the next one
+    /// up.
     closed: VecDeque<Epoch>,
     /// By rank, when it was heard last.
     waiting: BTreeMap<u64, (NodeIx, Point)>,
@@ -62,10 +63,11 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Elector {
-    /// Guards against a second holder by a vote given before this start and forgotten with it. It harms a start
-    /// of all at once: nothing is held for one lease.
+    /// Guards against a second holder by a vote given before this start and forgotten with it. It harms a
+    /// start of all at once: nothing is held for one lease.
     silent_until: Point,
-    /// Guards against an epoch begun anew by electors that have all forgotten it: none is older than this start.
+    /// Guards against an epoch begun anew by electors that have all forgotten it: none is older than this
+    /// start.
     floor: Epoch,
     longest: Span,
     votes: BTreeMap<Duty, Vote>,
@@ -124,8 +126,8 @@
         }
     }
 
-    /// Holds it from now on for a lease. One that renews has held it all along, so that no promise given since
-    /// can have come to anything: it is bound by another's vote only.
+    /// Holds it from now on for a lease. One that renews has held it all along, so that no promise given
+    /// since can have come to anything: it is bound by another's vote only.
     pub fn take(
         &mut self,
         now: Point,
@@ -142,9 +144,9 @@
         if let Some(no) = vote.taken(now, by) {
             return no;
         }
-        // Guards against an older epoch after a newer one: a start in between has forgotten the newer one, but the
-        // promise to the older one as well. It harms a begin whose question was lost on its way here: this vote
-        // comes with the first renewal.
+        // Guards against an older epoch after a newer one: a start in between has forgotten the newer one,
+        // but the promise to the older one as well. It harms a begin whose question was lost on its way here:
+        // this vote comes with the first renewal.
         let begins = epoch == vote.newest && vote.open_to == Some(by);
         // Guards against a lease that outlasts this elector's silence after a start.
         let bounded = Span::ZERO < lease && lease <= self.longest;
--- a/crates/fleet/src/form.rs
+++ b/crates/fleet/src/form.rs
@@ -1,5 +1,5 @@
-//! Messages of a fleet, and their form: a first byte that no text in UTF-8 has, the form's number, the message
-//! by postcard, and a sum of all that. None is longer than 256 bytes. Nothing here decides.
+//! Messages of a fleet, and their form: a first byte that no text in UTF-8 has, the form's number, the
+//! message by postcard, and a sum of all that. None is longer than 256 bytes. Nothing here decides.
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
--- a/crates/fleet/src/hear.rs
+++ b/crates/fleet/src/hear.rs
@@ -1,5 +1,5 @@
-//! What a message changes. One that is of an earlier process, of a gateway not told, or under an electorate that
-//! cannot be counted with, changes nothing.
+//! What a message changes. One that is of an earlier process, of a gateway not told, or under an electorate
+//! that cannot be counted with, changes nothing.
 
 use std::collections::BTreeSet;
 
@@ -11,8 +11,9 @@
 use crate::seat::{Round, State};
 use crate::{Action, Ballot, Body, Duty, Epoch, Fleet, Holding, Known, Message, NodeIx};
 
-/// How far ahead an epoch or a start may be, in milliseconds: a year. Guards against one garbled or insane number
-/// that would use up all epochs there are; it harms a fleet whose own clock is a year behind: it holds nothing.
+/// How far ahead an epoch or a start may be, in milliseconds: a year. Guards against one garbled or insane
+/// number that would use up all epochs there are; it harms a fleet whose own clock is a year behind: it holds
+/// nothing.
 const ABSURD: u64 = 366 * 86_400_000;
 
 fn ms(span: Span) -> u16 {
@@ -28,8 +29,8 @@
     Span(i64::from(ms) * 1000)
 }
 
-/// A process' start in few bits, for answers. Two starts of one gateway are told apart by their epochs as well:
-/// a later process asks for newer ones only.
+/// A process' start in few bits, for answers. Two starts of one gateway are told apart by their epochs as
+/// well: a later process asks for newer ones only.
 pub(crate) fn asker(incarnation: u64) -> u16 {
     (incarnation ^ (incarnation >> 16) ^ (incarnation >> 32)) as u16
 }
@@ -94,8 +95,8 @@
                 self.granted(now, from, duty, ballot, round, waiting);
             }
             Body::Held { duty, ballot, epoch, left_ms, place, holder } => {
-                // It may be no epoch of any holding, but what that elector will not begin below after its start: so
-                // it binds this gateway's next try, and not its own vote.
+                // It may be no epoch of any holding, but what that elector will not begin below after its
+                // start: so it binds this gateway's next try, and not its own vote.
                 if let Some(seat) = self.seats.get_mut(&duty) {
                     seat.above = seat.above.max(epoch);
                 }
@@ -219,7 +220,8 @@
         }
     }
 
-    /// Tells one other gateway, drawn by chance, who holds what: the same bytes whatever the size of the fleet.
+    /// Tells one other gateway, drawn by chance, who holds what: the same bytes whatever the size of the
+    /// fleet.
     pub(crate) fn hearsay(&mut self, now: Point) {
         if now < self.next_hearsay {
             return;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,9 +1,9 @@
-//! What gateways of one fleet share: duties that one of them holds at a time, by leases of a majority of a few
-//! electors, kept in memory only. `Fleet` takes what happens and gives back what to do, in order. No I/O, no
-//! clock of its own, chance by the told seed. See `docs/design/fleet.md`.
+//! What gateways of one fleet share: duties that one of them holds at a time, by leases of a majority of a
+//! few electors, kept in memory only. `Fleet` takes what happens and gives back what to do, in order. No I/O,
+//! no clock of its own, chance by the told seed. See `docs/design/fleet.md`.
 //!
-//! A holder asks `may_act` with the time of that very moment before each act, and the act carries the epoch it
-//! gets; whoever is acted on asks a `Guard`.
+//! A holder asks `may_act` with the time of that very moment before each act, and the act carries the epoch
+//! it gets; whoever is acted on asks a `Guard`.
 
 pub mod elector;
 pub mod form;
@@ -171,7 +171,8 @@
     }
 
     pub fn take(&mut self, now: Point, event: Event) -> Vec<Action> {
-        // Guards against a process that stood still: what lapsed meanwhile has ended before anything is heard.
+        // Guards against a process that stood still: what lapsed meanwhile has ended before anything is
+        // heard.
         self.lapse(now);
         match event {
             Event::Heard { from, message } => self.hear(now, from, message),
@@ -203,8 +204,8 @@
     }
 
     /// Whether this gateway may act in this duty at this moment, and in which epoch. To be asked immediately
-    /// before each act, with a fresh reading of a clock that never steps. Guards against a deposed holder that
-    /// acts on; it harms one whose renewals are late: it stops although nobody else has the duty yet.
+    /// before each act, with a fresh reading of a clock that never steps. Guards against a deposed holder
+    /// that acts on; it harms one whose renewals are late: it stops although nobody else has the duty yet.
     pub fn may_act(&self, now: Point, duty: Duty) -> Option<Epoch> {
         let (epoch, until) = self.seats.get(&duty)?.held()?;
         (now < until).then_some(epoch)
@@ -222,7 +223,8 @@
         self.voters.may_follow(next)
     }
 
-    /// The electorate that counts, and whether it is in force: until then the one before has to agree as well.
+    /// The electorate that counts, and whether it is in force: until then the one before has to agree as
+    /// well.
     pub fn electorate(&self) -> (&Electorate, bool) {
         (self.voters.told(), self.voters.in_force())
     }
--- a/crates/fleet/src/seek.rs
+++ b/crates/fleet/src/seek.rs
@@ -11,8 +11,8 @@
 
 /// Heartbeats for which answers are waited for.
 pub const PATIENCE: f64 = 0.5;
-/// Heartbeats between the tries of two that wait. Guards against two that take the votes from each other: it is
-/// longer than a round on the roads of one site. It harms a take-over by its length for each that is gone.
+/// Heartbeats between the tries of two that wait. Guards against two that take the votes from each other: it
+/// is longer than a round on the roads of one site. It harms a take-over by its length for each that is gone.
 const APART: f64 = 1.0 / 16.0;
 /// Leases between the looks of those that wait behind the first.
 const LATER: f64 = 12.0;
@@ -24,7 +24,8 @@
 const AGAIN: f64 = 1.0 / 8.0;
 
 impl Fleet {
-    /// A number by which this elector, and any other, ranks a gateway that waits: another order for each duty.
+    /// A number by which this elector, and any other, ranks a gateway that waits: another order for each
+    /// duty.
     pub(crate) fn rank(&self, duty: Duty, node: NodeIx) -> u64 {
         let id = self.terms.ids.get(node).copied().unwrap_or(0);
         let kind = match duty {
@@ -92,7 +93,8 @@
             return;
         }
         if wants {
-            // Guards against a whole fleet that asks at once after a start: electors are near, others by chance.
+            // Guards against a whole fleet that asks at once after a start: electors are near, others by
+            // chance.
             let near = votes || seat.place < NEAR;
             let next = first.max(now) + if near { self.spread(duty) } else { self.early() };
             if let Some(seat) = self.seats.get_mut(&duty) {
@@ -143,7 +145,8 @@
             State::Asks { after: known, .. } => known != Some(after),
             State::Takes { .. } | State::Holds { .. } => false,
         };
-        // Guards against an old copy: whoever passed on an epoch that others have left behind has passed nothing.
+        // Guards against an old copy: whoever passed on an epoch that others have left behind has passed
+        // nothing.
         if waits && self.elector.newest(duty) <= after {
             self.elector.learn(duty, after);
             self.ask_all(now, duty, Some(after));
@@ -168,8 +171,9 @@
         self.terms.lease * (2.0 * self.terms.ids.len() as f64 * self.chance.generate::<f64>()).max(0.5)
     }
 
-    /// How long one waits that no elector has told its place. If all of a large fleet would hold the duty, they
-    /// look 64 times a lease in sum, each once: nobody knows yet how many they are, and few must not wait long.
+    /// How long one waits that no elector has told its place. If all of a large fleet would hold the duty,
+    /// they look 64 times a lease in sum, each once: nobody knows yet how many they are, and few must not
+    /// wait long.
     fn early(&mut self) -> Span {
         self.terms.lease * ((self.terms.ids.len() as f64 / 64.0).max(1.0) * self.chance.generate::<f64>())
     }
@@ -301,7 +305,8 @@
         }
     }
 
-    /// Looks whether the duty is free: an elector by its own vote, which costs nothing, others at one elector.
+    /// Looks whether the duty is free: an elector by its own vote, which costs nothing, others at one
+    /// elector.
     fn look(&mut self, now: Point, duty: Duty) {
         let own = self.terms.own;
         if self.voters.votes(own) {
@@ -314,7 +319,8 @@
                 None => self.ask_all(now, duty, None),
             };
         }
-        // All look at one, the same for all, so that it knows who waits before whom; another duty has another.
+        // All look at one, the same for all, so that it knows who waits before whom; another duty has
+        // another.
         let mut electors = self.voters.told().electors.clone();
         electors.sort_by_key(|e| self.rank(duty, *e));
         let back = self.chance.generate_range(0..BACK) == 0;
--- a/crates/fleet/src/terms.rs
+++ b/crates/fleet/src/terms.rs
@@ -181,7 +181,8 @@
         let electorate = self.electorate()?;
         self.spans()?;
         let longest = self.longest_lease.unwrap_or(self.lease);
-        // A grant lapses by the elector's clock; the silence is by the next process' clock on the same machine.
+        // A grant lapses by the elector's clock; the silence is by the next process' clock on the same
+        // machine.
         let silence = longest * (1.0 + self.drift);
         let ids = self.names.iter().map(|name| id_of(name)).collect();
         let (lease, heartbeat, drift) = (self.lease, self.heartbeat, self.drift);
@@ -249,8 +250,8 @@
 }
 
 impl Terms {
-    /// How long a holder may act on a majority's votes, from before it asked for them. By the holder's clock it
-    /// is shorter than the lease by as much as that clock may be slow and the electors' may be fast.
+    /// How long a holder may act on a majority's votes, from before it asked for them. By the holder's clock
+    /// it is shorter than the lease by as much as that clock may be slow and the electors' may be fast.
     pub fn own_lease(&self) -> Span {
         self.lease * ((1.0 - self.drift) / (1.0 + self.drift))
     }
--- a/crates/fleet/src/voters.rs
+++ b/crates/fleet/src/voters.rs
@@ -16,7 +16,8 @@
     agreed: Option<Point>,
     /// By place: the highest number heard of each gateway.
     heard: Vec<u32>,
-    /// For how long agreement has to last: until each vote given under the electorate before the last has lapsed.
+    /// For how long agreement has to last: until each vote given under the electorate before the last has
+    /// lapsed.
     lasting: Span,
     own: NodeIx,
 }
@@ -107,7 +108,8 @@
         let have: BTreeSet<NodeIx> = self.all().iter().filter(has).copied().collect();
         let agreed = match &self.before {
             Some(_) => self.most(&have),
-            // Where the one before is not known, one more than most of this one are most of any it can have been.
+            // Where the one before is not known, one more than most of this one are most of any it can have
+            // been.
             None => have.len() > (self.now.electors.len() / 2 + 1).min(self.now.electors.len() - 1),
         };
         let since = *self.agreed.get_or_insert(now);
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -1,4 +1,5 @@
-//! A few gateways on roads of one delay, each with a clock of its own. What happens is written down, a line each.
+//! A few gateways on roads of one delay, each with a clock of its own. What happens is written down, a line
+//! each.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/crates/fleet/tests/small.rs
+++ b/crates/fleet/tests/small.rs
@@ -1,5 +1,5 @@
-//! All that can happen, in the small: three electors as the program has them, two gateways that would hold one
-//! duty, messages lost, late and out of order, an elector that starts anew, a clock in steps.
+//! All that can happen, in the small: three electors as the program has them, two gateways that would hold
+//! one duty, messages lost, late and out of order, an elector that starts anew, a clock in steps.
 //!
 //! Never may two act at one time, and never does a holding begin with an older epoch than one before it. That
 //! this would be found out is shown by two planted mistakes.
@@ -133,8 +133,8 @@
         });
     }
 
-    /// Asks these electors; each answers at once, and what it answers comes at once. Answers that are lost or late
-    /// are those of electors that are not asked; time may pass before the holding is begun.
+    /// Asks these electors; each answers at once, and what it answers comes at once. Answers that are lost or
+    /// late are those of electors that are not asked; time may pass before the holding is begun.
     fn asks(&mut self, who: usize, electors: &'static [usize]) {
         let (now, by) = (Point(self.now), asker(who));
         let gateway = &mut self.gateways[who];
--- a/crates/fleet/tests/told.rs
+++ b/crates/fleet/tests/told.rs
@@ -1,4 +1,5 @@
-//! What operators tell, and what comes over the wire: every mistake is named, no bytes are too odd to be read.
+//! What operators tell, and what comes over the wire: every mistake is named, no bytes are too odd to be
+//! read.
 
 use expect_test::expect;
 use harrierdock::time::Span;
--- a/crates/rehearse/src/duties/world.rs
+++ b/crates/rehearse/src/duties/world.rs
@@ -1,5 +1,6 @@
-//! A fleet without sockets in simulated time: every gateway has its clock, which runs fast or slow, its process,
-//! which ends, stands still and starts anew, and its road to each other, which loses, delays and garbles.
+//! A fleet without sockets in simulated time: every gateway has its clock, which runs fast or slow, its
+//! process, which ends, stands still and starts anew, and its road to each other, which loses, delays and
+//! garbles.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -253,7 +254,8 @@
         self.judge(node);
     }
 
-    /// A holding that overlaps another does so from the moment one of both begins or is renewed: then it is seen.
+    /// A holding that overlaps another does so from the moment one of both begins or is renewed: then it is
+    /// seen.
     fn judge(&mut self, node: NodeIx) {
         for duty in DUTIES {
             let Some(epoch) = self.acting(node, duty) else { continue };
@@ -320,8 +322,8 @@
         for (duty, node) in all {
             match self.acting(node, duty) {
                 None => self.mark(duty, node, false),
-                // A process that stands still acts when it goes on; one that stops between its check and its act
-                // sends the act late, which is up to the guard.
+                // A process that stands still acts when it goes on; one that stops between its check and its
+                // act sends the act late, which is up to the guard.
                 Some(_) if self.nodes[node].still_until > self.now => {}
                 Some(epoch) => {
                     self.mark(duty, node, true);
