--- a/crates/fleet/tests/traces.rs
+++ b/crates/fleet/tests/traces.rs
@@ -120,7 +120,8 @@
     let mut small = Small::new(3, 3);
     small.run(6_000);
     let before = small.lines.clone();
-    // Everything that was ever sent comes once more, in the opposite order, and as an earlier process' as well.
+    // Everything that was ever sent comes once more, in the opposite order, and as an earlier process' as
+    // well.
     for (from, to, bytes) in std::mem::take(&mut small.sent).into_iter().rev() {
         small.send(from, to, bytes.clone(), 1_000);
         let message = form::read(&bytes).unwrap();
--- a/crates/rehearse/src/duties/mod.rs
+++ b/crates/rehearse/src/duties/mod.rs
@@ -49,8 +49,8 @@
     pub held_share_worst_duty: f64,
     /// Changes of holder a minute while all are well, of all duties.
     pub moves_while_well: u64,
-    /// Bytes of messages a second with nothing amiss: of leases, asked and answered, by duty and elector; and all
-    /// that a gateway sends.
+    /// Bytes of messages a second with nothing amiss: of leases, asked and answered, by duty and elector; and
+    /// all that a gateway sends.
     pub bytes_duty_elector_s: f64,
     pub bytes_a_gateway_s: f64,
     pub first_bad_seed: Option<u64>,
