--- a/crates/fleet/src/seek.rs
+++ b/crates/fleet/src/seek.rs
@@ -147,7 +147,8 @@
         };
         // Guards against an old copy: whoever passed on an epoch that others have left behind has passed
         // nothing.
-        if waits && self.elector.newest(duty) <= after {
+        let newer = self.known.get(&duty).is_some_and(|known| known.epoch > after);
+        if waits && !newer {
             self.elector.learn(duty, after);
             self.ask_all(now, duty, Some(after));
         }
