--- a/crates/fleet/src/hear.rs
+++ b/crates/fleet/src/hear.rs
@@ -51,9 +51,10 @@
             return self.counts.absurd += 1;
         }
         // Hearsay counts no votes: an electorate is told by it even where votes do not fit any more.
-        if !self.voters.fits(electorate, digest, self.digest) && !matches!(body, Body::Hearsay { .. }) {
+        if !self.voters.near(electorate) && !matches!(body, Body::Hearsay { .. }) {
             return self.counts.unlike += 1;
         }
+        // Guards against votes counted together by two that were told unlike lists under one number.
         if electorate == self.voters.told().number && digest != self.digest {
             return self.counts.unlike += 1;
         }
--- a/crates/fleet/src/voters.rs
+++ b/crates/fleet/src/voters.rs
@@ -65,9 +65,8 @@
     }
 
     /// Whether votes asked or given under this number can be counted together with ours.
-    pub fn fits(&self, number: u32, digest: u8, own_digest: u8) -> bool {
-        let near = number.abs_diff(self.now.number) <= 1;
-        near && (number != self.now.number || digest == own_digest)
+    pub fn near(&self, number: u32) -> bool {
+        number.abs_diff(self.now.number) <= 1
     }
 
     pub fn may_follow(&self, next: &Electorate) -> Result<(), Misfit> {
--- a/crates/fleet/tests/traces.rs
+++ b/crates/fleet/tests/traces.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{told, Small, DUTY};
+use common::{terms, told, Small, DUTY};
 use expect_test::expect;
-use harrierdock::time::Point;
-use harrierdock_fleet::{form, Epoch, Event, Message};
+use harrierdock::time::{Point, Span};
+use harrierdock_fleet::elector::{Answer, Asker, Elector};
+use harrierdock_fleet::{form, Body, Epoch, Event, Message};
 
 #[test]
 fn nothing_is_held_for_a_lease_after_the_start_then_one_holds_and_keeps_it() {
@@ -192,3 +193,53 @@
     .assert_eq(&small.lines);
     assert!(small.fleets[4].as_ref().unwrap().holder(Point(0), DUTY).is_some());
 }
+
+#[test]
+fn a_lease_counts_from_before_it_was_asked_for() {
+    let mut small = Small::new(3, 3);
+    small.delay = 150_000;
+    let mut ms = 2_000;
+    while small.holder().is_none() {
+        ms += 1;
+        small.run(ms);
+    }
+    let (holder, held) = (small.holder().unwrap(), ms);
+    small.passes = |_, _, _| false;
+    while small.may_act(holder).is_some() {
+        ms += 1;
+        small.run(ms);
+    }
+    // Votes were 300 ms under way, there and back.
+    let lease = terms(0, 3, 3).own_lease().0 / 1000;
+    assert!(ms - held <= lease - 295, "held for {} ms of a lease of {lease}", ms - held);
+}
+
+#[test]
+fn no_try_has_the_epoch_of_an_earlier_one() {
+    let mut small = Small::new(5, 3);
+    (0..3).for_each(|elector| small.kill(elector));
+    small.run(30_000);
+    let asked = small.sent.iter().filter(|(from, to, _)| (*from, *to) == (4, 0));
+    let epochs: Vec<Epoch> = asked
+        .filter_map(|(_, _, bytes)| match form::read(bytes).ok()?.body {
+            Body::Ask { epoch, .. } => Some(epoch),
+            _ => None,
+        })
+        .collect();
+    assert!(epochs.len() > 5 && epochs.windows(2).all(|two| two[0] < two[1]), "{epochs:?}");
+}
+
+#[test]
+fn a_renewal_is_bound_by_no_promise_and_what_was_given_up_is_not_renewed() {
+    let (lease, now) = (Span::secs(2.0), Point(0));
+    let [holds, waits] = [1, 2].map(|node| Asker { node, incarnation: 7 });
+    let mut elector = Elector::new(&[DUTY], now, Epoch(0), lease);
+    // As after its start: it knows nothing of the holder, and one that waits asks first.
+    assert_eq!(elector.ask(now, DUTY, waits, Epoch(9), None), Answer::Yes);
+    assert_eq!(elector.take(now, DUTY, holds, Epoch(5), lease, true), Answer::Yes);
+    assert!(matches!(elector.take(now, DUTY, waits, Epoch(9), lease, false), Answer::No { .. }));
+    assert!(elector.release(DUTY, holds, Epoch(5)));
+    // A copy of its renewal comes late.
+    assert!(matches!(elector.take(now, DUTY, holds, Epoch(5), lease, true), Answer::No { .. }));
+    assert_eq!(elector.take(now, DUTY, waits, Epoch(9), lease, false), Answer::Yes);
+}
