--- /dev/null
+++ b/crates/admission/src/gates.rs
@@ -0,0 +1,246 @@
+//! What follows from all that is known: the part of each product's txns that passes, by tenant and zone, and the
+//! chance that one makes its deadline. Reckoned at each beat; reading it allocates nothing.
+
+use harrierdock::interface::{ProductIx, ProductTerms, TenantIx};
+use harrierdock::time::Span;
+
+use crate::fair;
+use crate::peers::Sum;
+use crate::sketch::{Odds, Sketch};
+use crate::Place;
+
+/// The part of a product's answers that are to be in time where servers are full. A longer queue wastes work on late
+/// answers, a shorter one leaves servers idle.
+const AIM: f32 = 0.9;
+/// Of the SLA time: bounds of the mean answer time that is aimed at, whatever sketches say.
+const LEAST_AIM: f32 = 0.2;
+const MOST_AIM: f32 = 0.6;
+/// At least this part passes, so that something is heard of servers that have jammed.
+const PROBE: f32 = 0.05;
+const MOST_VIEW: f32 = 4.0;
+/// Answers of a typical gateway's window without which nothing is known.
+const FEW: f32 = 3.0;
+/// Events that a zone's own pace needs to count as much as that of all zones.
+const SOME: f32 = 20.0;
+/// What is thought of answers of which nothing is known: the mean in SLA times, and how many answers it counts as.
+const PRIOR: f32 = 0.25;
+/// By the age of news in windows: how much sketches widen.
+const WIDENS: f32 = 0.1;
+/// Weight of a new view at each beat, and of what peers hold against what is seen, the more of them the more.
+const STEP: f32 = 0.5;
+const TRUST: f32 = 0.5;
+
+pub struct Gates {
+    /// Products in the order in which they pass: by revenue.
+    order: Vec<ProductIx>,
+    zones: usize,
+    tenants: usize,
+    view: Option<f32>,
+    /// How fast the view rises, a second.
+    rise: f32,
+    /// By product: the part that passes, and the view at which all of it does.
+    part: Vec<f32>,
+    whole: Vec<f32>,
+    /// By product and tenant.
+    by_tenant: Vec<f32>,
+    /// By zone: how its pace is against that of all.
+    ease: Vec<f32>,
+    /// By product and zone: chances by the SLA time as it will be, and the mean answer time known of.
+    odds: Vec<Odds>,
+    stretch: Vec<f32>,
+    drains: Span,
+    /// By product: what is summed up over zones.
+    all: Vec<Sketch>,
+    pub pace: f32,
+    pub aim: f32,
+}
+
+fn prior() -> Sketch {
+    let mut sketch = Sketch::default();
+    // An exponential of that mean, at a few quantiles.
+    for at in 0..8 {
+        let quantile = -(1.0 - (at as f32 + 0.5) / 8.0).ln();
+        sketch.add(PRIOR * quantile);
+    }
+    sketch.fade(0.25);
+    sketch
+}
+
+impl Gates {
+    pub fn new(products: &[ProductTerms], zones: usize, tenants: usize) -> Gates {
+        let revenue = |p: &ProductIx| Some(products[*p].revenue).filter(|r| r.is_finite()).unwrap_or(0.0);
+        let mut order: Vec<ProductIx> = (0..products.len()).collect();
+        order.sort_by(|a, b| revenue(b).total_cmp(&revenue(a)));
+        let count = products.len();
+        Gates {
+            order,
+            zones,
+            tenants,
+            view: None,
+            rise: 0.0,
+            part: vec![1.0; count],
+            whole: vec![1.0; count],
+            by_tenant: vec![1.0; count * tenants],
+            ease: vec![1.0; zones],
+            odds: vec![prior().odds(); count * zones],
+            stretch: vec![1.0; count * zones],
+            drains: Span::ZERO,
+            all: vec![Sketch::default(); count],
+            pace: 0.0,
+            aim: 0.0,
+        }
+    }
+
+    /// The part of all offered txns that is held to be borne; none while nothing is known.
+    pub fn view(&self) -> Option<f32> {
+        self.view
+    }
+
+    /// The part of this product's txns that passes for this tenant in these zones.
+    pub fn part(&self, product: ProductIx, tenant: Option<TenantIx>, zones: u8) -> f32 {
+        let part = match tenant {
+            Some(tenant) => self.by_tenant[product * self.tenants + tenant],
+            None => self.part[product],
+        };
+        let (mut ease, mut count) = (0.0, 0.0);
+        for (zone, of) in self.ease.iter().enumerate() {
+            if zones == 0 || zones >> zone & 1 == 1 {
+                (ease, count) = (ease + of, count + 1.0);
+            }
+        }
+        // Where all zones are alike this changes nothing.
+        if count > 0.0 { part * (ease / count) } else { part }
+    }
+
+    /// What part of its revenue a txn is likely to bring: the chance of an answer within the SLA time, and what a
+    /// late one is worth, in the best of these zones.
+    pub fn worth(&self, product: ProductIx, terms: &ProductTerms, zones: u8, in_sla: Span, left: Span) -> f32 {
+        let mut best = 0.0_f32;
+        for zone in (0..self.zones).filter(|z| zones == 0 || zones >> z & 1 == 1) {
+            let at = product * self.zones + zone;
+            let (odds, by) = (&self.odds[at], self.stretch[at]);
+            let within = |span: Span| odds.within(span.over(terms.sla) as f32 / by);
+            let in_time = within(in_sla.min(left));
+            let late = terms.late_worth.clamp(0.0, 1.0) as f32;
+            best = best.max(in_time + late * (within(left) - in_time).max(0.0));
+        }
+        best
+    }
+
+    /// How soon all of this product's txns are likely to pass; none if that is not in sight.
+    pub fn opens(&self, product: ProductIx) -> Option<Span> {
+        let lacks = self.whole[product] - self.view?;
+        (self.rise > 0.0).then(|| Span::secs(f64::from((lacks / self.rise).clamp(0.0, 60.0))))
+    }
+
+    /// How long until the servers' queues are as they are wanted.
+    pub fn drains(&self) -> Span {
+        self.drains
+    }
+
+    /// Reckons everything anew from what is known.
+    pub fn turn(&mut self, place: &Place, window: Span, since: Span, sum: &mut Sum) {
+        let all = |of: &[f32]| of.iter().sum::<f32>();
+        let window = window.as_secs() as f32;
+        let (open, answered) = (all(&sum.figures.open), all(&sum.figures.answered));
+        let offered = all(&sum.figures.offered);
+        let usual = self.sketches(place, sum, window);
+        // Little's law: at once, and not only when late answers come.
+        let pace = (open * window + FEW * usual) / (answered + FEW);
+        let gain = (self.aim / (std::f32::consts::E * (sum.age + since.as_secs() as f32))).clamp(0.25, 1.5);
+        let raw = (answered + 1.0) / (offered + 1.0) * (self.aim / pace.max(1e-3)).powf(gain);
+        self.follow((answered >= FEW).then_some(raw), gain, since, sum);
+        self.pace = pace;
+        self.drains = Span::secs(f64::from((pace - self.aim).clamp(0.0, 10.0)));
+        self.zone_paces(pace, gain, usual, window, sum);
+        self.fill(place, sum);
+    }
+
+    /// Sketches into chances; gives back the mean answer time, and sets the aim.
+    fn sketches(&mut self, place: &Place, sum: &mut Sum, window: f32) -> f32 {
+        let (mut times, mut counts) = (0.0, 0.0);
+        self.aim = f32::INFINITY;
+        for (product, terms) in place.products.iter().enumerate() {
+            let (rows, sla) = (product * self.zones..(product + 1) * self.zones, terms.sla.as_secs() as f32);
+            let mut whole = prior();
+            sum.figures.sketches[rows.clone()].iter().for_each(|s| whole.merge(s, 1.0));
+            // What is old is less sure.
+            whole.widen(WIDENS * sum.age / window);
+            let (mean, total) = (whole.mean().unwrap_or(PRIOR), whole.total());
+            (times, counts) = (times + mean * sla * total, counts + total);
+            let most = whole.quantile(AIM).unwrap_or(1.0);
+            let aim = (mean / most.max(1e-3)).clamp(LEAST_AIM, MOST_AIM);
+            self.aim = self.aim.min(aim * sla);
+            for at in rows {
+                let mut sketch = sum.figures.sketches[at];
+                sketch.widen(WIDENS * sum.age / window);
+                // A zone of which little is known is thought to be like all.
+                sketch.merge(&whole, FEW / whole.total().max(FEW));
+                self.odds[at] = sketch.odds();
+                self.stretch[at] = sketch.mean().unwrap_or(PRIOR) * sla;
+            }
+        }
+        times / f32::max(counts, 1e-3)
+    }
+
+    /// Moves the view: by what is seen, by what peers hold, and not all at once.
+    fn follow(&mut self, raw: Option<f32>, _gain: f32, since: Span, sum: &Sum) {
+        let heard = sum.view.map(|v| v.clamp(PROBE, MOST_VIEW));
+        let trust = TRUST * sum.views as f32 / (sum.views as f32 + 2.0);
+        let wanted = match (raw, heard) {
+            (Some(raw), Some(heard)) => raw.clamp(PROBE, MOST_VIEW).powf(1.0 - trust) * heard.powf(trust),
+            (Some(raw), None) => raw.clamp(PROBE, MOST_VIEW),
+            (None, Some(heard)) => heard,
+            (None, None) => {
+                (self.view, self.rise) = (None, 0.0);
+                return;
+            }
+        };
+        let before = self.view.unwrap_or(wanted);
+        let view = before.powf(1.0 - STEP) * wanted.powf(STEP);
+        let rise = (view - before) / since.as_secs().max(1e-3) as f32;
+        self.rise += STEP * (rise - self.rise);
+        self.view = Some(view);
+    }
+
+    /// A zone with a longer queue gets less, another more, by the same law; together as before.
+    fn zone_paces(&mut self, pace: f32, gain: f32, usual: f32, window: f32, sum: &Sum) {
+        let (mut weights, mut eased) = (1e-3, 1e-3);
+        for zone in 0..self.zones {
+            let (open, answered) = (sum.figures.open[zone], sum.figures.answered[zone]);
+            let own = (open * window + SOME * pace) / (answered + SOME);
+            self.ease[zone] = (pace / own.max(1e-3)).powf(gain).clamp(PROBE, 1.0 / PROBE);
+            (weights, eased) = (weights + answered, eased + answered * self.ease[zone]);
+            for product in 0..self.part.len() {
+                let at = product * self.zones + zone;
+                // From the mean known of to the one that the queues of now will make.
+                let queue = self.stretch[at] + own - usual;
+                self.stretch[at] = (queue / self.stretch[at].max(1e-3)).clamp(0.5, 4.0);
+            }
+        }
+        self.ease.iter_mut().for_each(|e| *e *= weights / eased);
+    }
+
+    /// Shares what can be borne: the dearest products first, those of one revenue alike; then by tenant.
+    fn fill(&mut self, place: &Place, sum: &Sum) {
+        let offered = &sum.figures.offered;
+        let all: f32 = offered.iter().sum::<f32>() + offered.len() as f32;
+        let share = |p: &ProductIx| (offered[*p] + 1.0) / all;
+        let view = self.view.unwrap_or(MOST_VIEW);
+        let (mut below, mut at) = (0.0, 0);
+        while at < self.order.len() {
+            let revenue = place.products[self.order[at]].revenue;
+            let alike = self.order[at..].iter().take_while(|p| place.products[**p].revenue == revenue).count();
+            let level = &self.order[at..at + alike.max(1)];
+            let shares: f32 = level.iter().map(share).sum();
+            let part = ((view - below) / shares.max(1e-6)).clamp(PROBE, 1.0);
+            below += shares;
+            for product in level {
+                (self.part[*product], self.whole[*product]) = (part, below);
+                let row = product * self.tenants..(product + 1) * self.tenants;
+                fair::pass(&sum.figures.tenants, &place.tenant_quotas, part, &mut self.by_tenant[row]);
+            }
+            at += alike.max(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,310 @@
+//! Admission by deadline over all gateways: what is let in, kept waiting or declined at once, so that what is sent
+//! makes its deadline. `Admission::new` makes one gateway's part; `take(now, event)` tells it what happened and
+//! gives back what it asks for; `decide(now, ask)` says at once what is to become of a txn, and allocates nothing.
+//! No I/O, no clock of its own, chance by the told seed. `sketch` keeps answer times, `news` is what gateways tell each
+//! other, `peers` what was heard of it, `gates` what follows for each product.
+
+pub mod fair;
+pub mod gates;
+pub mod news;
+mod peers;
+pub mod sketch;
+mod waiting;
+
+use harrierdock::interface::{Outcome, PeerIx, ProductIx, ProductTerms, Repeat, TenantIx, TxnId, ZoneIx};
+use harrierdock::time::{Point, Span};
+use nanorand::{Rng, WyRand};
+
+use gates::Gates;
+use news::{Figures, News, MOST_PRODUCTS, MOST_TENANTS, MOST_ZONES};
+use peers::{Peers, Sum};
+pub use waiting::MOST_WAITING;
+use waiting::{Waiter, Waiting};
+
+// Ratios to the shortest SLA time.
+const BEAT: f64 = 0.1; // between two looks at everything, each with one message
+const WINDOW: f64 = 0.5; // over which counts fade
+const MEMORY: f64 = 2.0; // over which sketches fade
+const FADES: f64 = 1.0; // over which a peer's news fades
+/// Of a product's SLA time: how long a txn may wait. It needs the rest at the servers.
+pub const PATIENCE: f64 = 0.1;
+/// Messages at each beat, each to another peer by chance.
+const TOLD: usize = 2;
+/// Of a txn's revenue: less than this part to be hoped for is never sent.
+const NEVER: f32 = 0.1;
+
+/// What a gateway is told of its place in the fleet.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Place {
+    pub products: Vec<ProductTerms>,
+    pub zones: usize,
+    /// Tenants' shares; empty where there are none.
+    pub tenant_quotas: Vec<f64>,
+    /// Another one for each start, higher than any before.
+    pub incarnation: u32,
+    /// The least time to come back that a decline tells; none where declines tell none.
+    pub retry_after: Option<Span>,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A submission went out to a server of this zone.
+    Sent { zone: ZoneIx },
+    /// It is no longer out.
+    Ended { product: ProductIx, zone: ZoneIx, outcome: Outcome, took: Span },
+    /// A waiting txn's client went away, or it was answered otherwise.
+    Left { id: TxnId },
+    /// Membership tells who is there and at which incarnation; none: no longer.
+    Member { peer: PeerIx, incarnation: Option<u32> },
+    Heard { from: PeerIx, news: News },
+    Wake,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Admit { id: TxnId },
+    Decline { id: TxnId, retry_after: Option<Span> },
+    Tell { to: PeerIx, bytes: Vec<u8> },
+    Wake { after: Span },
+}
+
+/// A txn that is to be decided on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ask {
+    pub id: TxnId,
+    pub product: ProductIx,
+    pub tenant: Option<TenantIx>,
+    /// The zones whose servers it may use, a bit each; none told are all.
+    pub zones: u8,
+    /// How long ago it came, and how long until it expires.
+    pub age: Span,
+    pub left: Span,
+    /// A submission of it may have run.
+    pub ran: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    Admit,
+    /// It is kept; `Action::Admit` or `Action::Decline` follows within this.
+    Wait { at_most: Span },
+    Decline { retry_after: Option<Span> },
+}
+
+pub struct Admission {
+    place: Place,
+    shortest: Span,
+    born: Option<Point>,
+    beat: Option<Point>,
+    own: Figures,
+    /// Submissions out that this gateway knows of, by zone; `own.open` tells them once it is old enough.
+    out: Vec<u32>,
+    peers: Peers,
+    sum: Sum,
+    gates: Gates,
+    /// What is left over of each product's passing part, by tenant: at one, a txn passes.
+    credit: Vec<f32>,
+    waiting: Waiting,
+    number: u32,
+    turn: usize,
+    chance: WyRand,
+}
+
+impl Admission {
+    pub fn new(mut place: Place) -> Admission {
+        place.products.truncate(MOST_PRODUCTS);
+        place.tenant_quotas.truncate(MOST_TENANTS);
+        place.zones = place.zones.clamp(1, MOST_ZONES);
+        for product in &mut place.products {
+            product.sla = product.sla.max(Span(1000));
+        }
+        let (products, zones, tenants) = (place.products.len(), place.zones, place.tenant_quotas.len());
+        let mut chance = WyRand::new_seed(place.seed);
+        Admission {
+            shortest: place.products.iter().map(|p| p.sla).min().unwrap_or(Span(1_000_000)),
+            born: None,
+            beat: None,
+            own: Figures::new(products, zones, tenants),
+            out: vec![0; zones],
+            peers: Peers::default(),
+            sum: Sum::default(),
+            gates: Gates::new(&place.products, zones, tenants),
+            // Gateways that begin alike do not let the same txns in.
+            credit: (0..products * (tenants + 1)).map(|_| chance.generate::<f32>()).collect(),
+            waiting: Waiting::new(),
+            number: 0,
+            turn: 0,
+            chance,
+            place,
+        }
+    }
+
+    pub fn gates(&self) -> &Gates {
+        &self.gates
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Decides on a txn at its arrival, or before a further submission.
+    pub fn decide(&mut self, now: Point, ask: &Ask) -> Decision {
+        let Some(terms) = self.place.products.get(ask.product).copied() else { return Decision::Admit };
+        // Guards once-only txns: what may have run is not declined; it is the module's to see through.
+        if ask.ran && terms.repeat == Repeat::OnceOnly {
+            return Decision::Admit;
+        }
+        let (sla, revenue) = (terms.sla, terms.revenue);
+        let tenant = ask.tenant.filter(|t| *t < self.own.tenants.len());
+        if !ask.ran && ask.age <= Span::ZERO {
+            self.own.offered[ask.product] += 1.0;
+            if let Some(tenant) = tenant {
+                self.own.tenants[tenant] += 1.0;
+            }
+        }
+        let worth = self.gates.worth(ask.product, &terms, ask.zones, sla - ask.age, ask.left);
+        if ask.left <= Span::ZERO || worth < NEVER {
+            return self.decline();
+        }
+        if self.passes(ask.product, tenant, ask.zones) {
+            return Decision::Admit;
+        }
+        let at_most = (sla * PATIENCE - ask.age).min(ask.left);
+        let soon = self.gates.opens(ask.product).is_some_and(|after| after <= at_most);
+        let late = self.gates.worth(ask.product, &terms, ask.zones, sla - ask.age - at_most, ask.left - at_most);
+        if at_most > Span::ZERO && soon && late >= worth / 2.0 {
+            let (deadline, until) = (now + (sla - ask.age), now + at_most);
+            let (id, product, zones) = (ask.id, ask.product, ask.zones);
+            if self.waiting.push(Waiter { id, product, tenant, zones, revenue, deadline, until }) {
+                return Decision::Wait { at_most };
+            }
+        }
+        self.decline()
+    }
+
+    fn decline(&mut self) -> Decision {
+        Decision::Decline { retry_after: self.come_back() }
+    }
+
+    /// When a place is to be had again, spread so that clients do not come back in step.
+    fn come_back(&mut self) -> Option<Span> {
+        let spread = 0.5 + self.chance.generate::<f64>();
+        let least = self.place.retry_after?;
+        Some((least.max(self.gates.drains()) * spread).max(least).min(least + self.shortest * MEMORY))
+    }
+
+    /// Lets this part of a product's txns through, evenly: what is left over counts for the next.
+    fn passes(&mut self, product: ProductIx, tenant: Option<TenantIx>, zones: u8) -> bool {
+        let part = self.gates.part(product, tenant, zones);
+        let row = product * (self.own.tenants.len() + 1);
+        let credit = &mut self.credit[row + tenant.map_or(0, |t| t + 1)];
+        *credit = (*credit + part).min(2.0);
+        let passes = *credit >= 1.0;
+        if passes {
+            *credit -= 1.0;
+        }
+        passes
+    }
+
+    pub fn take(&mut self, now: Point, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Sent { zone } => {
+                if let Some(open) = self.out.get_mut(zone) {
+                    *open = open.saturating_add(1);
+                }
+            }
+            Event::Ended { product, zone, outcome, took } => self.ended(product, zone, outcome, took),
+            Event::Left { id } => self.waiting.remove(id),
+            Event::Member { peer, incarnation } => self.peers.member(peer, incarnation),
+            Event::Heard { from, news } => {
+                self.peers.hear(now, from, news, &self.own);
+            }
+            Event::Wake => self.wake(now, &mut out),
+        }
+        out
+    }
+
+    fn ended(&mut self, product: ProductIx, zone: ZoneIx, outcome: Outcome, took: Span) {
+        let (Some(open), Some(terms)) = (self.out.get_mut(zone), self.place.products.get(product)) else { return };
+        *open = open.saturating_sub(1);
+        let answered = matches!(outcome, Outcome::Served | Outcome::Errored | Outcome::Moot);
+        if answered {
+            self.own.answered[zone] += 1.0;
+        }
+        // What was turned away or never reached a server says nothing of how long answers take.
+        if answered || outcome == Outcome::TimedOut {
+            let at = product * self.place.zones + zone;
+            self.own.sketches[at].add(took.over(terms.sla) as f32);
+        }
+    }
+
+    fn wake(&mut self, now: Point, out: &mut Vec<Action>) {
+        let born = *self.born.get_or_insert(now);
+        let beat = self.shortest * BEAT;
+        let since = self.beat.map_or(beat, |b| now - b).max(Span::ZERO);
+        if since < beat / 2.0 {
+            return;
+        }
+        self.beat = Some(now);
+        let fades = |over: f64| (-since.over(self.shortest * over)).exp() as f32;
+        let (counts, sketches) = (fades(WINDOW), fades(MEMORY));
+        let Figures { offered, tenants, open, answered, sketches: kept } = &mut self.own;
+        [offered, tenants, answered].into_iter().flatten().for_each(|c| *c *= counts);
+        kept.iter_mut().for_each(|s| s.fade(sketches));
+        // Guards against a start's bias: what is out then was not heard to be answered yet.
+        let old = now - born >= self.shortest;
+        open.iter_mut().zip(&self.out).for_each(|(o, n)| *o = if old { *n as f32 } else { 0.0 });
+        let blank;
+        let own = if old {
+            &self.own
+        } else {
+            let own = &self.own;
+            blank = Figures::new(own.offered.len(), own.open.len(), own.tenants.len());
+            &blank
+        };
+        self.peers.sum(now, own, self.shortest * FADES, &mut self.sum);
+        self.gates.turn(&self.place, self.shortest * WINDOW, since, &mut self.sum);
+        self.look(now, out);
+        self.tell(old, out);
+        // A beat of another length for each: gateways do not act in step.
+        out.push(Action::Wake { after: beat * (0.9 + 0.2 * self.chance.generate::<f64>()) });
+    }
+
+    /// Those that wait, the dearest and most pressing first: whoever passes is admitted, whoever has waited long enough is
+    /// told to come back.
+    fn look(&mut self, now: Point, out: &mut Vec<Action>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        let find = |w: &Waiter| {
+            if now < w.until && self.passes(w.product, w.tenant, w.zones) {
+                return Some(Action::Admit { id: w.id });
+            }
+            let over = now + self.shortest * BEAT > w.until;
+            over.then(|| Action::Decline { id: w.id, retry_after: self.come_back() })
+        };
+        waiting.look(find, out);
+        self.waiting = waiting;
+    }
+
+    /// The same number of messages at each beat, whatever the size of the fleet.
+    fn tell(&mut self, old: bool, out: &mut Vec<Action>) {
+        let count = self.peers.count();
+        let first = if count > 0 { self.chance.generate_range(0..count) } else { 0 };
+        for n in 0..TOLD.min(count) {
+            let Some(to) = self.peers.nth((first + n * count.div_ceil(TOLD)) % count) else { continue };
+            self.number = self.number.saturating_add(1);
+            let (incarnation, number, view) = (self.place.incarnation, self.number, self.gates.view());
+            let head = News { incarnation, number, view, ..News::default() };
+            let blank = Figures::new(self.own.offered.len(), self.own.open.len(), self.own.tenants.len());
+            let (bytes, turn) = news::write(&head, if old { &self.own } else { &blank }, self.turn);
+            if n == 0 {
+                self.turn = turn;
+            }
+            out.push(Action::Tell { to, bytes });
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/peers.rs
@@ -0,0 +1,157 @@
+//! What peers were last heard to say: the latest of each, of so many peers, each with bounded weight.
+
+use std::collections::BTreeMap;
+
+use harrierdock::interface::PeerIx;
+use harrierdock::time::{Point, Span};
+
+use crate::news::{Figures, News};
+
+/// Peers whose figures are kept: more than are heard while news counts.
+const MOST_HEARD: usize = 48;
+/// Members known: as many as the largest fleet has, and room.
+pub const MOST_MEMBERS: usize = 1024;
+/// Guards against one gateway that moves the rest, by mistake or absurd figures: no count of its counts for more than
+/// this many times the median of all heard, and some for chance. Harms where a single gateway has most of the traffic:
+/// its news counts for less than it is worth; its own figures are whole to itself.
+const MOST_TIMES: f32 = 2.0;
+
+#[derive(Debug)]
+struct Heard {
+    at: Point,
+    number: u32,
+    view: Option<f32>,
+    figures: Figures,
+}
+
+#[derive(Debug, Default)]
+pub struct Peers {
+    /// The incarnation that counts of each member, and the last number read of it.
+    members: BTreeMap<PeerIx, (u32, Option<u32>)>,
+    heard: BTreeMap<PeerIx, Heard>,
+    /// For medians, kept to spare allocations.
+    sorted: Vec<f32>,
+}
+
+/// All that counts now: own figures and peers' together.
+#[derive(Debug, Default)]
+pub struct Sum {
+    pub figures: Figures,
+    /// The median of the views heard, how many there are, and the news' mean age in seconds by its weight.
+    pub view: Option<f32>,
+    pub views: usize,
+    pub age: f32,
+}
+
+fn median(sorted: &mut [f32]) -> f32 {
+    sorted.sort_by(f32::total_cmp);
+    sorted.get(sorted.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+}
+
+impl Peers {
+    /// A member is there, at this incarnation, or gone. What an earlier incarnation said is forgotten.
+    pub fn member(&mut self, peer: PeerIx, incarnation: Option<u32>) {
+        match incarnation {
+            Some(incarnation) if self.members.get(&peer).is_some_and(|m| m.0 >= incarnation) => {}
+            Some(incarnation) => {
+                self.heard.remove(&peer);
+                if self.members.len() < MOST_MEMBERS || self.members.contains_key(&peer) {
+                    self.members.insert(peer, (incarnation, None));
+                }
+            }
+            None => {
+                self.members.remove(&peer);
+                self.heard.remove(&peer);
+            }
+        }
+    }
+
+    pub fn count(&self) -> usize {
+        self.members.len()
+    }
+
+    pub fn nth(&self, at: usize) -> Option<PeerIx> {
+        self.members.keys().nth(at).copied()
+    }
+
+    /// Takes news in. What is old, doubled, of an unknown member or of another incarnation changes nothing, nor does
+    /// what was written for other products, zones or tenants.
+    pub fn hear(&mut self, now: Point, from: PeerIx, news: News, like: &Figures) -> bool {
+        let Some((incarnation, last)) = self.members.get_mut(&from) else { return false };
+        let fits = news.offered.len() == like.offered.len()
+            && news.open.len() == like.open.len()
+            && news.answered.len() == like.answered.len()
+            && news.tenants.len() == like.tenants.len();
+        if !fits || *incarnation != news.incarnation || last.is_some_and(|l| news.number <= l) {
+            return false;
+        }
+        *last = Some(news.number);
+        if !self.heard.contains_key(&from) && self.heard.len() >= MOST_HEARD {
+            let oldest = self.heard.iter().min_by_key(|(_, h)| h.at).map(|(peer, _)| *peer);
+            oldest.and_then(|peer| self.heard.remove(&peer));
+        }
+        let blank = || Heard {
+            at: now,
+            number: 0,
+            view: None,
+            figures: Figures::new(like.offered.len(), like.open.len(), like.tenants.len()),
+        };
+        let heard = self.heard.entry(from).or_insert_with(blank);
+        (heard.at, heard.number, heard.view) = (now, news.number, news.view);
+        let figures = &mut heard.figures;
+        (figures.offered, figures.tenants) = (news.offered, news.tenants);
+        (figures.open, figures.answered) = (news.open, news.answered);
+        for (number, sketch) in news.sketches {
+            if let Some(kept) = figures.sketches.get_mut(number) {
+                *kept = sketch;
+            }
+        }
+        true
+    }
+
+    /// Adds up own figures and what was heard: each by its counts, its age and at most its bounded part. News fades
+    /// over `fades` and is forgotten after four of those.
+    pub fn sum(&mut self, now: Point, own: &Figures, fades: Span, sum: &mut Sum) {
+        self.heard.retain(|_, h| now - h.at < fades * 4.0);
+        sum.figures.clone_from(own);
+        let Peers { heard, sorted, .. } = self;
+        let weight = |h: &Heard| (-(now - h.at).over(fades)).exp().min(1.0) as f32;
+        let mut bounded = |of: &dyn Fn(&Figures) -> f32| {
+            sorted.clear();
+            sorted.push(of(own));
+            sorted.extend(heard.values().map(|h| of(&h.figures)));
+            let median = median(sorted);
+            let most = MOST_TIMES * (median + median.sqrt() + 1.0);
+            heard.values().map(|h| weight(h) * of(&h.figures).min(most)).sum::<f32>()
+        };
+        for at in 0..own.offered.len() {
+            sum.figures.offered[at] += bounded(&|f| f.offered[at]);
+        }
+        for at in 0..own.tenants.len() {
+            sum.figures.tenants[at] += bounded(&|f| f.tenants[at]);
+        }
+        for at in 0..own.open.len() {
+            sum.figures.open[at] += bounded(&|f| f.open[at]);
+            sum.figures.answered[at] += bounded(&|f| f.answered[at]);
+        }
+        let total = |f: &Figures| f.sketches.iter().map(|s| s.total()).sum::<f32>();
+        sorted.clear();
+        sorted.push(total(own));
+        sorted.extend(heard.values().map(|h| total(&h.figures)));
+        let most = MOST_TIMES * (median(sorted) + 1.0);
+        let (mut weights, mut aged) = (1.0, 0.0);
+        for h in heard.values() {
+            let (weight, total) = (weight(h), total(&h.figures));
+            let part = weight * (most / total.max(1.0)).min(1.0);
+            let kept = sum.figures.sketches.iter_mut().zip(&h.figures.sketches);
+            kept.for_each(|(k, s)| k.merge(s, part));
+            weights += weight;
+            aged += weight * (now - h.at).as_secs() as f32;
+        }
+        sum.age = aged / weights;
+        sorted.clear();
+        sorted.extend(heard.values().filter(|h| now - h.at < fades).filter_map(|h| h.view));
+        sum.views = sorted.len();
+        sum.view = (!sorted.is_empty()).then(|| median(sorted));
+    }
+}
