--- a/crates/admission/src/gates.rs
+++ b/crates/admission/src/gates.rs
@@ -18,6 +18,8 @@
 /// At least this part passes, so that something is heard of servers that have jammed.
 const PROBE: f32 = 0.05;
 const MOST_VIEW: f32 = 4.0;
+const LEAST_GAIN: f32 = 0.25;
+const MOST_GAIN: f32 = 1.5;
 /// Answers of a typical gateway's window without which nothing is known.
 const FEW: f32 = 3.0;
 /// Events that a zone's own pace needs to count as much as that of all zones.
@@ -26,9 +28,11 @@
 const PRIOR: f32 = 0.25;
 /// By the age of news in windows: how much sketches widen.
 const WIDENS: f32 = 0.1;
-/// Weight of a new view at each beat, and of what peers hold against what is seen, the more of them the more.
-const STEP: f32 = 0.5;
-const TRUST: f32 = 0.5;
+/// Weight of the newest rise in the running one.
+const LEARN: f32 = 0.5;
+/// How far the view follows the queues, in the delay of what is known over the time in which queues would follow it:
+/// under 1/e nothing swings, past half of pi everything does.
+const FOLLOWS: f32 = 0.67;
 
 pub struct Gates {
     /// Products in the order in which they pass: by revenue.
@@ -147,9 +151,10 @@
         let usual = self.sketches(place, sum, window);
         // Little's law: at once, and not only when late answers come.
         let pace = (open * window + FEW * usual) / (answered + FEW);
-        let gain = (self.aim / (std::f32::consts::E * (sum.age + since.as_secs() as f32))).clamp(0.25, 1.5);
+        let delay = sum.age + since.as_secs() as f32;
+        let gain = (FOLLOWS * self.aim / delay.max(1e-3)).clamp(LEAST_GAIN, MOST_GAIN);
         let raw = (answered + 1.0) / (offered + 1.0) * (self.aim / pace.max(1e-3)).powf(gain);
-        self.follow((answered >= FEW).then_some(raw), gain, since, sum);
+        self.follow((answered >= FEW).then_some(raw), since, sum);
         self.pace = pace;
         self.drains = Span::secs(f64::from((pace - self.aim).clamp(0.0, 10.0)));
         self.zone_paces(pace, gain, usual, window, sum);
@@ -183,23 +188,14 @@
         times / f32::max(counts, 1e-3)
     }
 
-    /// Moves the view: by what is seen, by what peers hold, and not all at once.
-    fn follow(&mut self, raw: Option<f32>, _gain: f32, since: Span, sum: &Sum) {
-        let heard = sum.view.map(|v| v.clamp(PROBE, MOST_VIEW));
-        let trust = TRUST * sum.views as f32 / (sum.views as f32 + 2.0);
-        let wanted = match (raw, heard) {
-            (Some(raw), Some(heard)) => raw.clamp(PROBE, MOST_VIEW).powf(1.0 - trust) * heard.powf(trust),
-            (Some(raw), None) => raw.clamp(PROBE, MOST_VIEW),
-            (None, Some(heard)) => heard,
-            (None, None) => {
-                (self.view, self.rise) = (None, 0.0);
-                return;
-            }
+    /// Moves the view by what is seen. Whoever has seen nothing yet, as after a start, takes on what peers hold.
+    fn follow(&mut self, seen: Option<f32>, since: Span, sum: &Sum) {
+        let Some(view) = seen.or(sum.view).map(|v| v.clamp(PROBE, MOST_VIEW)) else {
+            (self.view, self.rise) = (None, 0.0);
+            return;
         };
-        let before = self.view.unwrap_or(wanted);
-        let view = before.powf(1.0 - STEP) * wanted.powf(STEP);
-        let rise = (view - before) / since.as_secs().max(1e-3) as f32;
-        self.rise += STEP * (rise - self.rise);
+        let rise = (view - self.view.unwrap_or(view)) / since.as_secs().max(1e-3) as f32;
+        self.rise += LEARN * (rise - self.rise);
         self.view = Some(view);
     }
 
@@ -233,7 +229,7 @@
             let alike = self.order[at..].iter().take_while(|p| place.products[**p].revenue == revenue).count();
             let level = &self.order[at..at + alike.max(1)];
             let shares: f32 = level.iter().map(share).sum();
-            let part = ((view - below) / shares.max(1e-6)).clamp(PROBE, 1.0);
+            let part = ((view - below) / shares.max(1e-6)).clamp(0.0, 1.0);
             below += shares;
             for product in level {
                 (self.part[*product], self.whole[*product]) = (part, below);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -25,7 +25,7 @@
 const BEAT: f64 = 0.1; // between two looks at everything, each with one message
 const WINDOW: f64 = 0.5; // over which counts fade
 const MEMORY: f64 = 2.0; // over which sketches fade
-const FADES: f64 = 1.0; // over which a peer's news fades
+const FADES: f64 = 0.5; // over which a peer's news fades
 /// Of a product's SLA time: how long a txn may wait. It needs the rest at the servers.
 pub const PATIENCE: f64 = 0.1;
 /// Messages at each beat, each to another peer by chance.
--- a/crates/admission/src/peers.rs
+++ b/crates/admission/src/peers.rs
@@ -19,9 +19,11 @@
 #[derive(Debug)]
 struct Heard {
     at: Point,
-    number: u32,
     view: Option<f32>,
     figures: Figures,
+    /// All counts of its sketches, and what its age leaves of its weight at this beat.
+    total: f32,
+    weight: f32,
 }
 
 #[derive(Debug, Default)]
@@ -43,9 +45,10 @@
     pub age: f32,
 }
 
-fn median(sorted: &mut [f32]) -> f32 {
-    sorted.sort_by(f32::total_cmp);
-    sorted.get(sorted.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+/// The lower one of an even number: of two, the one that is not absurd.
+fn median(of: &mut [f32]) -> f32 {
+    let middle = of.len().saturating_sub(1) / 2;
+    if of.is_empty() { 0.0 } else { *of.select_nth_unstable_by(middle, f32::total_cmp).1 }
 }
 
 impl Peers {
@@ -92,17 +95,19 @@
         }
         let blank = || Heard {
             at: now,
-            number: 0,
             view: None,
+            total: 0.0,
+            weight: 0.0,
             figures: Figures::new(like.offered.len(), like.open.len(), like.tenants.len()),
         };
         let heard = self.heard.entry(from).or_insert_with(blank);
-        (heard.at, heard.number, heard.view) = (now, news.number, news.view);
+        (heard.at, heard.view) = (now, news.view);
         let figures = &mut heard.figures;
         (figures.offered, figures.tenants) = (news.offered, news.tenants);
         (figures.open, figures.answered) = (news.open, news.answered);
         for (number, sketch) in news.sketches {
             if let Some(kept) = figures.sketches.get_mut(number) {
+                heard.total += sketch.total() - kept.total();
                 *kept = sketch;
             }
         }
@@ -115,38 +120,40 @@
         self.heard.retain(|_, h| now - h.at < fades * 4.0);
         sum.figures.clone_from(own);
         let Peers { heard, sorted, .. } = self;
-        let weight = |h: &Heard| (-(now - h.at).over(fades)).exp().min(1.0) as f32;
-        let mut bounded = |of: &dyn Fn(&Figures) -> f32| {
+        for h in heard.values_mut() {
+            h.weight = (-(now - h.at).over(fades)).exp().min(1.0) as f32;
+        }
+        let mut bounded = |own: f32, of: &dyn Fn(&Figures) -> f32| {
             sorted.clear();
-            sorted.push(of(own));
+            sorted.push(own);
             sorted.extend(heard.values().map(|h| of(&h.figures)));
             let median = median(sorted);
             let most = MOST_TIMES * (median + median.sqrt() + 1.0);
-            heard.values().map(|h| weight(h) * of(&h.figures).min(most)).sum::<f32>()
+            own + heard.values().map(|h| h.weight * of(&h.figures).min(most)).sum::<f32>()
         };
-        for at in 0..own.offered.len() {
-            sum.figures.offered[at] += bounded(&|f| f.offered[at]);
+        for (at, of) in sum.figures.offered.iter_mut().enumerate() {
+            *of = bounded(*of, &|f| f.offered[at]);
+        }
+        for (at, of) in sum.figures.tenants.iter_mut().enumerate() {
+            *of = bounded(*of, &|f| f.tenants[at]);
         }
-        for at in 0..own.tenants.len() {
-            sum.figures.tenants[at] += bounded(&|f| f.tenants[at]);
+        for (at, of) in sum.figures.open.iter_mut().enumerate() {
+            *of = bounded(*of, &|f| f.open[at]);
         }
-        for at in 0..own.open.len() {
-            sum.figures.open[at] += bounded(&|f| f.open[at]);
-            sum.figures.answered[at] += bounded(&|f| f.answered[at]);
+        for (at, of) in sum.figures.answered.iter_mut().enumerate() {
+            *of = bounded(*of, &|f| f.answered[at]);
         }
-        let total = |f: &Figures| f.sketches.iter().map(|s| s.total()).sum::<f32>();
         sorted.clear();
-        sorted.push(total(own));
-        sorted.extend(heard.values().map(|h| total(&h.figures)));
+        sorted.push(own.sketches.iter().map(|s| s.total()).sum());
+        sorted.extend(heard.values().map(|h| h.total));
         let most = MOST_TIMES * (median(sorted) + 1.0);
         let (mut weights, mut aged) = (1.0, 0.0);
         for h in heard.values() {
-            let (weight, total) = (weight(h), total(&h.figures));
-            let part = weight * (most / total.max(1.0)).min(1.0);
+            let part = h.weight * (most / h.total.max(1.0)).min(1.0);
             let kept = sum.figures.sketches.iter_mut().zip(&h.figures.sketches);
             kept.for_each(|(k, s)| k.merge(s, part));
-            weights += weight;
-            aged += weight * (now - h.at).as_secs() as f32;
+            weights += h.weight;
+            aged += h.weight * (now - h.at).as_secs() as f32;
         }
         sum.age = aged / weights;
         sorted.clear();
