--- a/crates/admission/src/gates.rs
+++ b/crates/admission/src/gates.rs
@@ -13,7 +13,7 @@
 /// answers, a shorter one leaves servers idle.
 const AIM: f32 = 0.9;
 /// Of the SLA time: bounds of the mean answer time that is aimed at, whatever sketches say.
-const LEAST_AIM: f32 = 0.2;
+const LEAST_AIM: f32 = 0.3;
 const MOST_AIM: f32 = 0.6;
 /// At least this part passes, so that something is heard of servers that have jammed.
 const PROBE: f32 = 0.05;
@@ -24,6 +24,8 @@
 const FEW: f32 = 3.0;
 /// Events that a zone's own pace needs to count as much as that of all zones.
 const SOME: f32 = 20.0;
+/// Answers at which what they say counts for half of a new view.
+const SURE: f32 = 15.0;
 /// What is thought of answers of which nothing is known: the mean in SLA times, and how many answers it counts as.
 const PRIOR: f32 = 0.25;
 /// By the age of news in windows: how much sketches widen.
@@ -143,7 +145,7 @@
     }
 
     /// Reckons everything anew from what is known.
-    pub fn turn(&mut self, place: &Place, window: Span, since: Span, sum: &mut Sum) {
+    pub fn turn(&mut self, place: &Place, window: Span, since: Span, young: bool, sum: &mut Sum) {
         let all = |of: &[f32]| of.iter().sum::<f32>();
         let window = window.as_secs() as f32;
         let (open, answered) = (all(&sum.figures.open), all(&sum.figures.answered));
@@ -154,7 +156,8 @@
         let delay = sum.age + since.as_secs() as f32;
         let gain = (FOLLOWS * self.aim / delay.max(1e-3)).clamp(LEAST_GAIN, MOST_GAIN);
         let raw = (answered + 1.0) / (offered + 1.0) * (self.aim / pace.max(1e-3)).powf(gain);
-        self.follow((answered >= FEW).then_some(raw), since, sum);
+        let seen = (answered >= FEW).then_some(raw);
+        self.follow(seen, answered / (answered + SURE), young, since, sum);
         self.pace = pace;
         self.drains = Span::secs(f64::from((pace - self.aim).clamp(0.0, 10.0)));
         self.zone_paces(pace, gain, usual, window, sum);
@@ -188,12 +191,16 @@
         times / f32::max(counts, 1e-3)
     }
 
-    /// Moves the view by what is seen. Whoever has seen nothing yet, as after a start, takes on what peers hold.
-    fn follow(&mut self, seen: Option<f32>, since: Span, sum: &Sum) {
-        let Some(view) = seen.or(sum.view).map(|v| v.clamp(PROBE, MOST_VIEW)) else {
+    /// Moves the view by what is seen, the more the more that was; few answers say what is mostly chance. Whoever
+    /// has just started goes by what peers hold.
+    fn follow(&mut self, seen: Option<f32>, sure: f32, young: bool, since: Span, sum: &Sum) {
+        let before = if young { sum.view.or(self.view) } else { self.view.or(sum.view) };
+        let Some(before) = before.or(seen) else {
             (self.view, self.rise) = (None, 0.0);
             return;
         };
+        let bound = |view: f32| view.clamp(PROBE, MOST_VIEW);
+        let view = bound(before).powf(1.0 - sure) * bound(seen.unwrap_or(before)).powf(sure);
         let rise = (view - self.view.unwrap_or(view)) / since.as_secs().max(1e-3) as f32;
         self.rise += LEARN * (rise - self.rise);
         self.view = Some(view);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -167,7 +167,7 @@
         if ask.left <= Span::ZERO || worth < NEVER {
             return self.decline();
         }
-        if self.passes(ask.product, tenant, ask.zones) {
+        if self.passes(now, ask.product, tenant, ask.zones) {
             return Decision::Admit;
         }
         let at_most = (sla * PATIENCE - ask.age).min(ask.left);
@@ -195,8 +195,14 @@
     }
 
     /// Lets this part of a product's txns through, evenly: what is left over counts for the next.
-    fn passes(&mut self, product: ProductIx, tenant: Option<TenantIx>, zones: u8) -> bool {
-        let part = self.gates.part(product, tenant, zones);
+    fn passes(&mut self, now: Point, product: ProductIx, tenant: Option<TenantIx>, zones: u8) -> bool {
+        let mut part = self.gates.part(product, tenant, zones);
+        // Guards against a gateway that was stopped and goes on with what it held before: that loses its weight, as no
+        // beat has come since. Harms by letting in too much where beats are late in a jam.
+        let age = self.beat.map_or(Span::ZERO, |b| now - b).over(self.shortest);
+        if age > WINDOW {
+            part = part.max(f32::MIN_POSITIVE).powf((-age).exp() as f32);
+        }
         let row = product * (self.own.tenants.len() + 1);
         let credit = &mut self.credit[row + tenant.map_or(0, |t| t + 1)];
         *credit = (*credit + part).min(2.0);
@@ -265,7 +271,7 @@
             &blank
         };
         self.peers.sum(now, own, self.shortest * FADES, &mut self.sum);
-        self.gates.turn(&self.place, self.shortest * WINDOW, since, &mut self.sum);
+        self.gates.turn(&self.place, self.shortest * WINDOW, since, !old, &mut self.sum);
         self.look(now, out);
         self.tell(old, out);
         // A beat of another length for each: gateways do not act in step.
@@ -280,7 +286,7 @@
         }
         let mut waiting = std::mem::take(&mut self.waiting);
         let find = |w: &Waiter| {
-            if now < w.until && self.passes(w.product, w.tenant, w.zones) {
+            if now < w.until && self.passes(now, w.product, w.tenant, w.zones) {
                 return Some(Action::Admit { id: w.id });
             }
             let over = now + self.shortest * BEAT > w.until;
--- a/crates/admission/src/peers.rs
+++ b/crates/admission/src/peers.rs
@@ -146,7 +146,7 @@
         sorted.clear();
         sorted.push(own.sketches.iter().map(|s| s.total()).sum());
         sorted.extend(heard.values().map(|h| h.total));
-        let most = MOST_TIMES * (median(sorted) + 1.0);
+        let most = median(sorted) + 1.0;
         let (mut weights, mut aged) = (1.0, 0.0);
         for h in heard.values() {
             let part = h.weight * (most / h.total.max(1.0)).min(1.0);
@@ -159,6 +159,8 @@
         sorted.clear();
         sorted.extend(heard.values().filter(|h| now - h.at < fades).filter_map(|h| h.view));
         sum.views = sorted.len();
-        sum.view = (!sorted.is_empty()).then(|| median(sorted));
+        // Of one or two, one may be absurd: the fewer, the nearer to all that is offered.
+        let sure = sum.views as f32 / (sum.views as f32 + 1.0);
+        sum.view = (!sorted.is_empty()).then(|| median(sorted).max(f32::MIN_POSITIVE).powf(sure));
     }
 }
--- a/crates/rehearse/src/admission/day.rs
+++ b/crates/rehearse/src/admission/day.rs
@@ -126,6 +126,11 @@
         of % ZONES
     }
 
+    /// 1 for the dear products.
+    pub fn level(&self, product: usize) -> usize {
+        usize::from(self.products[product].revenue > 1.0)
+    }
+
     /// Whether messages from or to this gateway are lost now.
     pub fn cut(&self, gateway: usize, now: i64) -> bool {
         self.fault == Fault::Cut && self.zone(gateway) == 0 && (CUT.0..CUT.1).contains(&now)
