--- a/crates/admission/benches/decide.rs
+++ b/crates/admission/benches/decide.rs
@@ -1,1 +1,1 @@
-fn main(){}
+fn main() {}
--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -8,7 +8,8 @@
     if part >= 1.0 || all <= 0.0 || wants.len() < 2 {
         return;
     }
-    let quota = |at: usize| quotas.get(at).copied().filter(|q| *q > 0.0 && q.is_finite()).unwrap_or(1.0) as f32;
+    let quota =
+        |at: usize| quotas.get(at).copied().filter(|q| *q > 0.0 && q.is_finite()).unwrap_or(1.0) as f32;
     // Each round, whoever wants no more than its share is served whole; the rest share anew. Ends after as many
     // rounds as there are tenants at the most.
     let mut whole = 0_u32;
@@ -32,5 +33,9 @@
 /// Jain's index of these: 1 if all are equal, one over their number if one has all.
 pub fn jain(of: &[f64]) -> f64 {
     let (sum, squares) = of.iter().fold((0.0, 0.0), |(s, q), x| (s + x, q + x * x));
-    if squares > 0.0 { sum * sum / (of.len() as f64 * squares) } else { 1.0 }
+    if squares > 0.0 {
+        sum * sum / (of.len() as f64 * squares)
+    } else {
+        1.0
+    }
 }
--- a/crates/admission/src/gates.rs
+++ b/crates/admission/src/gates.rs
@@ -55,8 +55,6 @@
     odds: Vec<Odds>,
     stretch: Vec<f32>,
     drains: Span,
-    /// By product: what is summed up over zones.
-    all: Vec<Sketch>,
     pub pace: f32,
     pub aim: f32,
 }
@@ -91,7 +89,6 @@
             odds: vec![prior().odds(); count * zones],
             stretch: vec![1.0; count * zones],
             drains: Span::ZERO,
-            all: vec![Sketch::default(); count],
             pace: 0.0,
             aim: 0.0,
         }
@@ -115,12 +112,23 @@
             }
         }
         // Where all zones are alike this changes nothing.
-        if count > 0.0 { part * (ease / count) } else { part }
+        if count > 0.0 {
+            part * (ease / count)
+        } else {
+            part
+        }
     }
 
     /// What part of its revenue a txn is likely to bring: the chance of an answer within the SLA time, and what a
     /// late one is worth, in the best of these zones.
-    pub fn worth(&self, product: ProductIx, terms: &ProductTerms, zones: u8, in_sla: Span, left: Span) -> f32 {
+    pub fn worth(
+        &self,
+        product: ProductIx,
+        terms: &ProductTerms,
+        zones: u8,
+        in_sla: Span,
+        left: Span,
+    ) -> f32 {
         let mut best = 0.0_f32;
         for zone in (0..self.zones).filter(|z| zones == 0 || zones >> z & 1 == 1) {
             let at = product * self.zones + zone;
@@ -233,7 +241,8 @@
         let (mut below, mut at) = (0.0, 0);
         while at < self.order.len() {
             let revenue = place.products[self.order[at]].revenue;
-            let alike = self.order[at..].iter().take_while(|p| place.products[**p].revenue == revenue).count();
+            let alike =
+                self.order[at..].iter().take_while(|p| place.products[**p].revenue == revenue).count();
             let level = &self.order[at..at + alike.max(1)];
             let shares: f32 = level.iter().map(share).sum();
             let part = ((view - below) / shares.max(1e-6)).clamp(0.0, 1.0);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -50,14 +50,29 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A submission went out to a server of this zone.
-    Sent { zone: ZoneIx },
+    Sent {
+        zone: ZoneIx,
+    },
     /// It is no longer out.
-    Ended { product: ProductIx, zone: ZoneIx, outcome: Outcome, took: Span },
+    Ended {
+        product: ProductIx,
+        zone: ZoneIx,
+        outcome: Outcome,
+        took: Span,
+    },
     /// A waiting txn's client went away, or it was answered otherwise.
-    Left { id: TxnId },
+    Left {
+        id: TxnId,
+    },
     /// Membership tells who is there and at which incarnation; none: no longer.
-    Member { peer: PeerIx, incarnation: Option<u32> },
-    Heard { from: PeerIx, news: News },
+    Member {
+        peer: PeerIx,
+        incarnation: Option<u32>,
+    },
+    Heard {
+        from: PeerIx,
+        news: News,
+    },
     Wake,
 }
 
@@ -88,8 +103,12 @@
 pub enum Decision {
     Admit,
     /// It is kept; `Action::Admit` or `Action::Decline` follows within this.
-    Wait { at_most: Span },
-    Decline { retry_after: Option<Span> },
+    Wait {
+        at_most: Span,
+    },
+    Decline {
+        retry_after: Option<Span>,
+    },
 }
 
 pub struct Admission {
@@ -172,7 +191,8 @@
         }
         let at_most = (sla * PATIENCE - ask.age).min(ask.left);
         let soon = self.gates.opens(ask.product).is_some_and(|after| after <= at_most);
-        let late = self.gates.worth(ask.product, &terms, ask.zones, sla - ask.age - at_most, ask.left - at_most);
+        let late =
+            self.gates.worth(ask.product, &terms, ask.zones, sla - ask.age - at_most, ask.left - at_most);
         if at_most > Span::ZERO && soon && late >= worth / 2.0 {
             let (deadline, until) = (now + (sla - ask.age), now + at_most);
             let (id, product, zones) = (ask.id, ask.product, ask.zones);
@@ -233,7 +253,9 @@
     }
 
     fn ended(&mut self, product: ProductIx, zone: ZoneIx, outcome: Outcome, took: Span) {
-        let (Some(open), Some(terms)) = (self.out.get_mut(zone), self.place.products.get(product)) else { return };
+        let (Some(open), Some(terms)) = (self.out.get_mut(zone), self.place.products.get(product)) else {
+            return;
+        };
         *open = open.saturating_sub(1);
         let answered = matches!(outcome, Outcome::Served | Outcome::Errored | Outcome::Moot);
         if answered {
--- a/crates/admission/src/news.rs
+++ b/crates/admission/src/news.rs
@@ -21,7 +21,9 @@
 pub enum Unreadable {
     #[error("the message is cut short at byte {at}: look for a relay that cuts datagrams under 256 bytes")]
     Short { at: usize },
-    #[error("the message is no admission news (first byte {first:#04x}): look for a stray sender on this port")]
+    #[error(
+        "the message is no admission news (first byte {first:#04x}): look for a stray sender on this port"
+    )]
     Other { first: u8 },
     #[error("admission news of version {version}, this build reads {VERSION}: finish the roll-out")]
     Version { version: u8 },
--- a/crates/admission/src/peers.rs
+++ b/crates/admission/src/peers.rs
@@ -48,7 +48,11 @@
 /// The lower one of an even number: of two, the one that is not absurd.
 fn median(of: &mut [f32]) -> f32 {
     let middle = of.len().saturating_sub(1) / 2;
-    if of.is_empty() { 0.0 } else { *of.select_nth_unstable_by(middle, f32::total_cmp).1 }
+    if of.is_empty() {
+        0.0
+    } else {
+        *of.select_nth_unstable_by(middle, f32::total_cmp).1
+    }
 }
 
 impl Peers {
--- a/crates/admission/src/sketch.rs
+++ b/crates/admission/src/sketch.rs
@@ -85,7 +85,11 @@
                 if at > 0 {
                     sum += self.counts[at - 1];
                 }
-                if total > 0.0 { (sum / total).min(1.0) } else { 1.0 }
+                if total > 0.0 {
+                    (sum / total).min(1.0)
+                } else {
+                    1.0
+                }
             }),
         }
     }
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for all that a gateway meets, and rehearsals made of them. Everything stays on loopback.
 
+pub mod admission;
 pub mod collector;
 pub mod core;
 pub mod flows;
--- a/crates/rehearse/src/main.rs
+++ b/crates/rehearse/src/main.rs
@@ -7,7 +7,7 @@
 use bpaf::Bpaf;
 use harrierdock_rehearse::collector::Road;
 use harrierdock_rehearse::sites::{self, At, Cut, Day};
-use harrierdock_rehearse::{core, flows, membership};
+use harrierdock_rehearse::{admission, core, flows, membership};
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde::Serialize;
 
@@ -28,6 +28,21 @@
         #[bpaf(long("gateways"), argument("N"), fallback(3))]
         gateways: usize,
     },
+    /// Admission in simulated time: the same days in four ways, by revenue against a dispatcher that sees all queues.
+    #[bpaf(command)]
+    Admission {
+        /// The first seed
+        #[bpaf(long("seed"), argument("N"), fallback(1))]
+        seed: u64,
+        /// How many days are played
+        #[bpaf(long("seeds"), argument("N"), fallback(10))]
+        seeds: u64,
+        #[bpaf(long("gateways"), argument("G"), fallback(24))]
+        gateways: usize,
+        /// surge, kill-most or cut; the last two with a surge
+        #[bpaf(long("fault"), argument("KIND"), fallback(admission::Fault::Surge))]
+        fault: admission::Fault,
+    },
     /// Two sites with built gateways on sockets: kills, cuts, losses, drains; then the same with the link off.
     #[bpaf(command)]
     Sites {
@@ -176,6 +191,14 @@
             let found = core::play(seed, seeds, gateways.max(1), |_| bar.inc(1));
             end(&found, found.ok)
         }
+        Command::Admission { seed, seeds, gateways, fault } => {
+            if seeds == 0 || !(1..=admission::MOST_GATEWAYS).contains(&gateways) {
+                return Err(format!("--seeds is above 0, --gateways from 1 to {}", admission::MOST_GATEWAYS));
+            }
+            let bar = bar(seeds);
+            let found = admission::play(seed, seeds, gateways, fault, |n| bar.set_position(n));
+            end(&found, found.ok)
+        }
         Command::Sites {
             seed,
             seconds,
