--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod sketch;
 mod waiting;
 
-use harrierdock::interface::{Outcome, PeerIx, ProductIx, ProductTerms, Repeat, TenantIx, TxnId, ZoneIx};
+use harrierdock::interface::{Group, Outcome, PeerIx, ProductIx, ProductTerms, Repeat, TenantIx, TxnId, ZoneIx};
 use harrierdock::time::{Point, Span};
 use nanorand::{Rng, WyRand};
 
@@ -170,8 +170,11 @@
     /// Decides on a txn at its arrival, or before a further submission.
     pub fn decide(&mut self, now: Point, ask: &Ask) -> Decision {
         let Some(terms) = self.place.products.get(ask.product).copied() else { return Decision::Admit };
-        // Guards once-only txns: what may have run is not declined; it is the module's to see through.
-        if ask.ran && terms.repeat == Repeat::OnceOnly {
+        // Guards once-only txns, and those whose repeats not all servers drop: what may have run is not declined; it is
+        // the module's to see through.
+        let declinable =
+            matches!(terms.repeat, Repeat::InquiryLike | Repeat::Referenced { group: Group::All, .. });
+        if ask.ran && !declinable {
             return Decision::Admit;
         }
         let (sla, revenue) = (terms.sla, terms.revenue);
