--- a/crates/admission/src/fair.rs
+++ b/crates/admission/src/fair.rs
@@ -1,7 +1,7 @@
 //! Shares: how much of each tenant's txns passes where not all can, and how even shares are.
 
-/// The part that passes of each of these, where `part` of all can: those that want less than their share get what
-/// they want, the rest share what is left by their quotas. None told: all alike.
+/// The part that passes of each of these, where `part` of all can: those that want less than their share get
+/// what they want, the rest share what is left by their quotas. None told: all alike.
 pub fn pass(wants: &[f32], quotas: &[f64], part: f32, out: &mut [f32]) {
     let all: f32 = wants.iter().sum();
     out.fill(part.min(1.0));
@@ -10,8 +10,8 @@
     }
     let quota =
         |at: usize| quotas.get(at).copied().filter(|q| *q > 0.0 && q.is_finite()).unwrap_or(1.0) as f32;
-    // Each round, whoever wants no more than its share is served whole; the rest share anew. Ends after as many
-    // rounds as there are tenants at the most.
+    // Each round, whoever wants no more than its share is served whole; the rest share anew. Ends after as
+    // many rounds as there are tenants at the most.
     let mut whole = 0_u32;
     for _ in 0..wants.len() {
         let rest = |at: usize| whole >> at & 1 == 0;
--- a/crates/admission/src/gates.rs
+++ b/crates/admission/src/gates.rs
@@ -1,5 +1,5 @@
-//! What follows from all that is known: the part of each product's txns that passes, by tenant and zone, and the
-//! chance that one makes its deadline. Reckoned at each beat; reading it allocates nothing.
+//! What follows from all that is known: the part of each product's txns that passes, by tenant and zone, and
+//! the chance that one makes its deadline. Reckoned at each beat; reading it allocates nothing.
 
 use harrierdock::interface::{ProductIx, ProductTerms, TenantIx};
 use harrierdock::time::Span;
@@ -9,8 +9,8 @@
 use crate::sketch::{Odds, Sketch};
 use crate::Place;
 
-/// The part of a product's answers that are to be in time where servers are full. A longer queue wastes work on late
-/// answers, a shorter one leaves servers idle.
+/// The part of a product's answers that are to be in time where servers are full. A longer queue wastes work
+/// on late answers, a shorter one leaves servers idle.
 const AIM: f32 = 0.9;
 /// Of the SLA time: bounds of the mean answer time that is aimed at, whatever sketches say.
 const LEAST_AIM: f32 = 0.3;
@@ -26,14 +26,17 @@
 const SOME: f32 = 20.0;
 /// Answers at which what they say counts for half of a new view.
 const SURE: f32 = 15.0;
-/// What is thought of answers of which nothing is known: the mean in SLA times, and how many answers it counts as.
+/// What is thought of answers of which nothing is known: the mean in SLA times, and how many answers it
+/// counts as.
 const PRIOR: f32 = 0.25;
 /// By the age of news in windows: how much sketches widen.
 const WIDENS: f32 = 0.1;
+/// The chance at which a place is likely to come free.
+const LIKELY: f32 = 0.5;
 /// Weight of the newest rise in the running one.
 const LEARN: f32 = 0.5;
-/// How far the view follows the queues, in the delay of what is known over the time in which queues would follow it:
-/// under 1/e nothing swings, past half of pi everything does.
+/// How far the view follows the queues, in the delay of what is known over the time in which queues would
+/// follow it: under 1/e nothing swings, past half of pi everything does.
 const FOLLOWS: f32 = 0.67;
 
 pub struct Gates {
@@ -44,8 +47,9 @@
     view: Option<f32>,
     /// How fast the view rises, a second.
     rise: f32,
-    /// By product: the part that passes, and the view at which all of it does.
+    /// By product: the part that passes, the view from which some does and that at which all of it does.
     part: Vec<f32>,
+    below: Vec<f32>,
     whole: Vec<f32>,
     /// By product and tenant.
     by_tenant: Vec<f32>,
@@ -72,9 +76,8 @@
 
 impl Gates {
     pub fn new(products: &[ProductTerms], zones: usize, tenants: usize) -> Gates {
-        let revenue = |p: &ProductIx| Some(products[*p].revenue).filter(|r| r.is_finite()).unwrap_or(0.0);
         let mut order: Vec<ProductIx> = (0..products.len()).collect();
-        order.sort_by(|a, b| revenue(b).total_cmp(&revenue(a)));
+        order.sort_by(|a, b| products[*b].revenue.total_cmp(&products[*a].revenue));
         let count = products.len();
         Gates {
             order,
@@ -83,6 +86,7 @@
             view: None,
             rise: 0.0,
             part: vec![1.0; count],
+            below: vec![0.0; count],
             whole: vec![1.0; count],
             by_tenant: vec![1.0; count * tenants],
             ease: vec![1.0; zones],
@@ -119,8 +123,8 @@
         }
     }
 
-    /// What part of its revenue a txn is likely to bring: the chance of an answer within the SLA time, and what a
-    /// late one is worth, in the best of these zones.
+    /// What part of its revenue a txn is likely to bring: the chance of an answer within the SLA time, and
+    /// what a late one is worth, in the best of these zones.
     pub fn worth(
         &self,
         product: ProductIx,
@@ -141,10 +145,13 @@
         best
     }
 
-    /// How soon all of this product's txns are likely to pass; none if that is not in sight.
+    /// How soon half of those of this product that do not pass now are likely to; none if that is not in
+    /// sight.
     pub fn opens(&self, product: ProductIx) -> Option<Span> {
-        let lacks = self.whole[product] - self.view?;
-        (self.rise > 0.0).then(|| Span::secs(f64::from((lacks / self.rise).clamp(0.0, 60.0))))
+        let (view, whole) = (self.view?, self.whole[product]);
+        let half = whole - LIKELY * (whole - view.max(self.below[product]));
+        let after = (half - view) / self.rise.max(f32::MIN_POSITIVE);
+        (self.rise > 0.0 && after >= 0.0).then(|| Span::secs(f64::from(after.min(60.0))))
     }
 
     /// How long until the servers' queues are as they are wanted.
@@ -199,8 +206,8 @@
         times / f32::max(counts, 1e-3)
     }
 
-    /// Moves the view by what is seen, the more the more that was; few answers say what is mostly chance. Whoever
-    /// has just started goes by what peers hold.
+    /// Moves the view by what is seen, the more the more that was; few answers say what is mostly chance.
+    /// Whoever has just started goes by what peers hold.
     fn follow(&mut self, seen: Option<f32>, sure: f32, young: bool, since: Span, sum: &Sum) {
         let before = if young { sum.view.or(self.view) } else { self.view.or(sum.view) };
         let Some(before) = before.or(seen) else {
@@ -246,12 +253,13 @@
             let level = &self.order[at..at + alike.max(1)];
             let shares: f32 = level.iter().map(share).sum();
             let part = ((view - below) / shares.max(1e-6)).clamp(0.0, 1.0);
-            below += shares;
             for product in level {
-                (self.part[*product], self.whole[*product]) = (part, below);
+                (self.part[*product], self.below[*product]) = (part, below);
+                self.whole[*product] = below + shares;
                 let row = product * self.tenants..(product + 1) * self.tenants;
                 fair::pass(&sum.figures.tenants, &place.tenant_quotas, part, &mut self.by_tenant[row]);
             }
+            below += shares;
             at += alike.max(1);
         }
     }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,8 +1,9 @@
-//! Admission by deadline over all gateways: what is let in, kept waiting or declined at once, so that what is sent
-//! makes its deadline. `Admission::new` makes one gateway's part; `take(now, event)` tells it what happened and
-//! gives back what it asks for; `decide(now, ask)` says at once what is to become of a txn, and allocates nothing.
-//! No I/O, no clock of its own, chance by the told seed. `sketch` keeps answer times, `news` is what gateways tell each
-//! other, `peers` what was heard of it, `gates` what follows for each product.
+//! Admission by deadline over all gateways: what is let in, kept waiting or declined at once, so that what is
+//! sent makes its deadline. `Admission::new` makes one gateway's part; `take(now, event)` tells it what
+//! happened and gives back what it asks for; `decide(now, ask)` says at once what is to become of a txn, and
+//! allocates nothing. No I/O, no clock of its own, chance by the told seed. `sketch` keeps answer times,
+//! `news` is what gateways tell each other, `peers` what was heard of it, `gates` what follows for each
+//! product.
 
 pub mod fair;
 pub mod gates;
@@ -11,13 +12,16 @@
 pub mod sketch;
 mod waiting;
 
-use harrierdock::interface::{Group, Outcome, PeerIx, ProductIx, ProductTerms, Repeat, TenantIx, TxnId, ZoneIx};
+use harrierdock::interface::{
+    Group, Outcome, PeerIx, ProductIx, ProductTerms, Repeat, TenantIx, TxnId, ZoneIx,
+};
 use harrierdock::time::{Point, Span};
 use nanorand::{Rng, WyRand};
 
 use gates::Gates;
 use news::{Figures, News, MOST_PRODUCTS, MOST_TENANTS, MOST_ZONES};
 use peers::{Peers, Sum};
+pub use peers::{MOST_HEARD, MOST_MEMBERS};
 pub use waiting::MOST_WAITING;
 use waiting::{Waiter, Waiting};
 
@@ -137,6 +141,10 @@
         place.zones = place.zones.clamp(1, MOST_ZONES);
         for product in &mut place.products {
             product.sla = product.sla.max(Span(1000));
+            // Guards against terms that are no numbers: such a product is worth nothing, and late nothing
+            // too.
+            product.revenue = Some(product.revenue).filter(|r| r.is_finite()).unwrap_or(0.0);
+            product.late_worth = Some(product.late_worth).filter(|w| w.is_finite()).unwrap_or(0.0);
         }
         let (products, zones, tenants) = (place.products.len(), place.zones, place.tenant_quotas.len());
         let mut chance = WyRand::new_seed(place.seed);
@@ -167,11 +175,16 @@
         self.waiting.len()
     }
 
+    /// Members known, and those of them whose news is kept.
+    pub fn peers(&self) -> (usize, usize) {
+        (self.peers.count(), self.peers.heard())
+    }
+
     /// Decides on a txn at its arrival, or before a further submission.
     pub fn decide(&mut self, now: Point, ask: &Ask) -> Decision {
         let Some(terms) = self.place.products.get(ask.product).copied() else { return Decision::Admit };
-        // Guards once-only txns, and those whose repeats not all servers drop: what may have run is not declined; it is
-        // the module's to see through.
+        // Guards once-only txns, and those whose repeats not all servers drop: what may have run is not
+        // declined; it is the module's to see through.
         let declinable =
             matches!(terms.repeat, Repeat::InquiryLike | Repeat::Referenced { group: Group::All, .. });
         if ask.ran && !declinable {
@@ -189,7 +202,8 @@
         if ask.left <= Span::ZERO || worth < NEVER {
             return self.decline();
         }
-        if self.passes(now, ask.product, tenant, ask.zones) {
+        let part = self.part(now, ask.product, tenant, ask.zones);
+        if self.passes(part, ask.product, tenant) {
             return Decision::Admit;
         }
         let at_most = (sla * PATIENCE - ask.age).min(ask.left);
@@ -199,7 +213,7 @@
         if at_most > Span::ZERO && soon && late >= worth / 2.0 {
             let (deadline, until) = (now + (sla - ask.age), now + at_most);
             let (id, product, zones) = (ask.id, ask.product, ask.zones);
-            if self.waiting.push(Waiter { id, product, tenant, zones, revenue, deadline, until }) {
+            if self.waiting.push(Waiter { id, product, tenant, zones, part, revenue, deadline, until }) {
                 return Decision::Wait { at_most };
             }
         }
@@ -217,15 +231,20 @@
         Some((least.max(self.gates.drains()) * spread).max(least).min(least + self.shortest * MEMORY))
     }
 
-    /// Lets this part of a product's txns through, evenly: what is left over counts for the next.
-    fn passes(&mut self, now: Point, product: ProductIx, tenant: Option<TenantIx>, zones: u8) -> bool {
-        let mut part = self.gates.part(product, tenant, zones);
-        // Guards against a gateway that was stopped and goes on with what it held before: that loses its weight, as no
-        // beat has come since. Harms by letting in too much where beats are late in a jam.
+    /// The part of such txns that passes now.
+    fn part(&self, now: Point, product: ProductIx, tenant: Option<TenantIx>, zones: u8) -> f32 {
+        let part = self.gates.part(product, tenant, zones);
+        // Guards against a gateway that was stopped and goes on with what it held before: that loses its
+        // weight, as no beat has come since. Harms by letting in too much where beats are late in a jam.
         let age = self.beat.map_or(Span::ZERO, |b| now - b).over(self.shortest);
         if age > WINDOW {
-            part = part.max(f32::MIN_POSITIVE).powf((-age).exp() as f32);
+            return part.max(f32::MIN_POSITIVE).powf((-age).exp() as f32);
         }
+        part
+    }
+
+    /// Lets this part of a product's txns through, evenly: what is left over counts for the next.
+    fn passes(&mut self, part: f32, product: ProductIx, tenant: Option<TenantIx>) -> bool {
         let row = product * (self.own.tenants.len() + 1);
         let credit = &mut self.credit[row + tenant.map_or(0, |t| t + 1)];
         *credit = (*credit + part).min(2.0);
@@ -276,7 +295,7 @@
         let beat = self.shortest * BEAT;
         let since = self.beat.map_or(beat, |b| now - b).max(Span::ZERO);
         if since < beat / 2.0 {
-            return;
+            return self.look(now, out);
         }
         self.beat = Some(now);
         let fades = |over: f64| (-since.over(self.shortest * over)).exp() as f32;
@@ -299,19 +318,24 @@
         self.gates.turn(&self.place, self.shortest * WINDOW, since, !old, &mut self.sum);
         self.look(now, out);
         self.tell(old, out);
-        // A beat of another length for each: gateways do not act in step.
-        out.push(Action::Wake { after: beat * (0.9 + 0.2 * self.chance.generate::<f64>()) });
+        // A beat of another length each time: gateways do not act in step. None is longer than the shortest
+        // wait.
+        out.push(Action::Wake { after: beat * (0.8 + 0.2 * self.chance.generate::<f64>()) });
     }
 
-    /// Those that wait, the dearest and most pressing first: whoever passes is admitted, whoever has waited long enough is
-    /// told to come back.
+    /// Those that wait, the dearest and most pressing first: whoever passes is admitted, whoever has waited
+    /// long enough is told to come back.
     fn look(&mut self, now: Point, out: &mut Vec<Action>) {
         if self.waiting.is_empty() {
             return;
         }
         let mut waiting = std::mem::take(&mut self.waiting);
-        let find = |w: &Waiter| {
-            if now < w.until && self.passes(now, w.product, w.tenant, w.zones) {
+        let find = |w: &mut Waiter| {
+            // It has had its chance at what passed then; now at what passes more.
+            let part = self.part(now, w.product, w.tenant, w.zones);
+            let more = (part - w.part).max(0.0) / (1.0 - w.part).max(f32::EPSILON);
+            w.part = w.part.max(part);
+            if now <= w.until && more > 0.0 && self.passes(more, w.product, w.tenant) {
                 return Some(Action::Admit { id: w.id });
             }
             let over = now + self.shortest * BEAT > w.until;
--- a/crates/admission/src/news.rs
+++ b/crates/admission/src/news.rs
@@ -1,5 +1,6 @@
-//! What gateways tell each other, and its form: at most 256 bytes, the first of which no text mail begins with.
-//! Counts are written as logarithms in a byte, so nothing absurd fits: no NaN, nothing negative, no infinity.
+//! What gateways tell each other, and its form: at most 256 bytes, the first of which no text mail begins
+//! with. Counts are written as logarithms in a byte, so nothing absurd fits: no NaN, nothing negative, no
+//! infinity.
 
 use thiserror::Error;
 
@@ -29,7 +30,9 @@
     Version { version: u8 },
     #[error("the message is garbled: look at the line to its sender if this goes on")]
     Garbled,
-    #[error("news of {products} products, {zones} zones and {tenants} tenants: give all gateways the same settings")]
+    #[error(
+        "news of {products} products, {zones} zones, {tenants} tenants: give all gateways the same settings"
+    )]
     Size { products: usize, zones: usize, tenants: usize },
 }
 
@@ -106,7 +109,8 @@
     out.extend(codes.iter().filter(|c| **c > 0));
 }
 
-/// Writes the figures, and the sketches from number `turn` on as far as they fit; gives back whose turn is next.
+/// Writes the figures, and the sketches from number `turn` on as far as they fit; gives back whose turn is
+/// next.
 pub fn write(news: &News, figures: &Figures, turn: usize) -> (Vec<u8>, usize) {
     let mut out = vec![MARK, VERSION];
     out.extend_from_slice(&news.incarnation.to_le_bytes());
--- a/crates/admission/src/peers.rs
+++ b/crates/admission/src/peers.rs
@@ -8,12 +8,12 @@
 use crate::news::{Figures, News};
 
 /// Peers whose figures are kept: more than are heard while news counts.
-const MOST_HEARD: usize = 48;
+pub const MOST_HEARD: usize = 48;
 /// Members known: as many as the largest fleet has, and room.
 pub const MOST_MEMBERS: usize = 1024;
-/// Guards against one gateway that moves the rest, by mistake or absurd figures: no count of its counts for more than
-/// this many times the median of all heard, and some for chance. Harms where a single gateway has most of the traffic:
-/// its news counts for less than it is worth; its own figures are whole to itself.
+/// Guards against one gateway that moves the rest, by mistake or absurd figures: no count of its counts for
+/// more than this many times the median of all heard, and some for chance. Harms where a single gateway has
+/// most of the traffic: its news counts for less than it is worth; its own figures are whole to itself.
 const MOST_TIMES: f32 = 2.0;
 
 #[derive(Debug)]
@@ -77,12 +77,16 @@
         self.members.len()
     }
 
+    pub fn heard(&self) -> usize {
+        self.heard.len()
+    }
+
     pub fn nth(&self, at: usize) -> Option<PeerIx> {
         self.members.keys().nth(at).copied()
     }
 
-    /// Takes news in. What is old, doubled, of an unknown member or of another incarnation changes nothing, nor does
-    /// what was written for other products, zones or tenants.
+    /// Takes news in. What is old, doubled, of an unknown member or of another incarnation changes nothing,
+    /// nor does what was written for other products, zones or tenants.
     pub fn hear(&mut self, now: Point, from: PeerIx, news: News, like: &Figures) -> bool {
         let Some((incarnation, last)) = self.members.get_mut(&from) else { return false };
         let fits = news.offered.len() == like.offered.len()
@@ -118,8 +122,8 @@
         true
     }
 
-    /// Adds up own figures and what was heard: each by its counts, its age and at most its bounded part. News fades
-    /// over `fades` and is forgotten after four of those.
+    /// Adds up own figures and what was heard: each by its counts, its age and at most its bounded part. News
+    /// fades over `fades` and is forgotten after four of those.
     pub fn sum(&mut self, now: Point, own: &Figures, fades: Span, sum: &mut Sum) {
         self.heard.retain(|_, h| now - h.at < fades * 4.0);
         sum.figures.clone_from(own);
--- a/crates/admission/src/sketch.rs
+++ b/crates/admission/src/sketch.rs
@@ -1,6 +1,6 @@
-//! Answer times of one product in one zone, as parts of its SLA time, in buckets a third of an octave wide. Slack is
-//! what is left of the SLA time (or of the expiry) at the answer. Sketches add up bucket by bucket, fade by
-//! a factor and widen by letting mass seep into the neighbours, each without allocating.
+//! Answer times of one product in one zone, as parts of its SLA time, in buckets a third of an octave wide.
+//! Slack is what is left of the SLA time (or of the expiry) at the answer. Sketches add up bucket by bucket,
+//! fade by a factor and widen by letting mass seep into the neighbours, each without allocating.
 
 use std::array::from_fn;
 
@@ -40,8 +40,8 @@
         self.counts.iter_mut().zip(&other.counts).for_each(|(c, o)| *c += o * weight);
     }
 
-    /// What is old is less sure: the part `by` of each bucket, half at the most, goes to its neighbours. The total
-    /// stays; what would leave at an end stays there.
+    /// What is old is less sure: the part `by` of each bucket, half at the most, goes to its neighbours. The
+    /// total stays; what would leave at an end stays there.
     pub fn widen(&mut self, by: f32) {
         let seeps = 0.5 * by.clamp(0.0, 0.5);
         let old = self.counts;
--- a/crates/admission/src/waiting.rs
+++ b/crates/admission/src/waiting.rs
@@ -12,6 +12,8 @@
     pub product: ProductIx,
     pub tenant: Option<TenantIx>,
     pub zones: u8,
+    /// The part that passed when it came.
+    pub part: f32,
     pub revenue: f64,
     /// When its SLA time is up, and when its wait is.
     pub deadline: Point,
@@ -46,8 +48,8 @@
     }
 
     /// Goes through all in order; those for whom something is found leave.
-    pub fn look<T>(&mut self, mut find: impl FnMut(&Waiter) -> Option<T>, out: &mut Vec<T>) {
-        self.all.retain(|waiter| match find(waiter) {
+    pub fn look<T>(&mut self, mut find: impl FnMut(&mut Waiter) -> Option<T>, out: &mut Vec<T>) {
+        self.all.retain_mut(|waiter| match find(waiter) {
             Some(found) => {
                 out.push(found);
                 false
--- a/crates/rehearse/src/admission/day.rs
+++ b/crates/rehearse/src/admission/day.rs
@@ -1,5 +1,5 @@
-//! One day of the rehearsal of admission, drawn by the seed and the same for every way it is played: who comes when, what
-//! it costs a server, and what fails.
+//! One day of the rehearsal of admission, drawn by the seed and the same for every way it is played: who
+//! comes when, what it costs a server, and what fails.
 
 use std::fmt;
 use std::str::FromStr;
--- a/crates/rehearse/src/admission/mod.rs
+++ b/crates/rehearse/src/admission/mod.rs
@@ -33,7 +33,8 @@
 #[derive(Debug, Default, Serialize)]
 pub struct Played {
     pub way: &'static str,
-    /// Revenue over that of the dispatcher that sees all queues: the whole day, and txns of the trouble alone.
+    /// Revenue over that of the dispatcher that sees all queues: the whole day, and txns of the trouble
+    /// alone.
     pub share: Spread,
     pub share_in_trouble: Spread,
     pub late_share: f64,
--- a/crates/rehearse/src/admission/txns.rs
+++ b/crates/rehearse/src/admission/txns.rs
@@ -74,7 +74,8 @@
         self.sums.declined += usize::from(self.counted(txn));
     }
 
-    /// Two servers by chance, the one that holds less of this gateway's. Limits count but where slack is shared.
+    /// Two servers by chance, the one that holds less of this gateway's. Limits count but where slack is
+    /// shared.
     pub(super) fn place(&mut self, txn: usize) {
         let limits = self.way != Way::Shared;
         let gateway = &self.gateways[self.txns[txn].gateway];
--- a/crates/rehearse/src/admission/ways.rs
+++ b/crates/rehearse/src/admission/ways.rs
@@ -1,5 +1,5 @@
-//! The ways a day is played: each gateway for itself, departure I, slack shared by all, and one dispatcher that sees
-//! every queue. The rules of the first two are those of the module, in few lines.
+//! The ways a day is played: each gateway for itself, departure I, slack shared by all, and one dispatcher
+//! that sees every queue. The rules of the first two are those of the module, in few lines.
 
 use std::collections::VecDeque;
 
@@ -53,7 +53,8 @@
     }
 }
 
-/// Departure I at one gateway: what it told last, what its speaker told it, and its circle if it is a speaker.
+/// Departure I at one gateway: what it told last, what its speaker told it, and its circle if it is a
+/// speaker.
 #[derive(Clone, Debug, Default)]
 pub struct Circle {
     pub shed: f64,
--- a/crates/rehearse/src/admission/world.rs
+++ b/crates/rehearse/src/admission/world.rs
@@ -1,5 +1,5 @@
-//! A day in simulated time: servers with slots, a queue in order and work that is dropped once expired; gateways that
-//! draw two servers and take the one that holds less of theirs.
+//! A day in simulated time: servers with slots, a queue in order and work that is dropped once expired;
+//! gateways that draw two servers and take the one that holds less of theirs.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -70,7 +70,8 @@
     pub bytes: usize,
     /// Admitted in each tenth of a second.
     pub tenths: Vec<f64>,
-    /// By revenue (the cheap first) and tenant, and by gateway, in the trouble: those offered and those served in time.
+    /// By revenue (the cheap first) and tenant, and by gateway, in the trouble: those offered and those
+    /// served in time.
     pub tenants: [Vec<(f64, f64)>; 2],
     pub gateways: Vec<(f64, f64)>,
 }
