--- a/crates/gateway/tests/fleet_file.rs
+++ b/crates/gateway/tests/fleet_file.rs
@@ -102,6 +102,7 @@
     let sample: Value = serde_json::from_str(&fs::read_to_string(path).unwrap()).unwrap();
     for ix in 0..5 {
         let mut told = told(&format!("n{ix}"), ix);
+        told["settings"]["balancers"] = 5.into();
         told["peers"] = (1..=5).map(|n| json!(format!("127.0.0.1:{n}"))).collect();
         let said = check(&folder, &told, &sample["fleet"]);
         assert!(said.starts_with(&format!("0 n{ix} shares steward with 5 gateways")), "{said}");
