--- /dev/null
+++ b/crates/attempts/src/lib.rs
@@ -0,0 +1,7 @@
+//! Decides at the moment at which an attempt is about to be written, without I/O: whether that on which it was decided
+//! still holds. Between the decision and the first byte lies the making of a connection, in which a list, news,
+//! another txn's answer or the client's leaving may come.
+
+mod condition;
+
+pub use condition::{Condition, Lapse, Standing};
--- /dev/null
+++ b/crates/gateway/src/attempts.rs
@@ -0,0 +1,98 @@
+//! Attempts of txns at servers: from what the module asks for to the first byte, and what may come between.
+
+use harrierdock::interface::{Outcome, ProductTerms, Repeat, ServerIx, TxnId};
+use harrierdock::time::{Point, Span};
+use harrierdock_attempts::{Condition, Lapse, Standing};
+use harrierdock_net::ConnectionNo;
+
+use crate::book::{Entry, Sent};
+use crate::counters::Count;
+use crate::driver::Driver;
+use crate::gateway::Gateway;
+use crate::room::{Asked, Notice};
+
+impl Driver {
+    /// What an attempt of this txn at this server, decided on now, is decided on.
+    fn condition(&self, entry: &Entry, server: ServerIx) -> Condition {
+        let listed = self.module.servers.get(&server);
+        let build = listed.map_or(0, |s| s.listed.build);
+        Condition {
+            build,
+            started: listed.and_then(|s| s.started),
+            cap: self.module.cap_of(build),
+            repeat_until: entry.repeat_until(self.module.terms.products.get(entry.product), self.tick),
+        }
+    }
+
+    /// Why this attempt, of which nothing has been written, may not be any more. `placed`: its connection leads to
+    /// where the server is listed now.
+    fn lapse(&self, now: Point, id: TxnId, attempt: usize, placed: bool) -> Option<Lapse> {
+        let Some(entry) = self.book.get(&id) else { return Some(Lapse::Closed) };
+        let sent = entry.sent.get(attempt)?;
+        let server = self.module.servers.get(&sent.server).filter(|_| placed);
+        sent.condition.lapse(&Standing {
+            now,
+            closed: entry.answered,
+            listed: server.map(|s| (s.listed.lifecycle, s.listed.build, s.started)),
+            cap: self.module.cap_of(sent.condition.build),
+            pin: entry.key.map_or(0, |key| self.pin_of(key)),
+        })
+    }
+}
+
+impl Entry {
+    /// From when on servers would no longer drop a repeat: none if there is nothing to drop, or no need to.
+    fn repeat_until(&self, product: Option<&ProductTerms>, tick: Span) -> Option<Point> {
+        let Some(Repeat::Referenced { memory, .. }) = product.map(|p| p.repeat) else { return None };
+        let first = self.sent.iter().find(|s| !s.never_ran)?;
+        Some(first.at + memory - tick)
+    }
+}
+
+impl Gateway {
+    pub fn submit(&mut self, now: Point, id: TxnId, server: ServerIx, timeout: Span) {
+        let Some(condition) = self.driver.book.get(&id).map(|e| self.driver.condition(e, server)) else {
+            return self.room.counters.must(false, "a submission is of a txn in the book");
+        };
+        let Some(entry) = self.driver.book.get_mut(&id) else { return };
+        let attempt = entry.sent.len();
+        entry.sent.push(Sent { server, at: now, condition, out: true, never_ran: false, octets: 0 });
+        let left = entry.expiry - self.room.clock.now();
+        let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
+        let spent = entry.answered || attempt >= self.driver.most_attempts || wait <= Span::ZERO;
+        if !spent && self.room.descriptors.spare() == 0 && !self.servers.keeps(server) {
+            self.make_room();
+        }
+        let inward = self.is_inward(id);
+        let Gateway { clients, servers, room, across, .. } = self;
+        let mut octets = 0;
+        let submit = |asked: Asked<'_>| {
+            octets = asked.body.len();
+            servers.submit(room, (id, attempt), server, wait, &asked)
+        };
+        let sent = match across {
+            _ if spent => None,
+            Some(across) if inward => across.asked(id, submit),
+            _ => clients.asked(id, submit),
+        };
+        if let Some(sent) = self.driver.book.get_mut(&id).and_then(|e| e.sent.get_mut(attempt)) {
+            sent.octets = octets;
+        }
+        if let Err(outcome) = sent.unwrap_or(Err(Outcome::Moot)) {
+            self.room.tell(Notice::Closed { id, attempt, outcome, told: None });
+        }
+    }
+
+    /// Guards every rule that binds the moment of writing: what is not all written when its condition lapses is
+    /// given up, on a connection that has just come up as on one that takes no more for now. It has never run.
+    pub fn withdraw_lapsed(&mut self, no: ConnectionNo) {
+        let Some(unwritten) = self.servers.unwritten(no) else { return };
+        let now = self.room.now();
+        let lapse = self.driver.lapse(now, unwritten.id, unwritten.attempt, unwritten.placed);
+        if let Some(lapse) = lapse {
+            tracing::debug!("servers: an attempt is not written: {lapse:?}");
+            self.room.counters.add(Count::Lapsed);
+            self.servers.withdraw(&mut self.room, no);
+        }
+    }
+}
--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -2,10 +2,13 @@
 
 use harrierdock::interface::{Key, ProductIx, ServerIx};
 use harrierdock::time::Point;
+use harrierdock_attempts::Condition;
 
 pub struct Sent {
     pub server: ServerIx,
     pub at: Point,
+    /// What it was decided on.
+    pub condition: Condition,
     pub out: bool,
     /// It never ran, for certain.
     pub never_ran: bool,
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -24,6 +24,7 @@
     ServersConnected,
     Reused,
     KeptWasClosed,
+    Lapsed,
     Lists,
     LinesRefused,
     StreamsOpened,
@@ -46,7 +47,7 @@
     Broken,
 }
 
-const NAMES: [(Count, &str); 38] = [
+const NAMES: [(Count, &str); 39] = [
     (Count::Taken, "taken"),
     (Count::Settled, "settled"),
     (Count::Declined, "declined"),
@@ -66,6 +67,7 @@
     (Count::ServersConnected, "servers-connected"),
     (Count::Reused, "reused"),
     (Count::KeptWasClosed, "kept-was-closed"),
+    (Count::Lapsed, "lapsed"),
     (Count::Lists, "lists"),
     (Count::LinesRefused, "lines-refused"),
     (Count::StreamsOpened, "streams-opened"),
--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -11,26 +11,28 @@
 use harrierdock_sites::{Ending, Event as Crossing};
 use harrierdock_terms::Names;
 
-use crate::book::{Entry, Sent, Whereabouts};
+use crate::book::{Entry, Whereabouts};
 use crate::clients::Answer;
 use crate::counters::Count;
 use crate::due::Due;
 use crate::export::Submission;
 use crate::gateway::Gateway;
-use crate::room::{Asked, Notice};
+use crate::room::Notice;
 
 pub struct Driver {
-    module: policy::Gateway,
+    pub module: policy::Gateway,
     pub names: Names,
-    book: BTreeMap<TxnId, Entry>,
-    attempts: usize,
-    tick: Span,
+    pub book: BTreeMap<TxnId, Entry>,
+    /// How many attempts a txn may have.
+    pub most_attempts: usize,
+    pub tick: Span,
 }
 
 impl Driver {
     pub fn new(terms: Terms, names: Names, seed: u64) -> Driver {
-        let (attempts, tick) = (terms.limits.attempts, terms.tick);
-        Driver { module: policy::Gateway::new(terms, seed), names, book: BTreeMap::new(), attempts, tick }
+        let (most_attempts, tick) = (terms.limits.attempts, terms.tick);
+        let module = policy::Gateway::new(terms, seed);
+        Driver { module, names, book: BTreeMap::new(), most_attempts, tick }
     }
 
     /// The build that this key stays with.
@@ -202,7 +204,7 @@
         export.submission(now, &of);
     }
 
-    fn is_inward(&self, id: TxnId) -> bool {
+    pub fn is_inward(&self, id: TxnId) -> bool {
         self.driver.book.get(&id).is_some_and(|e| e.inward)
     }
 
@@ -306,38 +308,6 @@
         self.strike(id);
     }
 
-    fn submit(&mut self, now: Point, id: TxnId, server: ServerIx, timeout: Span) {
-        let Some(entry) = self.driver.book.get_mut(&id) else {
-            return self.room.counters.must(false, "a submission is of a txn in the book");
-        };
-        let attempt = entry.sent.len();
-        entry.sent.push(Sent { server, at: now, out: true, never_ran: false, octets: 0 });
-        let left = entry.expiry - self.room.clock.now();
-        let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
-        let spent = entry.answered || attempt >= self.driver.attempts || wait <= Span::ZERO;
-        if !spent && self.room.descriptors.spare() == 0 && !self.servers.keeps(server) {
-            self.make_room();
-        }
-        let inward = self.is_inward(id);
-        let Gateway { clients, servers, room, across, .. } = self;
-        let mut octets = 0;
-        let submit = |asked: Asked<'_>| {
-            octets = asked.body.len();
-            servers.submit(room, (id, attempt), server, wait, &asked)
-        };
-        let sent = match across {
-            _ if spent => None,
-            Some(across) if inward => across.asked(id, submit),
-            _ => clients.asked(id, submit),
-        };
-        if let Some(sent) = self.driver.book.get_mut(&id).and_then(|e| e.sent.get_mut(attempt)) {
-            sent.octets = octets;
-        }
-        if let Err(outcome) = sent.unwrap_or(Err(Outcome::Moot)) {
-            self.room.tell(Notice::Closed { id, attempt, outcome, told: None });
-        }
-    }
-
     /// Guards the rule that no txn is lost, should the module ever leave one without an answer.
     pub fn overdue(&mut self, id: TxnId) {
         self.room.counters.must(false, "a txn has its answer by its expiry");
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,6 +2,7 @@
 //! alone speaks with the module.
 
 mod across;
+mod attempts;
 mod book;
 mod clients;
 mod command_line;
--- /dev/null
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -0,0 +1,181 @@
+//! Crossings: what comes between the decision on an attempt and its first byte. A server holds back the coming up of
+//! the connection until the program has shown that it took in the other event; docs/design/crossings.md has the list.
+
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use crate::support::*;
+
+/// A server whose connections do not come up until it is told to let them.
+struct Held {
+    listener: TcpListener,
+    queue: Vec<TcpStream>,
+}
+
+impl Held {
+    fn new() -> Held {
+        let (listener, queue) = full_server();
+        Held { listener, queue }
+    }
+
+    fn member(&self, phase: &str, build: u32) -> Value {
+        member("s-1", self.listener.local_addr().unwrap(), phase, build)
+    }
+
+    /// Lets the connections come up. Gives back how many bytes were written on the gateway's first.
+    fn come_up(&mut self) -> usize {
+        self.queue.drain(..).for_each(|_| drop(self.listener.accept().unwrap()));
+        let mut late = self.listener.accept().unwrap().0;
+        late.set_read_timeout(Some(BOUND)).unwrap();
+        let mut written = Vec::new();
+        // Ends once the gateway closes it; what was written waits for an answer and would end with the bound.
+        match late.read_to_end(&mut written) {
+            Ok(_) => written.len(),
+            Err(e) => panic!("{e}, after {:?}", String::from_utf8_lossy(&written)),
+        }
+    }
+}
+
+/// Asks, and comes back once the attempt's connection is being made: its bytes were there before these calls came.
+fn ask_held(gateway: &Gateway, product: &str, id: &str) -> Caller {
+    let mut caller = gateway.caller();
+    caller.say(txn(product, id, 9000));
+    turn(gateway);
+    caller
+}
+
+/// Lets the gateway's loop go round, so that it has taken in what was sent before.
+fn turn(gateway: &Gateway) {
+    (0..3).for_each(|_| drop(gateway.caller().ask("GET /ready HTTP/1.1\r\n\r\n")));
+}
+
+/// Connections may take longer to come up than anything else here.
+fn patient(told: &mut Value) {
+    told["settings"]["limits"]["connect_timeout"] = 9_000_000.into();
+    told["settings"]["limits"]["conn_idle"] = 20_000_000.into();
+}
+
+const COUNTS: [&str; 5] = ["settled", "declined", "left", "moot", "lapsed"];
+
+#[test]
+fn nothing_is_written_to_a_server_that_was_told_to_drain_while_its_connection_came_up() {
+    for phase in ["draining", "gone"] {
+        let (discovery, say) = discovery(&Trace::default());
+        let mut held = Held::new();
+        let mut told = configuration(discovery, &[held.member("ready", 41)]);
+        patient(&mut told);
+        let gateway = start(&told);
+        let mut caller = ask_held(&gateway, "lodge", "aa");
+        say.send(list(42, false, &[held.member(phase, 41)]).to_string()).unwrap();
+        gateway.line("discovery: list 42 ");
+        assert_eq!(held.come_up(), 0);
+        assert_eq!(caller.hear(), "503 Retry-After: 1.5");
+        assert_eq!(gateway.end(&COUNTS), "declined=1 moot=1 lapsed=1");
+    }
+}
+
+#[test]
+fn nothing_is_written_to_another_build_that_took_the_address_while_its_connection_came_up() {
+    let trace = Trace::default();
+    let (discovery, say) = discovery(&trace);
+    let mut held = Held::new();
+    let mut told = configuration(discovery, &[held.member("ready", 41)]);
+    patient(&mut told);
+    // Nothing may be sent to the new build yet.
+    let capped = json!({"image": 42, "ring": 0, "progress": "trial", "ceiling": 0.0, "lag_ms": 100});
+    told["rollouts"] = json!({"address": silent(), "news": capped});
+    let gateway = start(&told);
+    let mut caller = ask_held(&gateway, "lodge", "aa");
+    say.send(list(42, false, &[held.member("ready", 42)]).to_string()).unwrap();
+    gateway.line("discovery: list 42 ");
+    assert_eq!(held.come_up(), 0);
+    assert_eq!(caller.hear(), "503 Retry-After: 1.5");
+    assert_eq!(gateway.end(&COUNTS), "declined=1 moot=1 lapsed=1");
+}
+
+#[test]
+fn nothing_is_written_for_a_client_that_left_while_the_connection_came_up() {
+    let mut held = Held::new();
+    let mut told = configuration(silent(), &[held.member("ready", 41)]);
+    patient(&mut told);
+    // Where nothing that was sent may be called back, what was not sent need not be sent.
+    told["settings"]["limits"]["cancel"] = false.into();
+    let gateway = start(&told);
+    drop(ask_held(&gateway, "lodge", "aa"));
+    turn(&gateway);
+    assert_eq!(held.come_up(), 0);
+    assert_eq!(gateway.end(&COUNTS), "left=1 moot=1 lapsed=1");
+}
+
+#[test]
+fn nothing_is_written_to_a_build_whose_cap_was_lowered_while_its_connection_came_up() {
+    let trace = Trace::default();
+    let (platform, say) = platform(&trace, &[], Some("{}"));
+    let mut held = Held::new();
+    let mut told = configuration(silent(), &[held.member("ready", 42)]);
+    patient(&mut told);
+    told["settings"]["family_info"]["decided_by"] = "clocked".into();
+    told["rollouts"] = json!({"address": platform, "news": news(42, 0, "trial")});
+    let gateway = start(&told);
+    trace.wait("platform: events", 1);
+    let mut caller = ask_held(&gateway, "lodge", "aa");
+    let lowered = json!({"image": 42, "ring": 0, "progress": "rolling_back", "ceiling": 0.0, "lag_ms": 0});
+    say.send(json!({"type": "news", "object": lowered}).to_string()).unwrap();
+    gateway.line("RollingBack");
+    assert_eq!(held.come_up(), 0);
+    assert_eq!(caller.hear(), "503 Retry-After: 1.5");
+    assert_eq!(gateway.end(&COUNTS), "declined=1 moot=1 lapsed=1");
+}
+
+#[test]
+fn nothing_is_written_to_an_earlier_build_for_a_key_that_a_later_one_answered_meanwhile() {
+    let trace = Trace::default();
+    let (discovery, say) = discovery(&trace);
+    let mut held = Held::new();
+    let two = server("two", &trace, &[Way::Settle]);
+    let mut told = configuration(discovery, &[held.member("ready", 41)]);
+    patient(&mut told);
+    told["settings"]["family_info"]["one_way"] = true.into();
+    told["rollouts"] = json!({"address": silent(), "news": news(42, 0, "trial")});
+    let gateway = start(&told);
+    // As many as a server may hold that has shown nothing yet, all of one key.
+    let callers: Vec<Caller> = ["a1", "a2", "a3"].map(|id| ask_held(&gateway, "lodge", id)).into();
+    say.send(list(42, false, &[member("s-2", two, "ready", 42)]).to_string()).unwrap();
+    gateway.line("discovery: list 42 ");
+    assert_eq!(gateway.caller().ask(txn("lodge", "a4", 9000)), "200 two settled a4");
+    assert_eq!(held.come_up(), 0);
+    for (mut caller, id) in callers.into_iter().zip(["a1", "a2", "a3"]) {
+        assert_eq!(caller.hear(), format!("200 two settled {id}"));
+    }
+    assert_eq!(gateway.end(&COUNTS), "settled=4 moot=3 lapsed=3");
+}
+
+#[test]
+fn a_repeat_is_not_written_once_its_server_may_have_forgotten_the_first() {
+    let memory = Duration::from_millis(700);
+    let (listener, queue) = full_server();
+    let mut held = Held { listener, queue };
+    let mut told = configuration(silent(), &[held.member("ready", 41)]);
+    patient(&mut told);
+    told["settings"]["classes"][1]["memory_span"] = (memory.as_micros() as u64).into();
+    // The first attempt comes through and may have run; then no connection comes up any more.
+    held.queue.drain(..).for_each(|_| drop(held.listener.accept().unwrap()));
+    let gateway = start(&told);
+    let mut caller = gateway.caller();
+    caller.say(txn("payment", "aa", 9000));
+    let mut first = held.listener.accept().unwrap().0;
+    let mut byte = [0; 1];
+    first.read_exact(&mut byte).unwrap();
+    let address = held.listener.local_addr().unwrap();
+    held.queue = fill(address);
+    socket2::SockRef::from(&first).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(first);
+    turn(&gateway);
+    // Its time is what the crossing needs here.
+    thread::sleep(memory);
+    assert_eq!(held.come_up(), 0);
+    assert_eq!(caller.hear(), "503 Retry-After: 1.5");
+    assert_eq!(gateway.end(&["declined", "reset", "moot", "lapsed"]), "declined=1 reset=1 moot=1 lapsed=1");
+}
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod configuration;
+mod crossings;
 mod ending;
 mod limits;
 mod support;
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -13,10 +13,7 @@
     /// Guards the exposure cap: one more submission must fit the window that ends now, and a tick beside it.
     fn within_cap(&self, build: Build, product: ProductIx) -> bool {
         let told = &self.terms.release;
-        let cap = match self.news.as_ref().filter(|n| n.build == build) {
-            Some(news) => news.cap,
-            None => told.caps.first().copied().unwrap_or(0.0),
-        };
+        let cap = self.cap_of(build);
         if cap <= 0.0 {
             return false;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -252,6 +252,15 @@
         self.rows.iter().map(|r| r.sla).min().unwrap_or(Span(1_000_000))
     }
 
+    /// The cap that is told for a build; all of it for one that is not on trial any more.
+    pub fn cap_of(&self, build: Build) -> f64 {
+        match &self.news {
+            Some(news) if build == news.build && news.phase != Phase::Released => news.cap,
+            Some(news) if build <= news.build => 1.0,
+            _ => self.terms.release.caps.first().copied().unwrap_or(0.0),
+        }
+    }
+
     pub fn look_again(&mut self, id: TxnId, at: Point) {
         let Some(txn) = self.txns.get_mut(&id) else { return };
         // Guards against a wait that outlasts the client: a look comes at its expiry at the latest.
