--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -60,7 +60,7 @@
         let left = entry.expiry - self.room.clock.now();
         let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
         let spent = entry.answered || attempt >= self.driver.most_attempts || wait <= Span::ZERO;
-        if !spent && self.room.descriptors.spare() == 0 && !self.servers.keeps(server) {
+        if !spent && self.room.descriptors.spare() == 0 && !self.servers.keeps(now, server) {
             self.make_room();
         }
         let inward = self.is_inward(id);
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -6,6 +6,7 @@
 use calloop::Readiness;
 use harrierdock::interface::{Event, Load, Outcome, ServerIx, TxnId};
 use harrierdock::time::{Point, Span};
+use harrierdock_attempts::{Kept, Pool};
 use harrierdock_http::{write, AnswerHead, Intake, Progress};
 use harrierdock_net::{Connection, ConnectionNo, Filled, Flushed, Purse};
 
@@ -74,8 +75,7 @@
     lines: BTreeMap<ConnectionNo, Line>,
     out: BTreeMap<(TxnId, usize), ConnectionNo>,
     connect: Span,
-    /// How long a connection is kept unused: till a connection's making before the server closes it.
-    keep: Span,
+    pool: Pool,
 }
 
 /// An attempt of whose request the last byte is not written yet.
@@ -97,8 +97,8 @@
 
 impl Servers {
     pub fn new(connect: Span, idle: Span) -> Servers {
-        let keep = idle - connect;
-        Servers { places: BTreeMap::new(), lines: BTreeMap::new(), out: BTreeMap::new(), connect, keep }
+        let pool = Pool::new(connect, idle);
+        Servers { places: BTreeMap::new(), lines: BTreeMap::new(), out: BTreeMap::new(), connect, pool }
     }
 
     /// Discovery's word on what runs at a place, if anything does.
@@ -147,9 +147,19 @@
         Ok(())
     }
 
-    /// Whether a connection to the server is kept.
-    pub fn keeps(&self, server: ServerIx) -> bool {
-        self.places.get(&server).is_some_and(|p| !p.kept.is_empty())
+    /// Whether a connection to the server is kept that may be used.
+    pub fn keeps(&self, now: Point, server: ServerIx) -> bool {
+        self.places.get(&server).is_some_and(|p| p.kept.iter().any(|no| !self.rests(now, *no)))
+    }
+
+    fn rests(&self, now: Point, no: ConnectionNo) -> bool {
+        self.lines.get(&no).is_some_and(|l| self.pool.stands(l.since, now) == Kept::Rests)
+    }
+
+    /// Takes the connection last used out of those kept to a server, of those that do not rest.
+    fn take_kept(&mut self, now: Point, server: ServerIx) -> Option<ConnectionNo> {
+        let at = self.places.get(&server)?.kept.iter().rposition(|no| !self.rests(now, *no))?;
+        Some(self.places.get_mut(&server)?.kept.remove(at))
     }
 
     pub fn probe(&mut self, room: &mut Room, server: ServerIx) {
@@ -169,7 +179,7 @@
         self.send(room, no);
     }
 
-    /// A connection to the server with this errand on it: the last used that still stands, or a new one.
+    /// A connection to the server with this errand on it: the last used that has rested and stands, or a new one.
     fn line_to(
         &mut self,
         room: &mut Room,
@@ -180,10 +190,10 @@
         let machine = self.places.get(&server).map(|p| p.machine).ok_or(Outcome::ConnectFailed)?;
         let until = room.now() + wait;
         // Guards against a kept connection that the server has closed, or is about to close.
-        while let Some(no) = self.places.get_mut(&server).and_then(|p| p.kept.pop()) {
-            let edge = room.now() - self.keep;
+        while let Some(no) = self.take_kept(room.now(), server) {
             let Some(line) = self.lines.get_mut(&no) else { continue };
-            if line.since <= edge || !line.connection.stands() {
+            let old = self.pool.stands(line.since, room.now()) == Kept::Old;
+            if old || !line.connection.stands() {
                 room.counters.add(Count::KeptWasClosed);
                 self.drop_line(room, no);
                 continue;
@@ -399,8 +409,8 @@
 
     /// Closes what was kept for too long.
     pub fn tend(&mut self, room: &mut Room) {
-        let edge = room.now() - self.keep;
-        let old = |l: &Line| l.phase == Phase::Idle && l.since <= edge;
+        let now = room.now();
+        let old = |l: &Line| l.phase == Phase::Idle && self.pool.stands(l.since, now) == Kept::Old;
         let old: Vec<ConnectionNo> = self.lines.iter().filter(|(_, l)| old(l)).map(|(no, _)| *no).collect();
         old.into_iter().for_each(|no| self.close_kept(room, no));
     }
--- a/crates/gateway/tests/sockets/clients.rs
+++ b/crates/gateway/tests/sockets/clients.rs
@@ -82,6 +82,7 @@
     answers.into_iter().for_each(|a| trace.note(format!("second: {a}")));
     first.say(txn("lodge", "ab", 9000));
     trace.note(format!("first: {}, then {}", first.hear(), first.hear()));
+    rest();
     // An id is forgotten with its txn.
     trace.note(format!("second: {}", second.ask(txn("lodge", "aa", 9000))));
     expect(
--- a/crates/gateway/tests/sockets/configuration.rs
+++ b/crates/gateway/tests/sockets/configuration.rs
@@ -84,6 +84,7 @@
     trace.note(format!("under way: {}", caller.hear()));
     say.send(list(42, false, &[]).to_string()).unwrap();
     gateway.line("discovery: list 42 ");
+    rest();
     gateway.signal(Signal::HUP);
     gateway.signal(Signal::TERM);
     trace.note(format!("afterwards: {}", caller.ask(txn("lodge", "a2", 9000))));
--- a/crates/gateway/tests/sockets/limits.rs
+++ b/crates/gateway/tests/sockets/limits.rs
@@ -51,6 +51,7 @@
     let mut strangers: Vec<Caller> = (0..30).map(|_| gateway.caller()).collect();
     // The first of them has made room for others.
     trace.note(strangers[0].hear());
+    rest();
     trace.note(caller.ask(txn("draft", "ab", 9000)));
     expect(
         &trace,
--- a/crates/gateway/tests/sockets/support.rs
+++ b/crates/gateway/tests/sockets/support.rs
@@ -17,6 +17,12 @@
 pub use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 
+/// Lets connections to servers rest for longer than they have to before they are used again (80 ms of the 1 s told
+/// in which one may come up).
+pub fn rest() {
+    thread::sleep(Duration::from_millis(120));
+}
+
 /// Compares what was noted to a trace kept here.
 pub fn expect(trace: &Trace, expected: Expect) {
     expected.assert_eq(&trace.text());
--- a/crates/gateway/tests/sockets/told.rs
+++ b/crates/gateway/tests/sockets/told.rs
@@ -35,6 +35,7 @@
     ask("a whole list without it", "a4");
     say.send(r#"{"revision":"odd"}"#.into()).unwrap();
     trace.wait("discovery: GET", 3);
+    rest();
     ask("the list held is served by", "a5");
     trace.note(gateway.end(&["lines-refused"]));
     expect(
