--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,6 +6,7 @@
 use calloop::Readiness;
 use harrierdock::interface::{Event, Lifecycle, Listed, Scope, ServerIx};
 use harrierdock::time::{Point, Span};
+use harrierdock_http::BODY_MOST;
 use harrierdock_net::{Asking, Clock, Feed, Heard};
 use harrierdock_terms::{mark, Names};
 use serde::Deserialize;
@@ -86,6 +87,9 @@
     feed: Feed,
     revision: Option<i64>,
     pause: Span,
+    /// The lines so far of a list that is written over several, and when its first came.
+    part: Vec<u8>,
+    begun: Option<Point>,
 }
 
 fn on_ready(gateway: &mut Gateway, readiness: Readiness) {
@@ -102,7 +106,7 @@
 impl Discovery {
     pub fn new(address: SocketAddr, pause: Span) -> Discovery {
         let feed = Feed::new("discovery", address, SIGN_OF_LIFE * MISSED);
-        Discovery { feed, revision: None, pause }
+        Discovery { feed, revision: None, pause, part: Vec::new(), begun: None }
     }
 
     /// The list as this gateway had it last.
@@ -119,6 +123,8 @@
 
     /// Opens the watch, or asks for a whole list first if none is held that changes could apply to.
     fn open(&mut self, room: &mut Room) {
+        self.part.clear();
+        self.begun = None;
         match self.revision {
             Some(revision) => self.feed.open(room, &watch(revision), Asking::Lines, on_ready),
             None => self.feed.open(room, "/v1/endpoints", Asking::Once, on_ready),
@@ -134,13 +140,17 @@
 
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
-        if self.feed.is_silent(now, self.pause) || !self.feed.rests(now, self.pause) {
+        // Guards against a list that stops between two lines, while signs of life go on.
+        let stalled = self.begun.is_some_and(|since| now - since > self.pause);
+        if stalled || self.feed.is_silent(now, self.pause) || !self.feed.rests(now, self.pause) {
             self.open(room);
         }
     }
 
     /// At once where it has stood for a while; else `tend` will, so that a torrent of bad answers costs little.
     fn renew(&mut self, room: &mut Room) {
+        self.part.clear();
+        self.begun = None;
         self.feed.close(room);
         if !self.feed.rests(room.now(), self.pause) {
             self.open(room);
@@ -149,7 +159,7 @@
 
     /// Takes in what discovery says. Gives back whether what was heard behind it still counts.
     fn hear(&mut self, room: &mut Room, names: &mut Names, servers: &mut Servers, heard: Heard) -> bool {
-        let text = match &heard {
+        let (text, once) = match heard {
             Heard::Broken => {
                 self.renew(room);
                 return false;
@@ -161,10 +171,17 @@
                 return true;
             }
             Heard::Line(line) if line.is_empty() => return true,
-            Heard::Line(text) | Heard::Once(text) => text,
+            Heard::Line(text) => (text, false),
+            Heard::Once(text) => (text, true),
         };
-        let list: ListTold = match serde_json::from_slice(text) {
+        self.part.extend(text);
+        let list: ListTold = match serde_json::from_slice(&self.part) {
             Ok(list) => list,
+            // Guards against a list that is indented: each of its lines but the last is only a part of it.
+            Err(e) if e.is_eof() && !once && self.part.len() <= BODY_MOST => {
+                self.begun.get_or_insert(room.now());
+                return true;
+            }
             Err(e) => {
                 room.counters.add(Count::LinesRefused);
                 tracing::warn!("discovery: a line cannot be read, the watch is renewed: {e}");
@@ -173,10 +190,12 @@
                 return false;
             }
         };
+        self.part.clear();
+        self.begun = None;
         self.revision = Some(list.revision);
         let scope = if list.complete { Scope::Whole } else { Scope::Changes };
         self.apply(room, names, servers, &list, scope);
-        if matches!(heard, Heard::Once(_)) {
+        if once {
             self.feed.ask(room, &watch(list.revision), Asking::Lines);
         }
         true
--- a/crates/gateway/tests/sockets/told.rs
+++ b/crates/gateway/tests/sockets/told.rs
@@ -58,6 +58,42 @@
     );
 }
 
+#[test]
+fn a_list_may_come_indented_and_one_that_stops_between_two_lines_is_asked_for_again() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Settle]);
+    let (discovery, say) = discovery(&trace);
+    let mut told = configuration(discovery, &[member("s-0", one, "draining", 41)]);
+    told["settings"]["limits"]["connect_timeout"] = 250_000.into();
+    let gateway = start(&told);
+    trace.wait("discovery: GET", 1);
+    let indented =
+        serde_json::to_string_pretty(&list(42, false, &[member("s-1", one, "ready", 41)])).unwrap();
+    assert!(indented.lines().count() > 5);
+    // The stand-in ends each with a line's end.
+    say.send(indented).unwrap();
+    gateway.line("discovery: list 42 ");
+    trace.note(format!("client: {}", gateway.caller().ask(txn("draft", "aa", 9000))));
+    say.send("{\n  \"revision\": 43,\n".into()).unwrap();
+    // The stand-in gives its first stream up only once it is told to.
+    gateway.line("discovery: reached");
+    say.send("close".into()).unwrap();
+    trace.wait("discovery: GET", 2);
+    say.send(list(44, false, &[]).to_string()).unwrap();
+    gateway.line("discovery: list 44 ");
+    trace.note(gateway.end(&["lines-refused", "lists"]));
+    expect(
+        &trace,
+        expect![[r#"
+            discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+            one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn aa ""
+            client: 200 one settled aa
+            discovery: GET /v1/endpoints?stream=1&index=42 HTTP/1.1
+            lists=3
+        "#]],
+    );
+}
+
 #[test]
 fn a_version_that_discovery_no_longer_knows_gives_way_to_the_whole_list() {
     let trace = Trace::default();
