--- a/crates/gateway/tests/sockets/told.rs
+++ b/crates/gateway/tests/sockets/told.rs
@@ -2,6 +2,8 @@
 
 use std::io::Write;
 use std::net::UdpSocket;
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
 
 use expect_test::expect;
 
@@ -94,6 +96,40 @@
     );
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_from_the_version_held() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Settle]);
+    let (noted, lines) = (trace.clone(), channel());
+    let (say, heard) = (lines.0, Mutex::new(lines.1));
+    // No sign of life: only the first watch is given anything, and it stays open.
+    let discovery = stand_in(move |request| {
+        noted.note(format!("discovery: {}", request.head.lines().next().unwrap_or("")));
+        if request.number == 1 {
+            return request.stream(&heard, None);
+        }
+        let line = list(43, false, &[member("s-1", one, "ready", 41)]).to_string();
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        request.stream.write_all(format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).is_ok()
+    });
+    let gateway = start(&configuration(discovery, &[member("s-0", one, "draining", 41)]));
+    trace.wait("discovery: GET", 1);
+    say.send(list(42, false, &[]).to_string()).unwrap();
+    gateway.line("discovery: list 42 ");
+    gateway.line("discovery: silent, renewed");
+    gateway.line("discovery: list 43 ");
+    trace.note(format!("client: {}", gateway.caller().ask(txn("draft", "aa", 9000))));
+    expect(
+        &trace,
+        expect![[r#"
+            discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+            discovery: GET /v1/endpoints?stream=1&index=42 HTTP/1.1
+            one.1: GET /api?obj=7F3a9c21e0b4d655&x=%20 txn aa ""
+            client: 200 one settled aa
+        "#]],
+    );
+}
+
 #[test]
 fn a_version_that_discovery_no_longer_knows_gives_way_to_the_whole_list() {
     let trace = Trace::default();
