--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -1,12 +1,14 @@
 //! Servers: their addresses, the connections kept to each, and the submissions on them.
 
+mod pool;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use calloop::Readiness;
 use harrierdock::interface::{Event, Load, Outcome, ServerIx, TxnId};
 use harrierdock::time::{Point, Span};
-use harrierdock_attempts::{Kept, Pool};
+use harrierdock_attempts::Pool;
 use harrierdock_http::{write, AnswerHead, Intake, Progress};
 use harrierdock_net::{Connection, ConnectionNo, Filled, Flushed, Purse};
 
@@ -14,6 +16,7 @@
 use crate::due::Due;
 use crate::gateway::Gateway;
 use crate::room::{Asked, Body, Notice, Room};
+use pool::Place;
 
 // The page's names end here.
 const FIELD_TXN: &str = "X-Txn";
@@ -30,12 +33,6 @@
     pub build: u32,
 }
 
-struct Place {
-    machine: Machine,
-    /// Connections kept, the last used at the end.
-    kept: Vec<ConnectionNo>,
-}
-
 #[derive(Clone, Copy)]
 enum Task {
     Submission { id: TxnId, attempt: usize },
@@ -101,20 +98,6 @@
         Servers { places: BTreeMap::new(), lines: BTreeMap::new(), out: BTreeMap::new(), connect, pool }
     }
 
-    /// Discovery's word on what runs at a place, if anything does.
-    pub fn place(&mut self, room: &mut Room, server: ServerIx, machine: Option<Machine>) {
-        if self.places.get(&server).map(|p| p.machine) == machine {
-            return;
-        }
-        let before = match machine {
-            Some(machine) => self.places.insert(server, Place { machine, kept: Vec::new() }),
-            None => self.places.remove(&server),
-        };
-        for no in before.into_iter().flat_map(|p| p.kept) {
-            self.drop_line(room, no);
-        }
-    }
-
     /// Sends a txn to a server. What cannot be sent is told in the outcome it amounts to.
     pub fn submit(
         &mut self,
@@ -147,21 +130,6 @@
         Ok(())
     }
 
-    /// Whether a connection to the server is kept that may be used.
-    pub fn keeps(&self, now: Point, server: ServerIx) -> bool {
-        self.places.get(&server).is_some_and(|p| p.kept.iter().any(|no| !self.rests(now, *no)))
-    }
-
-    fn rests(&self, now: Point, no: ConnectionNo) -> bool {
-        self.lines.get(&no).is_some_and(|l| self.pool.stands(l.since, now) == Kept::Rests)
-    }
-
-    /// Takes the connection last used out of those kept to a server, of those that do not rest.
-    fn take_kept(&mut self, now: Point, server: ServerIx) -> Option<ConnectionNo> {
-        let at = self.places.get(&server)?.kept.iter().rposition(|no| !self.rests(now, *no))?;
-        Some(self.places.get_mut(&server)?.kept.remove(at))
-    }
-
     pub fn probe(&mut self, room: &mut Room, server: ServerIx) {
         let probed = |outcome| Notice::Event(Event::Probed { server, outcome, load: Load::default() });
         let no = match self.line_to(room, server, self.connect, Task::Probe) {
@@ -189,19 +157,7 @@
     ) -> Result<ConnectionNo, Outcome> {
         let machine = self.places.get(&server).map(|p| p.machine).ok_or(Outcome::ConnectFailed)?;
         let until = room.now() + wait;
-        // Guards against a kept connection that the server has closed, or is about to close.
-        while let Some(no) = self.take_kept(room.now(), server) {
-            let Some(line) = self.lines.get_mut(&no) else { continue };
-            let old = self.pool.stands(line.since, room.now()) == Kept::Old;
-            if old || !line.connection.stands() {
-                room.counters.add(Count::KeptWasClosed);
-                self.drop_line(room, no);
-                continue;
-            }
-            room.counters.add(Count::Reused);
-            (line.phase, line.since) = (Phase::Writing, room.now());
-            line.errand = Some(Errand { task, due: until, until });
-            room.dues.set(until, Due::Submission(no));
+        if let Some(no) = self.reuse(room, server, Errand { task, due: until, until }) {
             return Ok(no);
         }
         if room.descriptors.spare() == 0 {
@@ -406,26 +362,4 @@
             self.fail(room, no, Outcome::Recalled);
         }
     }
-
-    /// Closes what was kept for too long.
-    pub fn tend(&mut self, room: &mut Room) {
-        let now = room.now();
-        let old = |l: &Line| l.phase == Phase::Idle && self.pool.stands(l.since, now) == Kept::Old;
-        let old: Vec<ConnectionNo> = self.lines.iter().filter(|(_, l)| old(l)).map(|(no, _)| *no).collect();
-        old.into_iter().for_each(|no| self.close_kept(room, no));
-    }
-
-    fn close_kept(&mut self, room: &mut Room, no: ConnectionNo) {
-        if let Some(place) = self.lines.get(&no).and_then(|l| self.places.get_mut(&l.server)) {
-            place.kept.retain(|kept| *kept != no);
-        }
-        self.drop_line(room, no);
-    }
-
-    /// Closes the connection that was kept unused longest. Gives back whether there was one.
-    pub fn close_idle(&mut self, room: &mut Room) -> bool {
-        let idle = self.lines.iter().filter(|(_, l)| l.phase == Phase::Idle);
-        let oldest = idle.min_by_key(|(_, l)| l.since).map(|(no, _)| *no);
-        oldest.inspect(|no| self.close_kept(room, *no)).is_some()
-    }
 }
