--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -16,16 +16,16 @@
             }
         }
         for line in lines {
-            let started = line.age.map(|a| self.now - a);
-            let held = self.servers.get_mut(&line.server);
+            let (held, started) = (self.servers.get_mut(&line.server), line.age.map(|a| self.now - a));
             let out = held.as_ref().map_or(0, |s| s.out);
             if let Some(same) = held.filter(|s| s.listed.build == line.build && s.started == started) {
                 same.listed = line;
                 continue;
             }
-            let dither = self.chance.generate::<f64>();
-            let fresh = Server { listed: line, started, out, dither, ..Server::default() };
-            let fresh = Server { pace: 1.0, limit: FIRST_LIMIT, good: 1.0, ..fresh };
+            // Guards against filling a new build's machines of a slow model, which have not shown it yet.
+            let pace = self.usual.get(&line.model).map_or(1.0, |usual| usual.max(1.0));
+            let fresh = Server { listed: line, started, out, pace, ..Server::default() };
+            let fresh = Server { limit: FIRST_LIMIT, good: 1.0, dither: self.chance.generate(), ..fresh };
             self.marks.insert(fresh.listed.mark, fresh.listed.server);
             self.servers.insert(fresh.listed.server, fresh);
         }
--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -181,3 +181,22 @@
     "#]]
     .assert_eq(&lines);
 }
+
+#[test]
+fn a_new_machine_of_a_slow_model_is_spared_before_it_has_answered() {
+    let of_model = |ix, build| Listed { model: ix % 2, ..server(ix, build) };
+    let list = |of: std::ops::Range<usize>, build| {
+        let lines = of.map(|ix| of_model(ix, build)).collect();
+        Event::Roster { scope: Scope::Whole, lines }
+    };
+    let mut desk = Desk::with(terms(), &[1], Phase::Released);
+    desk.tell(list(0..4, 1));
+    desk.traffic(400, 10, |ix| (Outcome::Served, if ix % 2 == 1 { 150 } else { 50 }));
+    desk.stage(2, 0, Phase::Trial, 1.0);
+    desk.tell(list(4..6, 2));
+    let used = desk.traffic(200, 1600, |_| (Outcome::Recalled, 50)); // says nothing of its pace
+    expect![[r#"
+        of the slow model: 80 of 200
+    "#]]
+    .assert_eq(&format!("of the slow model: {}\n", share(&used, 5)));
+}
