--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -127,20 +127,18 @@
 
     /// Guards against a zone that is lost or cut off, which a gateway of little traffic would find silent one
     /// server at a time: what its servers owe counts together, a connection not made like three mean answer
-    /// times, from the last word of any of them on. A silent zone is left out for doubling spans. Harms by
-    /// leaving out a zone most of whose servers are dead.
+    /// times, from the last word of any on. A silent zone is left out for doubling spans if another is not
+    /// (else its silent servers rank like live ones). Harms by leaving out a zone with few live servers.
     pub(super) fn listen(&mut self) {
         let mean = self.rows.iter().map(|r| r.mean).max().unwrap_or(Span::ZERO);
         let (now, first) = (self.now, self.shortest_sla() * LEAVE_OUT);
-        for zone in self.zones.values_mut() {
-            zone.owed = zone.failed * (SILENCE - 1.0);
-        }
+        self.zones.values_mut().for_each(|z| z.owed = z.failed * (SILENCE - 1.0));
         for server in self.servers.values().filter(|s| s.owes.is_some()) {
             let zone = self.zones.entry(server.listed.zone).or_default();
-            let since = server.owes.unwrap_or(now).max(zone.heard);
-            zone.owed += (now - since).over(mean);
+            zone.owed += (now - server.owes.unwrap_or(now).max(zone.heard)).over(mean);
         }
-        for zone in self.zones.values_mut().filter(|z| z.owed > DEAF && now >= z.left_out) {
+        let other = self.zones.values().any(|z| z.owed <= DEAF && now >= z.left_out);
+        for zone in self.zones.values_mut().filter(|z| other && z.owed > DEAF && now >= z.left_out) {
             zone.left_out = now + first * f64::powi(2.0, zone.strikes.min(3));
             (zone.strikes, zone.failed, self.cut) = (zone.strikes + 1, 0.0, zone.left_out);
         }
