--- a/src/policy/circle.rs
+++ b/src/policy/circle.rs
@@ -100,9 +100,11 @@
         }
     }
 
-    /// Our submissions that may yet be answered: at servers that are not silent.
+    /// Our submissions that may yet be answered: at silent servers too, as a jam silences them, but not at
+    /// those left out.
     fn open(&self) -> usize {
-        self.servers.values().filter(|s| s.out > 0 && self.healthy(s)).map(|s| s.out).sum()
+        let cut = |s: &Server| self.zones.get(&s.listed.zone).is_some_and(|z| self.now < z.left_out);
+        self.servers.values().filter(|s| self.now >= s.left_out && !cut(s)).map(|s| s.out).sum()
     }
 
     /// Guards against a jam that no gateway sees in time, and against giving up on txns long after it: the
