--- a/src/policy/judging.rs
+++ b/src/policy/judging.rs
@@ -164,10 +164,12 @@
 
     /// Whether the drops of an arm make up part of M, from half the balancers, at least one. Guards against
     /// one gateway in trouble of its own, however sure: where four vote, it makes up half of M at the most.
+    /// One that no other can tell is the only player of its own test.
     pub(super) fn dropped(&self, arm: Arm, part: f64) -> bool {
         let drops = &self.trial.drops[arm as usize];
         let enough = (DELTA.ln() / ETA.ln()).floor();
-        let senders = (CIRCLES.min(self.terms.balancers) / 2).max(1);
+        let players = if self.terms.limits.tell { CIRCLES.min(self.terms.balancers) } else { 1 };
+        let senders = (players / 2).max(1);
         let most = enough / senders.min(2) as f64;
         drops.len() >= senders && drops.values().map(|d| most.min(*d as f64)).sum::<f64>() >= enough * part
     }
--- a/tests/decisions/circles.rs
+++ b/tests/decisions/circles.rs
@@ -208,3 +208,20 @@
         3.3.40:lk_qWelk_qf0lk_qef again true, late kept true, odd read [false, false, false, false, false, false, false]
     "#]].assert_eq(&lines);
 }
+
+#[test]
+fn a_gateway_that_no_other_can_tell_judges_alone() {
+    let mut lines = String::new();
+    for (case, trial) in [("all failed", Outcome::Errored), ("all served", Outcome::Served)] {
+        let mut told = terms();
+        (told.balancers, told.limits.tell, told.release.free) = (24, false, 1000.0);
+        let mut desk = Desk::with(told, &[1, 1, 1, 1, 2, 2, 2, 2], Phase::Trial);
+        desk.traffic(300, 10, |s| (if s > 3 { trial } else { Outcome::Served }, 50));
+        lines += &format!("{case}: {}\n", desk.decisions().lines().next().unwrap_or("no vote"));
+    }
+    expect![[r#"
+        all failed: 670: vote Back on 2 stage 0
+        all served: 3000: vote On on 2 stage 0
+    "#]]
+    .assert_eq(&lines);
+}
