--- a/tests/decisions/failures.rs
+++ b/tests/decisions/failures.rs
@@ -200,3 +200,26 @@
     "#]]
     .assert_eq(&format!("of the slow model: {}\n", share(&used, 5)));
 }
+
+#[test]
+fn the_only_zone_is_not_left_out_so_a_jam_of_all_its_servers_is_still_seen() {
+    let mut told = terms();
+    (told.balancers, told.limits.tell) = (24, false);
+    let mut desk = Desk::new(told);
+    let lines = (0..4).map(|ix| Listed { zone: 0, ..server(ix, 1) }).collect();
+    desk.tell(Event::Roster { scope: Scope::Whole, lines });
+    desk.stage(1, 0, Phase::Released, 1.0);
+    // Nothing is answered, for longer than a zone may be silent.
+    for _ in 0..40 {
+        desk.txn(LODGE, None);
+        desk.pass(30);
+    }
+    let mut at_once = 0;
+    for _ in 0..20 {
+        let txn = desk.txn(LODGE, None);
+        at_once += usize::from(desk.trace.contains(&format!("decline #{txn},")));
+        desk.pass(15);
+    }
+    expect!["19 of 20 are given up on at once"]
+        .assert_eq(&format!("{at_once} of 20 are given up on at once"));
+}
