--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -77,8 +77,7 @@
             Event::Wake => self.wake(),
             // Guards a key that a newer build has answered at another site (departure J).
             Event::Pinned { key, build } if self.terms.release.one_way => {
-                let held = self.pins.get(&key).copied().unwrap_or(0);
-                self.pins.insert(key, build.max(held));
+                self.keep_pin(key, build);
             }
             Event::Complaint { server, product, .. } => {
                 let Some(listed) = self.servers.get(&server).map(|s| &s.listed) else { return self.emit() };
@@ -146,7 +145,7 @@
         // that answer could not be read or was not waited for. Harms by keeping keys that it never answered.
         if self.terms.release.one_way && !proven && outcome != Outcome::Errored {
             if let Some(key) = key.filter(|_| self.news.as_ref().is_none_or(|n| build >= n.build)) {
-                self.pins.insert(key, build);
+                self.keep_pin(key, build);
             }
         }
         if !recalled || took >= self.rows[product].sla {
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -62,7 +62,7 @@
         self.arms = arms;
         // Guards against keeping every key: one has nowhere else to go where no earlier build is left.
         if self.runs.0 >= 1.0 && self.news.as_ref().is_some_and(|n| n.phase == Phase::Released) {
-            self.pins.clear();
+            self.pins.retain(|_, build| *build > self.trial.build); // of a later one no news has come yet
         }
         self.fleet = of_build.into_values().fold(self.fleet, usize::max);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -252,6 +252,12 @@
         self.rows.iter().map(|r| r.sla).min().unwrap_or(Span(1_000_000))
     }
 
+    /// Keeps a key with a build. Guards against an earlier build's late answer, which takes no later pin back.
+    pub fn keep_pin(&mut self, key: Key, build: Build) {
+        let held = self.pins.entry(key).or_default();
+        *held = build.max(*held);
+    }
+
     /// The cap that is told for a build; all of it for one that is not on trial any more.
     pub fn cap_of(&self, build: Build) -> f64 {
         match &self.news {
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -277,3 +277,62 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// A released build at three servers, and at server 3 a later one of which no news has come.
+fn before_news() -> Desk {
+    let mut told = terms();
+    (told.release.one_way, told.release.free) = (true, 1000.0);
+    let mut desk = Desk::new(told);
+    let lines = [1, 1, 1, 2].iter().enumerate().map(|(ix, build)| server(ix, *build)).collect();
+    desk.tell(Event::Roster { scope: Scope::Whole, lines });
+    desk.stage(1, 1, Phase::Released, 1.0);
+    desk
+}
+
+/// Asks with one key until the later build has answered it.
+fn ask_until_later(desk: &mut Desk, key: u64) {
+    loop {
+        let txn = desk.txn(LODGE, Some(key));
+        let to = desk.sent.last().map(|s| s.1);
+        desk.close(txn, 0, Outcome::Served, 50);
+        desk.pass(20);
+        if to == Some(3) {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_key_that_a_build_without_news_has_answered_stays_with_it() {
+    let mut lines = String::new();
+    for case in ["a list comes", "the earlier build answers late"] {
+        let mut desk = before_news();
+        // The first key that goes to the earlier build; its answer is awaited.
+        let mut key = 7;
+        let mut late = desk.txn(LODGE, Some(key));
+        while desk.sent.last().is_none_or(|s| s.1 == 3) {
+            desk.close(late, 0, Outcome::Served, 50);
+            key += 1;
+            late = desk.txn(LODGE, Some(key));
+        }
+        ask_until_later(&mut desk, key);
+        if case == "a list comes" {
+            desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![server(0, 1)] });
+        } else {
+            desk.close(late, 0, Outcome::Served, 400);
+        }
+        let from = desk.sent.len();
+        for _ in 0..20 {
+            let txn = desk.txn(LODGE, Some(key));
+            desk.close(txn, 0, Outcome::Served, 50);
+            desk.pass(20);
+        }
+        let used: Vec<ServerIx> = desk.sent[from..].iter().map(|s| s.1).collect();
+        lines += &format!("{case}: {} with the later build\n", share(&used, 3));
+    }
+    expect![[r#"
+        a list comes: 20 of 20 with the later build
+        the earlier build answers late: 20 of 20 with the later build
+    "#]]
+    .assert_eq(&lines);
+}
