--- a/crates/admission/src/peers.rs
+++ b/crates/admission/src/peers.rs
@@ -6,23 +6,25 @@
 use harrierdock::time::{Point, Span};
 
 use crate::news::{Figures, News};
+use crate::sketch::Sketch;
 
 /// Peers whose figures are kept: more than are heard while news counts.
 pub const MOST_HEARD: usize = 48;
 /// Members known: as many as the largest fleet has, and room.
 pub const MOST_MEMBERS: usize = 1024;
 /// Guards against one gateway that moves the rest, by mistake or absurd figures: no count of its counts for
-/// more than this many times the median of all heard, and some for chance. Harms where a single gateway has
-/// most of the traffic: its news counts for less than it is worth; its own figures are whole to itself.
-const MOST_TIMES: f32 = 2.0;
+/// more than this many times the median of all heard, and some for chance. A count goes into the view to the
+/// power of 2.5 at the most and is fresher than others by up to a fifth, so that the one that lies about its answers
+/// moves the view by less than eight gateways' part of it. Harms where a single gateway has most of the traffic:
+/// its news counts for less than it is worth; its own figures are whole to itself.
+const MOST_TIMES: f32 = 1.4;
 
 #[derive(Debug)]
 struct Heard {
     at: Point,
     view: Option<f32>,
     figures: Figures,
-    /// All counts of its sketches, and what its age leaves of its weight at this beat.
-    total: f32,
+    /// What its age leaves of its weight at this beat.
     weight: f32,
 }
 
@@ -104,7 +106,6 @@
         let blank = || Heard {
             at: now,
             view: None,
-            total: 0.0,
             weight: 0.0,
             figures: Figures::new(like.offered.len(), like.open.len(), like.tenants.len()),
         };
@@ -115,7 +116,6 @@
         (figures.open, figures.answered) = (news.open, news.answered);
         for (number, sketch) in news.sketches {
             if let Some(kept) = figures.sketches.get_mut(number) {
-                heard.total += sketch.total() - kept.total();
                 *kept = sketch;
             }
         }
@@ -151,15 +151,24 @@
         for (at, of) in sum.figures.answered.iter_mut().enumerate() {
             *of = bounded(*of, &|f| f.answered[at]);
         }
-        sorted.clear();
-        sorted.push(own.sketches.iter().map(|s| s.total()).sum());
-        sorted.extend(heard.values().map(|h| h.total));
-        let most = median(sorted) + 1.0;
+        // Guards against one that puts all it has into one product, whose chances would be mostly its own: bounded
+        // by product, not by its sketches together.
+        for product in 0..own.offered.len() {
+            let rows = product * own.open.len()..(product + 1) * own.open.len();
+            let total = |f: &Figures| f.sketches[rows.clone()].iter().map(Sketch::total).sum::<f32>();
+            sorted.clear();
+            sorted.push(total(own));
+            sorted.extend(heard.values().map(|h| total(&h.figures)));
+            let most = median(sorted) + 1.0;
+            for h in heard.values() {
+                let part = h.weight * (most / total(&h.figures).max(1.0)).min(1.0);
+                let kept =
+                    sum.figures.sketches[rows.clone()].iter_mut().zip(&h.figures.sketches[rows.clone()]);
+                kept.for_each(|(k, s)| k.merge(s, part));
+            }
+        }
         let (mut weights, mut aged) = (1.0, 0.0);
         for h in heard.values() {
-            let part = h.weight * (most / h.total.max(1.0)).min(1.0);
-            let kept = sum.figures.sketches.iter_mut().zip(&h.figures.sketches);
-            kept.for_each(|(k, s)| k.merge(s, part));
             weights += h.weight;
             aged += h.weight * (now - h.at).as_secs() as f32;
         }
--- a/crates/admission/tests/properties.rs
+++ b/crates/admission/tests/properties.rs
@@ -232,3 +232,39 @@
     println!("view {plain:.3}; one says jam: {jammed:.3}; one says all is well: {good:.3}");
     assert!(jammed < plain && jammed > 0.75 * plain && good > plain && good < 1.4 * plain);
 }
+
+/// The lies that moved the view furthest of all that were tried: counts at their limit, and sketches of one answer
+/// time. One that puts all it has into one product had the quantiles of that product, and so the aim, to itself.
+#[test]
+fn the_worst_lies_known_move_the_view_by_less_than_eight_parts() {
+    const HUGE: f32 = 6e5;
+    let one = |open: f32, offered: f32, answered: f32, sketches: &[(usize, usize)]| {
+        let sketch = |bucket| {
+            let mut sketch = Sketch::default();
+            sketch.counts[bucket] = HUGE;
+            sketch
+        };
+        let sketches = sketches.iter().map(|(n, bucket)| (*n, sketch(*bucket))).collect();
+        let (offered, open, answered) = (vec![offered; 3], vec![open; 2], vec![answered; 2]);
+        let head = News { incarnation: 1, number: 9, tenants: vec![0.0; 3], ..News::default() };
+        News { offered, open, answered, sketches, ..head }
+    };
+    let all = |bucket| -> Vec<(usize, usize)> { (0..6).map(|n| (n, bucket)).collect() };
+    let lies = [
+        ("a product's answers never come", one(HUGE, HUGE, 0.0, &[(0, 23)])),
+        ("a product's answers come at once", one(HUGE, HUGE, 0.0, &[(0, 0)])),
+        ("a product's answers come at two times", one(HUGE, HUGE, 0.0, &[(0, 5), (1, 8)])),
+        ("all is answered, late", one(0.0, 0.0, HUGE, &all(23))),
+        ("all is answered, nearly late", one(0.0, 0.0, HUGE, &all(18))),
+        ("all is jammed", one(HUGE, HUGE, 0.0, &all(21))),
+    ];
+    for peers in [8, 13, 26, 39] {
+        let without = view_after(fleet(peers, 1), &[]);
+        for (what, lie) in &lies {
+            let with = view_after(fleet(peers, 1), &[(150, lie.clone())]);
+            let most = 1.0 + 8.0 / peers as f32;
+            let bounds = 1.0 / most..=most;
+            assert!(bounds.contains(&(with / without)), "{what}, {peers} peers: {without} to {with}");
+        }
+    }
+}
