--- a/src/policy/judging.rs
+++ b/src/policy/judging.rs
@@ -71,7 +71,7 @@
                 let keep = if before.count > MEMORY { 0.5 } else { 1.0 };
                 *before = Payoff { count: 1.0, sum: f64::from(good) }.with(before, keep);
                 let seen = before.count.min(MEMORY / 4.0);
-                let fresh = self.lately(self.terms.release.window).fresh as f64;
+                let fresh = self.lately(self.flow_span()).fresh as f64;
                 self.rate += (fresh - self.rate) / seen;
             } else if counts {
                 self.pay(side, Arm::Trial, product, f64::from(good), 1.0);
@@ -104,7 +104,7 @@
     pub(super) fn calm(&self) -> bool {
         let alive = |s: &&Server| s.listed.lifecycle == Lifecycle::Ready && self.now >= s.dead_until;
         let warm: f64 = self.servers.values().filter(alive).map(|s| self.warmth(s)).sum();
-        let fresh = self.lately(self.terms.release.window).fresh as f64;
+        let fresh = self.lately(self.flow_span()).fresh as f64;
         warm >= CALM * self.fleet as f64
             && BUSIER * (fresh - fresh.sqrt()) <= self.rate
             && self.now >= self.cut
--- a/src/state.rs
+++ b/src/state.rs
@@ -277,6 +277,12 @@
         self.due.insert((at, id));
     }
 
+    /// How far back a circle's traffic is looked at. Guards against SLA times longer than the window of exposure,
+    /// in which a pulse or none would stand for all of it.
+    pub fn flow_span(&self) -> Span {
+        self.terms.release.window.max(self.shortest_sla())
+    }
+
     /// What the circle's traffic came to of late.
     pub fn lately(&self, span: Span) -> Flow {
         let since = self.heard.since(self.now - span);
@@ -289,8 +295,8 @@
         self.taken.forget(edge);
         self.served.forget(edge);
         self.looks.forget(edge);
-        self.heard.forget(edge);
         self.exposed.forget(edge);
+        self.heard.forget(self.now - self.flow_span() - self.terms.tick);
         let edge = self.now - self.terms.rules.fall;
         let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
         for server in self.servers.values_mut() {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -135,3 +135,24 @@
     "#]]
     .assert_eq(&lines);
 }
+
+#[test]
+fn nothing_is_declined_while_servers_keep_up_where_sla_times_are_longer_than_the_window() {
+    // 30 gateways ask for 60 a second of servers that can do 91; a pulse of the SLA time is longer than the window.
+    let mut hall = Hall::new(30, |terms| {
+        terms.products.iter_mut().for_each(|p| (p.sla, p.expiry) = (ms(9_000), ms(27_000)));
+    });
+    hall.serve(80, 4, ms(3_500));
+    hall.traffic(ms(500), 40_000);
+    let mut lines = String::new();
+    for (when, seconds) in [("from the start on", 0..9), ("later", 9..39)] {
+        let ended: Vec<Ended> = (0..3).map(|product| hall.over(seconds.clone(), product)).collect();
+        let sum = |of: fn(&Ended) -> usize| ended.iter().map(of).sum::<usize>();
+        lines += &format!("{when}: {} declined of {}\n", sum(|e| e.declined), sum(|e| e.asked));
+    }
+    expect![[r#"
+        from the start on: 0 declined of 540
+        later: 0 declined of 1800
+    "#]]
+    .assert_eq(&lines);
+}
