--- a/src/policy/circle.rs
+++ b/src/policy/circle.rs
@@ -122,7 +122,7 @@
             let told = known.filter(|m| self.now - m.told < sla).map(|m| m.open);
             let (open, most) = ((told.sum::<usize>() + self.open()) as f64, QUEUE * flow.answered as f64);
             room = 1.0 - open / (most + 2.0 * most.sqrt() + FIRST_OUTCOMES / 4.0);
-            if room < 0.0 && self.now - self.lowered >= sla {
+            if room < 0.0 && self.now - self.lowered >= sla && self.heard_for(sla) {
                 self.lowered = self.now;
                 let borne = flow.answered as f64 / flow.taken.max(1) as f64;
                 self.shed = (1.0 - SPARE * borne / (1.0 - room)).clamp(self.shed, 1.0 - LEARN);
@@ -149,7 +149,7 @@
             let Flow { mut taken, mut fresh, .. } = self.flow;
             let (flow, open) = (std::mem::take(&mut self.flow), self.open());
             if self.speaks() {
-                self.heard.push(self.now, flow);
+                self.hear_flow(flow);
             } else if taken + open + self.untold.len() > 0 {
                 let untold = std::mem::take(&mut self.untold);
                 let mut parts: Vec<Vec<Hearsay>> = untold.chunks(MOST_FATES).map(<[_]>::to_vec).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -283,6 +283,19 @@
         self.terms.release.window.max(self.shortest_sla())
     }
 
+    /// Takes down a pulse of the circle's traffic; an empty one says nothing of how it is answered.
+    pub fn hear_flow(&mut self, flow: Flow) {
+        if flow.taken + flow.answered > 0 {
+            self.heard.push(self.now, flow);
+        }
+    }
+
+    /// Whether there has been traffic for this long. Guards against a share of answers taken from txns that have
+    /// had no time to be answered.
+    pub fn heard_for(&self, span: Span) -> bool {
+        self.heard.first().is_some_and(|at| self.now - at >= span)
+    }
+
     /// What the circle's traffic came to of late.
     pub fn lately(&self, span: Span) -> Flow {
         let since = self.heard.since(self.now - span);
@@ -296,7 +309,7 @@
         self.served.forget(edge);
         self.looks.forget(edge);
         self.exposed.forget(edge);
-        self.heard.forget(self.now - self.flow_span() - self.terms.tick);
+        self.heard.forget(self.now - self.flow_span() * 1.5);
         let edge = self.now - self.terms.rules.fall;
         let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
         for server in self.servers.values_mut() {
--- a/tests/decisions/circles.rs
+++ b/tests/decisions/circles.rs
@@ -163,6 +163,30 @@
     .assert_eq(&lines);
 }
 
+#[test]
+fn a_speaker_that_has_just_begun_takes_no_want_of_answers_for_a_jam() {
+    let mut told = terms();
+    (told.balancers, told.ordinal) = (24, 5);
+    let mut speaker = Desk::with(told, &[1; 20], Phase::Released);
+    let mut lines = String::new();
+    speaker.until(10_000);
+    // Nothing is answered: at first nothing can be, after an SLA time (500 ms) it is a jam.
+    for when in ["first half second", "second"] {
+        let before = speaker.decisions().matches("decline").count();
+        (0..25).for_each(|_| {
+            speaker.txn(ASK, None);
+            speaker.pass(20);
+        });
+        let declined = speaker.decisions().matches("decline").count() - before;
+        lines += &format!("{when}: {declined} of 25 declined\n");
+    }
+    expect![[r#"
+        first half second: 0 of 25 declined
+        second: 21 of 25 declined
+    "#]]
+    .assert_eq(&lines);
+}
+
 #[test]
 fn chance_drops_among_hundreds_do_not_add_up() {
     // Members that are no speakers drop nothing for others, however many; nor does one speaker alone.
