--- a/src/policy/judging.rs
+++ b/src/policy/judging.rs
@@ -199,7 +199,7 @@
         }
         self.trial.witnessed |= news.phase == Phase::Trial;
         if matches!(news.phase, Phase::GoingBack | Phase::Withdrawn) {
-            self.pins.retain(|_, b| *b < news.build);
+            self.pins.retain(|_, b| *b != news.build); // this may be told again when a later one has answered
         }
         self.news = Some(news);
         self.survey();
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -34,8 +34,8 @@
         }
         let same = self.txns.values().filter(|t| t.key == Some(key)).flat_map(|t| &t.attempts);
         let back = self.news.as_ref().filter(|n| matches!(n.phase, Phase::GoingBack | Phase::Withdrawn));
-        let until = back.map_or(Build::MAX, |n| n.build);
-        let out = same.filter(|a| !a.closed() && a.build < until).map(|a| a.build).max();
+        let back = back.map(|n| n.build);
+        let out = same.filter(|a| !a.closed() && Some(a.build) != back).map(|a| a.build).max();
         out.max(self.pins.get(&key).copied()).unwrap_or(0)
     }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,5 +3,6 @@
 mod circles;
 mod desk;
 mod failures;
+mod keys;
 mod rules;
 mod votes;
