--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -29,7 +29,7 @@
 const ASIDE: usize = 4; // one server in this many is set aside in judging its build
 const CIRCLES: usize = 8; // the most players a fleet of gateways makes up
 const RETELL: Span = Span(1_000_000);
-const FALLBACK: Span = Span(3_000_000); // also the longest hold
+pub(crate) const FALLBACK: Span = Span(3_000_000); // also the longest hold
 
 // Ratios to told or learned figures.
 const BEAT: f64 = 0.1; // of the shortest SLA time: the periodic timer
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -29,10 +29,6 @@
             self.marks.insert(fresh.listed.mark, fresh.listed.server);
             self.servers.insert(fresh.listed.server, fresh);
         }
-        // Guards against keeping all servers that ever ran; a complaint may speak of one for a while.
-        let edge = self.now - FALLBACK - self.terms.rules.ramp * 3.0;
-        self.servers.retain(|_, s| s.listed.lifecycle != Lifecycle::Gone || s.out > 0 || s.seen > edge);
-        self.marks.retain(|_, ix| self.servers.contains_key(ix));
         self.survey();
     }
 
@@ -60,10 +56,6 @@
         let on: usize = of_build.iter().filter(|(b, _)| **b >= self.trial.build).map(|b| b.1).sum();
         self.runs = (on as f64 / ready, of_build.get(&self.trial.build).copied().unwrap_or(0), newest);
         self.arms = arms;
-        // Guards against keeping every key: one has nowhere else to go where no earlier build is left.
-        if self.runs.0 >= 1.0 && self.news.as_ref().is_some_and(|n| n.phase == Phase::Released) {
-            self.pins.retain(|_, build| *build > self.trial.build); // of a later one no news has come yet
-        }
         self.fleet = of_build.into_values().fold(self.fleet, usize::max);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 use nanorand::WyRand;
 
 use crate::interface::*;
+use crate::policy::FALLBACK;
 use crate::recent::Recent;
 use crate::time::{Point, Span};
 
@@ -310,6 +311,15 @@
         self.looks.forget(edge);
         self.exposed.forget(edge);
         self.heard.forget(self.now - self.flow_span() * 1.5);
+        // Guards against keeping all servers that ever ran; a complaint may speak of one for a while.
+        let edge = self.now - FALLBACK - self.terms.rules.ramp * 3.0;
+        self.servers.retain(|_, s| s.listed.lifecycle != Lifecycle::Gone || s.out > 0 || s.seen > edge);
+        self.marks.retain(|_, ix| self.servers.contains_key(ix));
+        // Guards against keeping every key, also while no list comes: one is free to go anywhere where no server runs
+        // an earlier build. One that was lost may come back with its build, so those gone count while remembered.
+        if let Some(earliest) = self.servers.values().map(|s| s.listed.build).min() {
+            self.pins.retain(|_, build| *build > earliest);
+        }
         let edge = self.now - self.terms.rules.fall;
         let longest = self.terms.products.iter().map(|p| p.expiry).max().unwrap_or(Span::ZERO);
         for server in self.servers.values_mut() {
--- a/tests/decisions/keys.rs
+++ b/tests/decisions/keys.rs
@@ -118,6 +118,43 @@
     .assert_eq(&lines);
 }
 
+#[test]
+fn a_key_of_a_released_build_stays_with_it_when_a_lost_server_comes_back_with_an_earlier_one() {
+    let mut told = terms();
+    (told.release.one_way, told.release.free) = (true, 1000.0);
+    let mut desk = Desk::new(told);
+    let lines = [2, 2, 2, 1].iter().enumerate().map(|(ix, build)| server(ix, *build)).collect();
+    desk.tell(Event::Roster { scope: Scope::Whole, lines });
+    desk.stage(2, 1, Phase::Released, 1.0);
+    for key in 0..40 {
+        while desk.sent.last().is_none_or(|s| s.1 == 3) {
+            let txn = desk.txn(LODGE, Some(key));
+            desk.close(txn, 0, Outcome::Served, 50);
+        }
+        desk.sent.clear();
+    }
+    // The last server of the earlier build is lost, and back before it was moved to the later one.
+    let gone = Listed { lifecycle: Lifecycle::Gone, ..server(3, 1) };
+    desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![gone] });
+    desk.pass(5_000);
+    desk.tell(Event::Roster { scope: Scope::Changes, lines: vec![server(3, 1)] });
+    let mut ask = |keys: std::ops::Range<u64>| {
+        let from = desk.sent.len();
+        for key in keys {
+            let txn = desk.txn(LODGE, Some(key));
+            desk.close(txn, 0, Outcome::Served, 50);
+            desk.pass(100);
+        }
+        let used: Vec<ServerIx> = desk.sent[from..].iter().map(|s| s.1).collect();
+        share(&used, 3)
+    };
+    let lines = format!("answered before: {}; other keys: {}\n", ask(0..40), ask(100..140));
+    expect![[r#"
+        answered before: 0 of 40; other keys: 14 of 40
+    "#]]
+    .assert_eq(&lines);
+}
+
 /// Server 3 runs build 3, of which no news has come; build 2 was sent back.
 fn after_one_was_sent_back() -> Desk {
     let mut told = terms();
