--- a/crates/gateway/src/driver.rs
+++ b/crates/gateway/src/driver.rs
@@ -100,6 +100,7 @@
             }
             Notice::FleetMail { from, bytes } => self.fleet_mail(from, bytes),
             Notice::Taken { id, product, key, again, left, inward } => {
+                let left = left.min(self.left_before_kill(now));
                 let (expiry, overdue) = (now + left, now + left + self.driver.tick);
                 let entry = Entry {
                     product,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -236,6 +236,18 @@
         self.room.due_in(self.tick, Due::End);
     }
 
+    /// How long a txn taken now may take at the most. Guards against a kill that finds it unanswered: one that comes
+    /// after the time in which new ones may come has its answer as long before the earliest kill as a connection may
+    /// take to come up. Those before it have until their own time is up.
+    pub fn left_before_kill(&self, now: Point) -> Span {
+        match self.ending {
+            Some(since) if now > since + COMING => {
+                (since + COMING + self.longest - self.tending - now).max(Span::ZERO)
+            }
+            _ => Span(i64::MAX),
+        }
+    }
+
     /// It is ready once it knows a list.
     pub fn look_ready(&mut self) {
         if self.discovery.knows() {
--- a/crates/gateway/tests/sockets/ending.rs
+++ b/crates/gateway/tests/sockets/ending.rs
@@ -1,5 +1,7 @@
 //! Graceful shutdown.
 
+use std::io::Read;
+
 use expect_test::expect;
 
 use crate::support::*;
@@ -49,6 +51,34 @@
     assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn a_request_that_is_whole_late_in_ending_has_its_answer_before_it_may_be_killed() {
+    let trace = Trace::default();
+    let seen = trace.clone();
+    let one = stand_in(move |request| {
+        let field = |name| request.field(name).unwrap_or("none").to_string();
+        seen.note(format!("{} {}", field("X-Txn"), field("X-Remaining-Ms")));
+        request.stream.read(&mut [0; 1]).is_err()
+    });
+    let mut gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let (mut idle, mut late) = (gateway.caller(), gateway.caller());
+    idle.ask("GET /ready HTTP/1.1\r\n\r\n");
+    let request = txn("lodge", "a1", 60_000);
+    let (most, last) = request.split_at(request.len() - 1);
+    late.say(most);
+    gateway.signal(Signal::TERM);
+    gateway.line("told to end");
+    // Idle connections are closed once the time is over in which new requests may come.
+    assert_eq!(idle.hear(), "closed");
+    late.say(last);
+    trace.wait("a1", 1);
+    // The earliest kill is 3 s later, less the half second in which a connection is given up here.
+    let left: i64 = trace.text().trim().trim_start_matches("a1 ").parse().unwrap();
+    assert!(left <= 2_500, "{left} ms are left to an attempt, past the earliest kill");
+    assert_eq!(late.hear(), "502 Connection: close");
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn a_second_signal_ends_it_at_once() {
     let one = server("one", &Trace::default(), &[Way::Silence]);
