--- a/crates/gateway/tests/sockets/ending.rs
+++ b/crates/gateway/tests/sockets/ending.rs
@@ -79,6 +79,37 @@
     assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn a_reload_while_ending_changes_nothing_of_what_is_owed() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Slowly]);
+    let mut gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let mut busy = gateway.caller();
+    busy.say(txn("lodge", "a1", 9000));
+    trace.wait("one.1: POST", 1);
+    gateway.signal(Signal::TERM);
+    gateway.line("told to end");
+    gateway.signal(Signal::HUP);
+    gateway.line("told to reload");
+    let mut late = gateway.caller();
+    late.say(txn("lodge", "a2", 9000));
+    assert_eq!(busy.hear(), "200 Connection: close one settled a1");
+    assert_eq!(late.hear(), "200 Connection: close one settled a2");
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn told_to_end_before_its_first_list_it_answers_what_has_come() {
+    let mut gateway = start(&configuration(silent(), &[]));
+    let (mut idle, mut caller) = (gateway.caller(), gateway.caller());
+    assert_eq!(idle.ask("GET /ready HTTP/1.1\r\n\r\n"), "503");
+    gateway.signal(Signal::TERM);
+    gateway.line("told to end");
+    assert_eq!(caller.ask(txn("lodge", "a1", 9000)), "503 Retry-After: 1.5 Connection: close");
+    assert_eq!(idle.hear(), "closed");
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn a_second_signal_ends_it_at_once() {
     let one = server("one", &Trace::default(), &[Way::Silence]);
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod crossings;
 mod ending;
+mod keys;
 mod limits;
 mod support;
 mod told;
