--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,27 +1,26 @@
-//! Clients: the listener, their connections, the requests on them and the answers.
+//! Clients: their connections, the requests on them and the answers.
+
+mod listener;
+mod standing;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
+use calloop::{Readiness, RegistrationToken};
 use harrierdock::interface::TxnId;
 use harrierdock::time::{Point, Span};
 use harrierdock_http::{write, Fault, Intake, Progress, RequestHead};
-use harrierdock_net::{Connection, ConnectionNo, Filled, Flushed, Purse};
+use harrierdock_net::{Connection, ConnectionNo, Filled, Flushed};
 use indexmap::IndexSet;
-use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::counters::Count;
-use crate::gateway::Gateway;
 use crate::request::{asked, Request};
 use crate::room::{Asked, Body, Notice, Room};
+use listener::{listen, Door};
+use standing::Standing;
 
-const BACKLOG: i32 = 1024;
-/// Connections taken in one go, so that a flood of them gives way to what is under way.
-const ACCEPT_MOST: usize = 64;
 /// The protocol lets a connection without an open request be closed after this.
 pub const UNUSED: Span = Span(2_000_000);
 /// The protocol lets clients hold one in this many descriptors for requests, at the most.
@@ -39,20 +38,6 @@
     Parting,
 }
 
-/// How a connection stands on which no txn is under way, in the order in which they make room for others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
-    /// Nothing was ever sent on it.
-    Silent,
-    /// Half a request has come.
-    Unfinished,
-    Parting,
-    /// Between requests.
-    Unused,
-    /// An answer goes out that the client does not take in.
-    Unread,
-}
-
 struct Client {
     connection: Connection,
     intake: Intake,
@@ -65,20 +50,6 @@
     standing: Option<(Standing, Point)>,
 }
 
-impl Client {
-    fn stands(&self) -> Option<(Standing, Point)> {
-        let standing = match self.phase {
-            Phase::Waiting(_) => return None,
-            Phase::Reading if !self.intake.untouched(&self.connection.input) => Standing::Unfinished,
-            Phase::Reading if self.keeps => Standing::Unused,
-            Phase::Reading => Standing::Silent,
-            Phase::Answering { .. } => Standing::Unread,
-            Phase::Parting => Standing::Parting,
-        };
-        Some((standing, self.since))
-    }
-}
-
 /// A txn whose client waits.
 struct Asker {
     no: ConnectionNo,
@@ -92,13 +63,6 @@
     Voided,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Door {
-    Open,
-    /// Nobody is let in for want of descriptors.
-    Paused,
-}
-
 /// What is told to those who ask whether the gateway is ready.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Serving {
@@ -127,23 +91,6 @@
     serving: Serving,
 }
 
-/// As though something had come in.
-const WAITING: Readiness = Readiness { readable: true, writable: false, error: false };
-
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let kind = Type::STREAM.nonblocking().cloexec();
-    let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
-}
-
-fn on_ready(gateway: &mut Gateway, no: ConnectionNo, readiness: Readiness) {
-    gateway.clients.serve(&mut gateway.room, no, readiness);
-    gateway.settle();
-}
-
 impl Clients {
     pub fn new(
         address: SocketAddr,
@@ -174,105 +121,6 @@
         self.serving = self.serving.max(serving);
     }
 
-    pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-
-    pub fn open(&mut self, room: &Room) -> Result<(), String> {
-        let source = Generic::new(self.listener.clone(), Interest::READ, Mode::Level);
-        let call = |_, _: &mut _, gateway: &mut Gateway| {
-            gateway.accept();
-            Ok(PostAction::Continue)
-        };
-        let token = room.handle.insert_source(source, call).map_err(|e| e.to_string())?;
-        self.token = Some(token);
-        Ok(())
-    }
-
-    /// Takes waiting connections while descriptors last. Gives back whether room must be made for more.
-    pub fn accept(&mut self, room: &mut Room) -> bool {
-        for taken in 0..ACCEPT_MOST {
-            if room.descriptors.spare() == 0 {
-                // Guards against making room for nobody, at the cost of the one that was let in last: whether
-                // another waits behind it, the listener tells again.
-                if taken == 0 {
-                    room.counters.add(Count::NoDescriptor);
-                }
-                return taken == 0;
-            }
-            let stream = match self.listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
-                Err(_) => {
-                    room.counters.add(Count::NoDescriptor);
-                    return true;
-                }
-            };
-            let set = stream.set_nonblocking(true).and_then(|_| stream.set_nodelay(true));
-            let no = room.next_connection();
-            let call = move |gateway: &mut Gateway, readiness| on_ready(gateway, no, readiness);
-            let made = set.and_then(|_| Connection::adopt(room, stream, Interest::READ, Purse::Client, call));
-            let Ok(connection) = made else { continue };
-            room.counters.add(Count::ClientsAccepted);
-            let (intake, phase, since) = (Intake::default(), Phase::Reading, room.now());
-            let client = Client { connection, intake, phase, keeps: false, since, standing: None };
-            self.all.insert(no, client);
-            self.note(no);
-        }
-        false
-    }
-
-    /// Guards against a loop that spins on a listener it cannot serve: no one is let in until `tend`.
-    pub fn pause(&mut self, room: &Room) {
-        if let (Door::Open, Some(token)) = (self.door, &self.token) {
-            self.door = Door::Paused;
-            if let Err(e) = room.handle.disable(token) {
-                tracing::warn!("the listener cannot be paused: {e}");
-            }
-        }
-    }
-
-    pub fn is_paused(&self) -> bool {
-        self.door == Door::Paused
-    }
-
-    fn resume(&mut self, room: &Room) {
-        if let (Door::Paused, Some(token)) = (self.door, &self.token) {
-            self.door = Door::Open;
-            if let Err(e) = room.handle.enable(token) {
-                tracing::warn!("the listener cannot be resumed: {e}");
-            }
-        }
-    }
-
-    /// Notes how a connection stands now.
-    fn note(&mut self, no: ConnectionNo) {
-        let Some(client) = self.all.get_mut(&no) else { return };
-        let now = client.stands();
-        let before = std::mem::replace(&mut client.standing, now);
-        if before != now {
-            before.into_iter().for_each(|before| self.unlist(no, before));
-            if let Some((standing, since)) = now {
-                self.standing.insert((standing, since, no));
-                self.unused += usize::from(standing == Standing::Unused);
-            }
-        }
-    }
-
-    fn unlist(&mut self, no: ConnectionNo, (standing, since): (Standing, Point)) {
-        self.standing.remove(&(standing, since, no));
-        self.unused -= usize::from(standing == Standing::Unused);
-    }
-
-    /// Closes those unused longest. Guards against clients that ask once and keep their connection: what they
-    /// hold counts against all of them, and the rest would have none left to ask on.
-    pub fn trim(&mut self, room: &mut Room) {
-        while self.unused > self.most_unused && self.part_with(room, Standing::Unused, Span::ZERO) {}
-    }
-
     fn close(&mut self, room: &mut Room, no: ConnectionNo) {
         let Some(client) = self.all.remove(&no) else { return };
         client.standing.into_iter().for_each(|standing| self.unlist(no, standing));
@@ -484,100 +332,4 @@
             _ => {}
         }
     }
-
-    /// Closes those who leave something unfinished for too long, and lets new ones in again. Guards against
-    /// connections that say nothing, or half of something: whoever has begun a request is told.
-    pub fn tend(&mut self, room: &mut Room) {
-        let now = room.now();
-        let spans = [
-            (Standing::Silent, UNUSED),
-            (Standing::Unfinished, UNUSED),
-            (Standing::Parting, UNUSED),
-            (Standing::Unused, self.patience),
-            (Standing::Unread, self.patience),
-        ];
-        for (standing, span) in spans {
-            while let Some((since, no)) = self.first(standing).filter(|f| now - f.0 >= span) {
-                self.serve(room, no, WAITING);
-                if self.all.get(&no).is_some_and(|c| c.standing == Some((standing, since))) {
-                    self.end(room, no, standing);
-                }
-            }
-        }
-        self.read_again(room);
-        if room.descriptors.spare() > 0 {
-            self.resume(room);
-        }
-    }
-
-    /// Those who found no buffer may find one now.
-    fn read_again(&mut self, room: &Room) {
-        for client in self.all.values().filter(|c| c.phase == Phase::Reading) {
-            if !client.connection.reads() && client.connection.input.is_empty() {
-                client.connection.wants(room, true, false);
-            }
-        }
-    }
-
-    fn end(&mut self, room: &mut Room, no: ConnectionNo, standing: Standing) {
-        if standing != Standing::Unfinished {
-            return self.close(room, no);
-        }
-        room.counters.add(Count::Malformed);
-        self.respond(room, no, 408, None, b"", false);
-        self.note(no);
-    }
-
-    /// Who has stood like this for longest, and since when.
-    fn first(&self, standing: Standing) -> Option<(Point, ConnectionNo)> {
-        let mut from = self.standing.range((standing, Point(i64::MIN), 0)..);
-        from.next().filter(|f| f.0 == standing).map(|f| (f.1, f.2))
-    }
-
-    /// Closes a connection that may make room: silent ones first, then those that have stalled for longer than
-    /// `stall`, then those unused for as long as the protocol asks. Guards against clients that hold all
-    /// descriptors with nothing, or half a request each. Gives back whether there was one.
-    pub fn make_room(&mut self, room: &mut Room) -> bool {
-        let spans = [
-            (Standing::Silent, Span::ZERO),
-            (Standing::Unfinished, self.stall),
-            (Standing::Parting, self.stall),
-            (Standing::Unused, UNUSED),
-        ];
-        spans.into_iter().any(|(standing, span)| self.part_with(room, standing, span))
-    }
-
-    /// Closes the connection that was unused longest, however short that is.
-    pub fn close_unused(&mut self, room: &mut Room) -> bool {
-        self.part_with(room, Standing::Unused, Span::ZERO)
-    }
-
-    fn part_with(&mut self, room: &mut Room, standing: Standing, span: Span) -> bool {
-        let now = room.now();
-        while let Some((since, no)) = self.first(standing).filter(|f| now - f.0 >= span) {
-            // What has come in meanwhile may make a request whole, and then it is taken.
-            self.serve(room, no, WAITING);
-            if self.all.get(&no).is_some_and(|c| c.standing == Some((standing, since))) {
-                self.close(room, no);
-            }
-            if !self.all.contains_key(&no) {
-                return true;
-            }
-        }
-        false
-    }
-
-    /// While ending: closes connections between requests. Gives back whether none are left.
-    pub fn part(&mut self, room: &mut Room) -> bool {
-        let between = |c: &Client| c.phase == Phase::Reading && c.intake.untouched(&c.connection.input);
-        let reading = self.all.iter().filter(|(_, c)| between(c) && c.connection.reads());
-        for no in reading.map(|(no, _)| *no).collect::<Vec<ConnectionNo>>() {
-            // A request that has come in meanwhile is still taken.
-            self.serve(room, no, WAITING);
-            if self.all.get(&no).is_some_and(between) {
-                self.close(room, no);
-            }
-        }
-        self.all.values().all(|c| c.phase == Phase::Parting)
-    }
 }
