--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -50,6 +50,13 @@
     standing: Option<(Standing, Point)>,
 }
 
+impl Client {
+    /// Whether nothing stands behind the request.
+    fn is_alone(&self) -> bool {
+        self.intake.body().end >= self.connection.input.len()
+    }
+}
+
 /// A txn whose client waits.
 struct Asker {
     no: ConnectionNo,
@@ -167,7 +174,11 @@
             return;
         }
         let begins = client.connection.input.is_empty();
-        match client.connection.fill(room) {
+        // Guards against the end of a client that is not seen: what it sends while its txn is under way would fill the
+        // buffer, and nothing be read any more. That there was something closes its connection after the answer.
+        let more = matches!(client.phase, Phase::Waiting(_)) && !client.is_alone();
+        let filled = if more { client.connection.pass_over(room) } else { client.connection.fill(room) };
+        match filled {
             Filled::Some if client.phase == Phase::Reading => {
                 // A request counts from its first byte, the first one from the connection's coming, so that one
                 // sent drop by drop has no longer than others.
@@ -205,9 +216,7 @@
                 }
                 // Guards against doubt about what belongs to a request: clients send one at a time, so what
                 // stands behind one makes it unreadable, be it a length that is wrong or hundreds at once.
-                Ok(Progress::Whole) if client.intake.body().end < client.connection.input.len() => {
-                    self.refuse(room, no, Fault::Malformed)
-                }
+                Ok(Progress::Whole) if !client.is_alone() => self.refuse(room, no, Fault::Malformed),
                 Ok(Progress::Whole) => self.take(room, no),
                 Err(fault) => self.refuse(room, no, fault),
             }
@@ -287,8 +296,7 @@
         whole: bool,
     ) {
         let Some(client) = self.all.get_mut(&no) else { return };
-        let alone = client.intake.body().end == client.connection.input.len();
-        let kept = whole && alone && client.keeps && self.serving != Serving::Ending;
+        let kept = whole && client.is_alone() && client.keeps && self.serving != Serving::Ending;
         client.phase = Phase::Answering { kept };
         let Some(out) = client.connection.out(room) else { return self.close(room, no) };
         write::status_line(out, status);
--- a/crates/gateway/tests/sockets/clients.rs
+++ b/crates/gateway/tests/sockets/clients.rs
@@ -129,3 +129,18 @@
         [nothing.hear(), half.hear(), dropping.join().unwrap(), kept.ask("GET /ready HTTP/1.1\r\n\r\n")];
     assert_eq!(said, ["closed", "408 Connection: close", "408 Connection: close", "503"]);
 }
+
+#[test]
+fn the_end_of_a_client_is_seen_behind_whatever_it_sends_while_its_txn_is_under_way() {
+    let trace = Trace::default();
+    let one = server("one", &trace, &[Way::Silence]);
+    let gateway = start(&configuration(silent(), &[member("s-1", one, "ready", 41)]));
+    let mut caller = gateway.caller();
+    caller.say(txn("lodge", "aa", 60_000));
+    trace.wait("one.1: POST", 1);
+    // More than any buffer of the program holds.
+    caller.say(vec![b'x'; 200_000]);
+    drop(caller);
+    trace.wait("one.1: given up on true", 1);
+    assert_eq!(gateway.end(&["taken", "left", "recalled"]), "taken=1 left=1 recalled=1");
+}
