--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -318,9 +318,11 @@
         }
     }
 
-    /// The first signal lets all that is taken be answered; a second one ends at once.
+    /// The first signal lets all that is taken be answered; a second one ends at once. Guards what was taken against
+    /// an end without a word, however it is hurried: what is still owed is voided.
     fn end(&mut self) {
         if self.ending.is_some() {
+            self.void_all();
             self.over = true;
             return;
         }
