--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use calloop::Readiness;
 use harrierdock::interface::{Event, Load, Outcome, ServerIx, TxnId};
@@ -64,6 +65,19 @@
     intake: Intake,
     since: Point,
     errand: Option<Errand>,
+    /// Where in what goes out the time that is left stands.
+    left: Range<usize>,
+}
+
+/// Writes how long the attempt may take. Gives back where it stands.
+fn field_of_time(out: &mut Vec<u8>, left: Span) -> Range<usize> {
+    write::field(out, FIELD_LEFT, in_ms(left));
+    let end = out.len() - "\r\n".len();
+    end - in_ms(left).len()..end
+}
+
+fn in_ms(span: Span) -> String {
+    (span.0.max(0) / 1000).to_string()
 }
 
 pub struct Servers {
@@ -116,7 +130,7 @@
         write::request_line(out, asked.method, asked.target);
         write::field(out, "Host", line.machine.address);
         write::field(out, FIELD_TXN, asked.txn);
-        write::field(out, FIELD_LEFT, wait.0 / 1000);
+        line.left = field_of_time(out, wait);
         if let Some(reference) = asked.reference {
             write::field(out, FIELD_REFERENCE, reference);
         }
@@ -181,7 +195,7 @@
         room.dues.set(due, Due::Submission(no));
         let errand = Some(Errand { task, due, until });
         let (phase, intake, since) = (Phase::Connecting, Intake::default(), room.now());
-        self.lines.insert(no, Line { connection, server, machine, phase, intake, since, errand });
+        self.lines.insert(no, Line { connection, server, machine, phase, intake, since, errand, left: 0..0 });
         Ok(no)
     }
 
@@ -200,6 +214,11 @@
             room.dues.clear(errand.due, Due::Submission(no));
             errand.due = errand.until;
             room.dues.set(errand.due, Due::Submission(no));
+            // Guards against a server told of more time than its client has: what the connection took to come up is over.
+            if !line.left.is_empty() {
+                let left = in_ms(errand.until - room.now()).into_bytes();
+                line.connection.output.splice(line.left.clone(), left);
+            }
         }
         Readiness { writable: true, readable: false, ..readiness }
     }
--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -188,6 +188,32 @@
     assert_eq!(gateway.end(&["declined", "reset", "moot", "lapsed"]), "declined=1 reset=1 moot=1 lapsed=1");
 }
 
+/// A request of which `Held::come_up` would wait for the end: the first bytes, or none where it was given up.
+fn first_bytes(mut late: TcpStream) -> String {
+    late.set_read_timeout(Some(BOUND)).unwrap();
+    let mut bytes = [0; 1024];
+    let count = late.read(&mut bytes).unwrap();
+    String::from_utf8_lossy(&bytes[..count]).to_string()
+}
+
+#[test]
+fn an_attempt_whose_connection_comes_up_late_tells_the_time_that_is_left_then() {
+    let mut held = Held::new();
+    let mut told = configuration(silent(), &[held.member("ready", 41)]);
+    patient(&mut told);
+    let gateway = start(&told);
+    let _caller = ask_held(&gateway, "lodge", "aa");
+    // Its time is what the crossing needs here.
+    let late = Duration::from_millis(400);
+    thread::sleep(late);
+    held.queue.drain(..).for_each(|_| drop(held.listener.accept().unwrap()));
+    let request = first_bytes(held.listener.accept().unwrap().0);
+    let left = request.lines().find_map(|l| l.strip_prefix("X-Remaining-Ms: ")).unwrap();
+    let left: u64 = left.parse().unwrap();
+    assert!((1..=9000 - late.as_millis() as u64).contains(&left), "{left} ms are told to be left of 9000");
+    assert!(request.ends_with("Content-Length: 2\r\n\r\n{}"), "{request}");
+}
+
 #[test]
 fn an_answer_that_comes_again_late_is_not_taken_for_the_next_txns() {
     let first: Mutex<Option<TcpStream>> = Mutex::new(None);
