--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -10,6 +10,7 @@
 use crate::driver::Driver;
 use crate::gateway::Gateway;
 use crate::room::{Asked, Notice};
+use crate::servers::Unwritten;
 
 impl Driver {
     /// What an attempt of this txn at this server, decided on now, is decided on.
@@ -24,15 +25,15 @@
         }
     }
 
-    /// Why this attempt, of which nothing has been written, may not be any more. `placed`: its connection leads to
-    /// where the server is listed now.
-    fn lapse(&self, now: Point, id: TxnId, attempt: usize, placed: bool) -> Option<Lapse> {
-        let Some(entry) = self.book.get(&id) else { return Some(Lapse::Closed) };
-        let sent = entry.sent.get(attempt)?;
-        let server = self.module.servers.get(&sent.server).filter(|_| placed);
+    /// Why this attempt, of whose request the last byte has not been written, may not be any more. `waits`: its client
+    /// still does.
+    fn lapse(&self, now: Point, of: &Unwritten, waits: bool) -> Option<Lapse> {
+        let Some(entry) = self.book.get(&of.id) else { return Some(Lapse::Closed) };
+        let sent = entry.sent.get(of.attempt)?;
+        let server = self.module.servers.get(&sent.server).filter(|_| of.placed);
         sent.condition.lapse(&Standing {
             now,
-            closed: entry.answered,
+            closed: entry.answered || !waits,
             listed: server.map(|s| (s.listed.lifecycle, s.listed.build, s.started)),
             cap: self.module.cap_of(sent.condition.build),
             pin: entry.key.map_or(0, |key| self.pin_of(key)),
@@ -64,6 +65,9 @@
             self.make_room();
         }
         let inward = self.is_inward(id);
+        if !inward && !spent {
+            self.clients.still_waits(&mut self.room, id);
+        }
         let Gateway { clients, servers, room, across, .. } = self;
         let mut octets = 0;
         let submit = |asked: Asked<'_>| {
@@ -87,8 +91,9 @@
     /// given up, on a connection that has just come up as on one that takes no more for now. It has never run.
     pub fn withdraw_lapsed(&mut self, no: ConnectionNo) {
         let Some(unwritten) = self.servers.unwritten(no) else { return };
+        let waits = self.is_inward(unwritten.id) || self.clients.still_waits(&mut self.room, unwritten.id);
         let now = self.room.now();
-        let lapse = self.driver.lapse(now, unwritten.id, unwritten.attempt, unwritten.placed);
+        let lapse = self.driver.lapse(now, &unwritten, waits);
         if let Some(lapse) = lapse {
             tracing::debug!("servers: an attempt is not written: {lapse:?}");
             self.room.counters.add(Count::Lapsed);
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -19,7 +19,7 @@
 use crate::request::{asked, Request};
 use crate::room::{Asked, Body, Notice, Room};
 use listener::{listen, Door};
-use standing::Standing;
+use standing::{Standing, WAITING};
 
 /// The protocol lets a connection without an open request be closed after this.
 pub const UNUSED: Span = Span(2_000_000);
@@ -253,6 +253,16 @@
         self.respond(room, no, status, more, word.as_bytes(), true);
     }
 
+    /// Looks once more at the txn's client, right before something is done for it. Gives back whether it still waits.
+    /// Guards against an attempt for a client that has left while the program was kept from its sockets: the end of
+    /// its connection may stand behind what called for the attempt.
+    pub fn still_waits(&mut self, room: &mut Room, id: TxnId) -> bool {
+        if let Some(no) = self.asking.get(&id).map(|asker| asker.no) {
+            self.serve(room, no, WAITING);
+        }
+        self.asking.contains_key(&id)
+    }
+
     /// The txn's request, as long as its client waits.
     pub fn asked<T>(&self, id: TxnId, with: impl FnOnce(Asked) -> T) -> Option<T> {
         let client = self.all.get(&self.asking.get(&id)?.no)?;
--- a/crates/gateway/src/clients/standing.rs
+++ b/crates/gateway/src/clients/standing.rs
@@ -9,7 +9,7 @@
 use crate::room::Room;
 
 /// As though something had come in.
-const WAITING: Readiness = Readiness { readable: true, writable: false, error: false };
+pub(super) const WAITING: Readiness = Readiness { readable: true, writable: false, error: false };
 
 /// How a connection stands on which no txn is under way, in the order in which they make room for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -3,7 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -115,6 +115,23 @@
     assert_eq!(gateway.end(&COUNTS), "left=1 moot=1 lapsed=1");
 }
 
+#[test]
+fn nothing_is_written_for_a_client_whose_close_waits_behind_the_coming_up_of_the_connection() {
+    let mut held = Held::new();
+    let mut told = configuration(silent(), &[held.member("ready", 41)]);
+    patient(&mut told);
+    let gateway = start(&told);
+    let caller = ask_held(&gateway, "lodge", "aa");
+    // While the program is kept from its sockets, the connection comes up first, and then the client leaves.
+    gateway.stop();
+    held.queue.drain(..).for_each(|_| drop(held.listener.accept().unwrap()));
+    let late = held.listener.accept().unwrap().0;
+    drop(caller);
+    gateway.signal(Signal::CONT);
+    assert_eq!(Held::written(late), 0);
+    assert_eq!(gateway.end(&COUNTS), "left=1 moot=1 lapsed=1");
+}
+
 #[test]
 fn nothing_is_written_to_a_build_whose_cap_was_lowered_while_its_connection_came_up() {
     let trace = Trace::default();
@@ -214,6 +231,49 @@
     assert!(request.ends_with("Content-Length: 2\r\n\r\n{}"), "{request}");
 }
 
+#[test]
+fn a_further_attempt_is_not_made_for_a_client_whose_close_waits_to_be_read() {
+    let trace = Trace::default();
+    let seen = trace.clone();
+    let held: Arc<Mutex<Option<TcpStream>>> = Arc::default();
+    let hold = held.clone();
+    // Both servers answer all but this one txn, of which the first attempt is held.
+    let handle = move |request: &mut Request| {
+        if request.field("X-Txn") != Some("zz") {
+            return request.answer("200 OK", "settled");
+        }
+        seen.note("zz: attempt");
+        hold.lock().unwrap().get_or_insert_with(|| request.stream.try_clone().unwrap());
+        request.stream.read(&mut [0; 1]).is_err()
+    };
+    let handle = Arc::new(handle);
+    let [one, two] = [(); 2].map(|_| {
+        let handle = handle.clone();
+        stand_in(move |request| handle(request))
+    });
+    let told = configuration(silent(), &[member("s-1", one, "ready", 41), member("s-2", two, "ready", 41)]);
+    let gateway = start(&told);
+    // Connections to both are kept, so that a further attempt would be written at once.
+    let mut warm: Vec<Caller> = (0..8).map(|_| gateway.caller()).collect();
+    for round in 0..4 {
+        warm.iter_mut().enumerate().for_each(|(n, c)| c.say(txn("draft", &format!("w{round}{n}"), 9000)));
+        warm.iter_mut().for_each(|c| assert_eq!(c.hear(), "200 settled"));
+    }
+    rest();
+    let mut caller = gateway.caller();
+    caller.say(txn("draft", "zz", 9000));
+    trace.wait("zz: attempt", 1);
+    // While the program is kept from its sockets, the attempt fails first, and then its client leaves.
+    gateway.stop();
+    let failed = held.lock().unwrap().take().unwrap();
+    failed.shutdown(std::net::Shutdown::Both).unwrap();
+    drop(caller);
+    gateway.signal(Signal::CONT);
+    turn(&gateway);
+    assert_eq!(trace.count("zz: attempt"), 1);
+    assert_eq!(gateway.end(&["left", "reset"]), "left=1 reset=1");
+}
+
 #[test]
 fn an_answer_that_comes_again_late_is_not_taken_for_the_next_txns() {
     let first: Mutex<Option<TcpStream>> = Mutex::new(None);
--- a/crates/gateway/tests/sockets/support.rs
+++ b/crates/gateway/tests/sockets/support.rs
@@ -101,6 +101,18 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
+    /// Keeps it from its sockets until it is told to go on; comes back once it stands still.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+        let from = Instant::now();
+        let stat = format!("/proc/{}/stat", self.child.id());
+        // Behind the program's name, which stands in brackets, comes its state.
+        while !fs::read_to_string(&stat).unwrap().contains(") T ") {
+            assert!(from.elapsed() < BOUND, "it does not stop");
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Ends it, and gives back its last counts of these names.
     pub fn end(mut self, names: &[&str]) -> String {
         self.signal(Signal::TERM);
