--- a/crates/attempts/src/condition.rs
+++ b/crates/attempts/src/condition.rs
@@ -39,6 +39,8 @@
     Replaced,
     /// Guards the exposure cap, which binds what arrives under it, whenever that was decided.
     CapLowered,
+    /// Guards the exposure cap, where connections that were long in coming up would carry many attempts at once.
+    CapReached,
     /// Guards a key that a later build has answered meanwhile.
     Pinned,
     /// Guards against an effect twice, where servers forget repeats sooner than a connection may come up.
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -39,6 +39,15 @@
             pin: entry.key.map_or(0, |key| self.pin_of(key)),
         })
     }
+
+    /// Whether this attempt finds no room under the cap where it is to be written now; else it counts from now on.
+    fn crowds(&mut self, now: Point, of: &Unwritten) -> Option<Lapse> {
+        let entry = self.book.get_mut(&of.id)?;
+        let sent = entry.sent.get_mut(of.attempt)?;
+        let since = std::mem::replace(&mut sent.counted, now);
+        let arrives = self.module.arrives(now, since, entry.product, sent.condition.build);
+        (!arrives).then_some(Lapse::CapReached)
+    }
 }
 
 impl Entry {
@@ -57,7 +66,15 @@
         };
         let Some(entry) = self.driver.book.get_mut(&id) else { return };
         let attempt = entry.sent.len();
-        entry.sent.push(Sent { server, at: now, condition, out: true, never_ran: false, octets: 0 });
+        entry.sent.push(Sent {
+            server,
+            at: now,
+            counted: now,
+            condition,
+            out: true,
+            never_ran: false,
+            octets: 0,
+        });
         let left = entry.expiry - self.room.clock.now();
         let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
         let spent = entry.answered || attempt >= self.driver.most_attempts || wait <= Span::ZERO;
@@ -93,7 +110,7 @@
         let Some(unwritten) = self.servers.unwritten(no) else { return };
         let waits = self.is_inward(unwritten.id) || self.clients.still_waits(&mut self.room, unwritten.id);
         let now = self.room.now();
-        let lapse = self.driver.lapse(now, &unwritten, waits);
+        let lapse = self.driver.lapse(now, &unwritten, waits).or_else(|| self.driver.crowds(now, &unwritten));
         if let Some(lapse) = lapse {
             tracing::debug!("servers: an attempt is not written: {lapse:?}");
             self.room.counters.add(Count::Lapsed);
--- a/crates/gateway/src/book.rs
+++ b/crates/gateway/src/book.rs
@@ -7,6 +7,8 @@
 pub struct Sent {
     pub server: ServerIx,
     pub at: Point,
+    /// From when on it counts against the cap on exposure.
+    pub counted: Point,
     /// What it was decided on.
     pub condition: Condition,
     pub out: bool,
--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -213,6 +213,35 @@
     String::from_utf8_lossy(&bytes[..count]).to_string()
 }
 
+#[test]
+fn connections_that_come_up_late_and_together_carry_no_more_than_the_cap() {
+    let mut held = Held::new();
+    let mut told = configuration(silent(), &[held.member("ready", 42)]);
+    patient(&mut told);
+    let window = Duration::from_millis(300);
+    told["settings"]["family_info"]["counted_over"] = (window.as_micros() as u64).into();
+    let capped = json!({"image": 42, "ring": 0, "progress": "trial", "ceiling": 0.01, "lag_ms": 100});
+    told["rollouts"] = json!({"address": silent(), "news": capped});
+    let gateway = start(&told);
+    // One attempt fits each window; by the time the next is decided the one before has left it, unwritten.
+    let mut callers = Vec::new();
+    for id in ["a1", "a2", "a3"] {
+        callers.push(ask_held(&gateway, "lodge", id));
+        thread::sleep(window * 2);
+    }
+    // All three come up while the program is kept from its sockets, so that it meets them at once.
+    gateway.stop();
+    held.queue.drain(..).for_each(|_| drop(held.listener.accept().unwrap()));
+    let late = [(); 3].map(|_| held.listener.accept().unwrap().0);
+    gateway.signal(Signal::CONT);
+    let written = late.map(first_bytes).iter().filter(|bytes| !bytes.is_empty()).count();
+    assert_eq!(written, 1);
+    drop(callers);
+    turn(&gateway);
+    let counts = gateway.end(&["servers-connected", "lapsed"]);
+    assert_eq!(counts, "servers-connected=3 lapsed=2");
+}
+
 #[test]
 fn an_attempt_whose_connection_comes_up_late_tells_the_time_that_is_left_then() {
     let mut held = Held::new();
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -23,11 +23,20 @@
         sent + 1.0 <= told.free + cap * self.taken.count(edge + tick, |p| counts(*p))
     }
 
-    /// The build that a key stays with: one that has answered it, or whose answer may be on its way by now.
-    fn pin(&self, txn: &Txn) -> Build {
-        txn.key.map_or(0, |key| self.pin_of(key))
+    /// Whether an attempt counted from `since` on may reach a build on trial only now; then it counts from now on.
+    /// Guards the exposure cap, which counts what arrives, against connections that come up late, many at once.
+    pub fn arrives(&mut self, now: Point, since: Point, product: ProductIx, build: Build) -> bool {
+        self.now = now;
+        self.exposed.take_back(since, &(product, build));
+        let on_trial = self.on_trial(build);
+        let room = !on_trial || self.within_cap(build, product);
+        if on_trial && room {
+            self.exposed.push(now, (product, build));
+        }
+        room
     }
 
+    /// The build that a key stays with: one that has answered it, or whose answer may be on its way by now.
     pub fn pin_of(&self, key: Key) -> Build {
         if !self.terms.release.one_way {
             return 0;
@@ -67,7 +76,7 @@
         self.unserved = (self.unserved - 1.0).max(0.0);
         let (taken, expiry, attempts) = (self.now, self.now + left, Vec::new());
         self.txns.insert(id, Txn { product, key, taken, expiry, attempts, answer: Answer::Owed, due: None });
-        let pin = self.pin(&self.txns[&id]);
+        let pin = key.map_or(0, |key| self.pin_of(key));
         self.pinned += LEARN * LEARN * (f64::from(pin > 0 && self.on_trial(pin)) - self.pinned);
         // Guards against a jam that no limit at a server holds off: hundreds of gateways keep one out each.
         if self.chance.generate::<f64>() < self.shed_of(product) {
@@ -121,7 +130,7 @@
         let share = ((share - self.pinned) / (1.0 - self.pinned).max(0.01)).max(0.0);
         let trial_first = self.chance.generate::<f64>() < share && self.txns[&id].attempts.is_empty();
         let txn = &self.txns[&id];
-        let pin = self.pin(txn);
+        let pin = txn.key.map_or(0, |key| self.pin_of(key));
         let tier = |ix: ServerIx, server: &Server, on_trial: bool| {
             let tried = txn.attempts.iter().any(|a| a.server == ix);
             match (self.healthy(server), tried) {
--- a/src/recent.rs
+++ b/src/recent.rs
@@ -18,6 +18,17 @@
         self.0.push_back((at, what));
     }
 
+    /// Takes back what was said to be at this point, if it is still held.
+    pub fn take_back(&mut self, at: Point, what: &T)
+    where
+        T: PartialEq,
+    {
+        let from = self.0.partition_point(|(point, _)| *point < at);
+        let same =
+            self.0.iter().skip(from).take_while(|(point, _)| *point == at).position(|(_, w)| w == what);
+        same.map(|place| self.0.remove(from + place));
+    }
+
     pub fn forget(&mut self, before: Point) {
         while self.0.front().is_some_and(|(at, _)| *at < before) {
             self.0.pop_front();
