--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -20,6 +20,8 @@
 const SIGN_OF_LIFE: Span = Span(2_000_000);
 /// Signs of life that may be missed before a stream counts as silent.
 const MISSED: f64 = 2.5;
+/// What a watch misses that has fallen silent counts as told after this.
+const TOLD_ANYWAY: Span = Span(6_000_000);
 
 /// A list as discovery writes it. The page's names end here.
 #[derive(Clone, Default, Deserialize)]
@@ -87,6 +89,8 @@
     feed: Feed,
     revision: Option<i64>,
     pause: Span,
+    /// When it was opened last.
+    opened: Point,
     /// The lines so far of a list that is written over several, and when its first came.
     part: Vec<u8>,
     begun: Option<Point>,
@@ -104,9 +108,13 @@
 }
 
 impl Discovery {
+    /// `pause`: how often it is looked after, and how long its connection may take to come up.
     pub fn new(address: SocketAddr, pause: Span) -> Discovery {
-        let feed = Feed::new("discovery", address, SIGN_OF_LIFE * MISSED);
-        Discovery { feed, revision: None, pause, part: Vec::new(), begun: None }
+        // Guards what is told anyway, whatever is told of servers' connections: there is time for a look, for a
+        // connection that does not come up, and for the next one.
+        let silence = (SIGN_OF_LIFE * MISSED).min(TOLD_ANYWAY - pause * 3.0);
+        let feed = Feed::new("discovery", address, silence);
+        Discovery { feed, revision: None, pause, opened: Point(0), part: Vec::new(), begun: None }
     }
 
     /// The list as this gateway had it last.
@@ -124,7 +132,7 @@
     /// Opens the watch, or asks for a whole list first if none is held that changes could apply to.
     fn open(&mut self, room: &mut Room) {
         self.part.clear();
-        self.begun = None;
+        (self.begun, self.opened) = (None, room.now());
         match self.revision {
             Some(revision) => self.feed.open(room, &watch(revision), Asking::Lines, on_ready),
             None => self.feed.open(room, "/v1/endpoints", Asking::Once, on_ready),
@@ -142,7 +150,11 @@
         let now = room.now();
         // Guards against a list that stops between two lines, while signs of life go on.
         let stalled = self.begun.is_some_and(|since| now - since > self.pause);
-        if stalled || self.feed.is_silent(now, self.pause) || !self.feed.rests(now, self.pause) {
+        // A whole list comes at once or not at all. Guards against a start that waits for the signs of life of a watch
+        // where none is to come, as while discovery is down.
+        let unanswered = !self.knows() && now - self.opened >= SIGN_OF_LIFE;
+        let silent = unanswered || self.feed.is_silent(now, self.pause);
+        if stalled || silent || !self.feed.rests(now, self.pause) {
             self.open(room);
         }
     }
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod configuration;
 mod crossings;
+mod discovery;
 mod ending;
 mod keys;
 mod limits;
--- a/crates/gateway/tests/sockets/told.rs
+++ b/crates/gateway/tests/sockets/told.rs
@@ -1,9 +1,11 @@
 //! What discovery, the platform and peers tell.
 
-use std::io::Write;
-use std::net::UdpSocket;
+use std::io::{BufReader, Write};
+use std::net::{TcpStream, UdpSocket};
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use expect_test::expect;
 
@@ -302,3 +304,49 @@
     "#]],
     );
 }
+
+/// Whether a connection to this port is on its way and has not come up.
+fn is_coming(port: u16) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let on_its_way = |line: &str| line.contains(&format!(":{port:04X} 02 "));
+    table.lines().any(on_its_way)
+}
+
+#[test]
+fn a_silent_watch_is_opened_anew_in_time_though_its_next_connection_does_not_come_up() {
+    let (listener, queue) = full_server();
+    let address = listener.local_addr().unwrap();
+    let accept = || {
+        let (stream, _) = listener.accept().unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        (stream, message(&mut reader))
+    };
+    let say = |stream: &mut TcpStream, revision: u32| {
+        let line = list(revision, false, &[]).to_string() + "\n";
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        write!(stream, "{head}{:x}\r\n{line}\r\n", line.len()).unwrap();
+    };
+    queue.into_iter().for_each(|_| drop(listener.accept().unwrap()));
+    let mut told = configuration(address, &[]);
+    told["known"] = list(41, true, &[member("s-1", silent(), "ready", 41)]);
+    // Longer than the gateway may wait here: what is told is of servers.
+    told["settings"]["limits"]["connect_timeout"] = 2_000_000.into();
+    let gateway = start(&told);
+    let (mut first, _) = accept();
+    let from = Instant::now();
+    say(&mut first, 42);
+    gateway.line("discovery: list 42 ");
+    let queue = fill(address);
+    // It falls silent; the next connection finds no room, the one behind it does.
+    while !is_coming(address.port()) {
+        assert!(from.elapsed() < BOUND, "the watch is not opened anew");
+        thread::sleep(Duration::from_millis(5));
+    }
+    queue.into_iter().for_each(|_| drop(listener.accept().unwrap()));
+    let (mut next, request) = accept();
+    assert!(request.unwrap().0.contains("stream=1&index=42 "));
+    say(&mut next, 43);
+    gateway.line("discovery: list 43 ");
+    let took = from.elapsed();
+    assert!(took < Duration::from_secs(6), "{took:?} after the watch fell silent");
+}
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -77,7 +77,7 @@
     /// Whether it has said nothing for too long, or has not come up in the time a connection may take. Guards
     /// against a part of an answer behind which nothing comes: the rest of it has no longer either.
     pub fn is_silent(&self, now: Point, connect: Span) -> bool {
-        let silent = now - self.heard > if self.up { self.silence } else { connect };
+        let silent = now - self.heard >= if self.up { self.silence } else { connect };
         let silent = silent || self.begun.is_some_and(|since| now - since > connect);
         if silent && self.connection.is_some() {
             tracing::warn!("{}: silent, renewed", self.name);
