--- a/crates/attempts/src/lib.rs
+++ b/crates/attempts/src/lib.rs
@@ -1,9 +1,12 @@
 //! Decides at the moment at which an attempt is about to be written, without I/O: whether that on which it was decided
 //! still holds. Between the decision and the first byte lies the making of a connection, in which a list, news,
-//! another txn's answer or the client's leaving may come. And which kept connection may carry it.
+//! another txn's answer or the client's leaving may come. And which kept connection may carry it, and how long to wait
+//! before a service that refused is asked again.
 
+mod backoff;
 mod condition;
 mod pool;
 
+pub use backoff::Backoff;
 pub use condition::{Condition, Lapse, Standing};
 pub use pool::{Kept, Pool};
--- /dev/null
+++ b/crates/attempts/tests/backoff.rs
@@ -0,0 +1,48 @@
+//! How long it is waited before a service that refused is asked again.
+
+use harrierdock::time::Span;
+use harrierdock_attempts::Backoff;
+
+const LEAST: Span = Span(250_000);
+const MOST: Span = Span(1_500_000);
+
+fn waits(seed: u64, count: usize) -> Vec<i64> {
+    let mut backoff = Backoff::new(LEAST, MOST, seed);
+    (0..count).map(|_| backoff.failed().0).collect()
+}
+
+#[test]
+fn waits_double_to_the_most_and_are_drawn_by_the_seed() {
+    for seed in 0..200 {
+        for (n, wait) in waits(seed, 8).into_iter().enumerate() {
+            let whole = (LEAST.0 << n).min(MOST.0);
+            assert!((LEAST.0.max(whole / 2)..=whole).contains(&wait), "wait {n} of seed {seed}: {wait}");
+        }
+    }
+    assert_ne!(waits(1, 8), waits(2, 8));
+    assert_eq!(waits(1, 8), waits(1, 8));
+}
+
+#[test]
+fn hundreds_that_failed_at_once_do_not_come_back_in_step() {
+    let mut backs: Vec<Backoff> = (0..300).map(|seed| Backoff::new(LEAST, MOST, seed)).collect();
+    // Each asks again as soon as it may, and is refused each time.
+    let mut next = vec![0_i64; backs.len()];
+    let mut by_tenth = vec![0; 100];
+    for (at, backoff) in next.iter_mut().zip(&mut backs) {
+        while *at < 10_000_000 {
+            by_tenth[(*at / 100_000) as usize] += 1;
+            *at += backoff.failed().0;
+        }
+    }
+    let most = by_tenth[50..].iter().max().copied().unwrap_or(0);
+    assert!(most <= 45, "{most} of 300 ask within a tenth of a second, of whom some 27 would by chance");
+}
+
+#[test]
+fn what_worked_makes_the_next_failure_a_first_one() {
+    let mut backoff = Backoff::new(LEAST, MOST, 7);
+    (0..5).for_each(|_| drop(backoff.failed()));
+    backoff.worked();
+    assert_eq!(backoff.failed(), LEAST);
+}
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,6 +6,7 @@
 use calloop::Readiness;
 use harrierdock::interface::{Event, Lifecycle, Listed, Scope, ServerIx};
 use harrierdock::time::{Point, Span};
+use harrierdock_attempts::Backoff;
 use harrierdock_http::BODY_MOST;
 use harrierdock_net::{Asking, Clock, Feed, Heard};
 use harrierdock_terms::{mark, Names};
@@ -89,8 +90,12 @@
     feed: Feed,
     revision: Option<i64>,
     pause: Span,
-    /// When it was opened last.
+    backoff: Backoff,
+    /// How long after it was last tried it is tried again.
+    wait: Span,
+    /// When it was opened last, and whether that has brought anything yet.
     opened: Point,
+    worked: bool,
     /// The lines so far of a list that is written over several, and when its first came.
     part: Vec<u8>,
     begun: Option<Point>,
@@ -109,12 +114,15 @@
 
 impl Discovery {
     /// `pause`: how often it is looked after, and how long its connection may take to come up.
-    pub fn new(address: SocketAddr, pause: Span) -> Discovery {
+    pub fn new(address: SocketAddr, pause: Span, seed: u64) -> Discovery {
         // Guards what is told anyway, whatever is told of servers' connections: there is time for a look, for a
         // connection that does not come up, and for the next one.
         let silence = (SIGN_OF_LIFE * MISSED).min(TOLD_ANYWAY - pause * 3.0);
         let feed = Feed::new("discovery", address, silence);
-        Discovery { feed, revision: None, pause, opened: Point(0), part: Vec::new(), begun: None }
+        let backoff = Backoff::new(pause, TOLD_ANYWAY / 4.0, seed);
+        let (opened, part) = (Point(0), Vec::new());
+        let (wait, worked, begun) = (pause, false, None);
+        Discovery { feed, revision: None, pause, backoff, wait, opened, worked, part, begun }
     }
 
     /// The list as this gateway had it last.
@@ -132,7 +140,7 @@
     /// Opens the watch, or asks for a whole list first if none is held that changes could apply to.
     fn open(&mut self, room: &mut Room) {
         self.part.clear();
-        (self.begun, self.opened) = (None, room.now());
+        (self.begun, self.opened, self.worked) = (None, room.now(), false);
         match self.revision {
             Some(revision) => self.feed.open(room, &watch(revision), Asking::Lines, on_ready),
             None => self.feed.open(room, "/v1/endpoints", Asking::Once, on_ready),
@@ -142,10 +150,18 @@
     /// A reload has told another address: it is asked at once for what follows the version held.
     pub fn turn_to(&mut self, room: &mut Room, address: SocketAddr) {
         if self.feed.turn_to(room, address) {
+            self.backoff.worked();
+            self.wait = self.pause;
             self.open(room);
         }
     }
 
+    /// What was opened last is over. Guards against a discovery that is asked by hundreds: one that has brought nothing
+    /// is asked again later and later.
+    fn over(&mut self) {
+        self.wait = if std::mem::take(&mut self.worked) { self.pause } else { self.backoff.failed() };
+    }
+
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
         // Guards against a list that stops between two lines, while signs of life go on.
@@ -153,8 +169,9 @@
         // A whole list comes at once or not at all. Guards against a start that waits for the signs of life of a watch
         // where none is to come, as while discovery is down.
         let unanswered = !self.knows() && now - self.opened >= SIGN_OF_LIFE;
-        let silent = unanswered || self.feed.is_silent(now, self.pause);
-        if stalled || silent || !self.feed.rests(now, self.pause) {
+        if stalled || unanswered && self.feed.rests(now, Span::ZERO) || self.feed.is_silent(now, self.pause) {
+            self.renew(room);
+        } else if !self.feed.rests(now, self.wait) {
             self.open(room);
         }
     }
@@ -164,7 +181,8 @@
         self.part.clear();
         self.begun = None;
         self.feed.close(room);
-        if !self.feed.rests(room.now(), self.pause) {
+        self.over();
+        if !self.feed.rests(room.now(), self.wait) {
             self.open(room);
         }
     }
@@ -176,13 +194,18 @@
                 self.renew(room);
                 return false;
             }
-            Heard::Refused => {
-                // Guards against asking for ever for what follows a version that discovery no longer knows.
-                tracing::warn!("discovery: refuses, the whole list is fetched");
-                self.revision = None;
+            Heard::Refused(status) => {
+                // Guards against asking for ever for what follows a version that discovery no longer knows. One that
+                // is full says nothing of the version, and a whole list would cost it more.
+                let full = status.is_none_or(|status| matches!(status, 408 | 425 | 429 | 500..));
+                tracing::warn!("discovery: refuses with {}", status.unwrap_or_default());
+                self.revision = self.revision.filter(|_| full);
+                return true;
+            }
+            Heard::Line(line) if line.is_empty() => {
+                self.worked = true;
                 return true;
             }
-            Heard::Line(line) if line.is_empty() => return true,
             Heard::Line(text) => (text, false),
             Heard::Once(text) => (text, true),
         };
@@ -203,7 +226,8 @@
             }
         };
         self.part.clear();
-        self.begun = None;
+        (self.begun, self.worked) = (None, true);
+        self.backoff.worked();
         self.revision = Some(list.revision);
         let scope = if list.complete { Scope::Whole } else { Scope::Changes };
         self.apply(room, names, servers, &list, scope);
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -164,7 +164,7 @@
                 self.renew(room);
                 return false;
             }
-            Heard::Refused => {
+            Heard::Refused(_) => {
                 tracing::warn!("platform: refuses its stream");
                 return true;
             }
--- a/crates/gateway/tests/sockets/discovery.rs
+++ b/crates/gateway/tests/sockets/discovery.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use expect_test::expect;
+
 use crate::support::*;
 
 #[test]
@@ -33,3 +35,39 @@
     }
     drop(say);
 }
+
+#[test]
+fn discovery_that_is_full_is_asked_for_what_follows_the_version_held_and_less_and_less_often() {
+    let trace = Trace::default();
+    let (seen, asked, from) = (trace.clone(), AtomicUsize::new(0), Instant::now());
+    let (say, lines) = channel();
+    let lines = Mutex::new(lines);
+    let times: &'static Mutex<Vec<Duration>> = Box::leak(Box::default());
+    let discovery = stand_in(move |request| {
+        seen.note(format!("discovery: {}", request.head.lines().next().unwrap_or("")));
+        times.lock().unwrap().push(from.elapsed());
+        if asked.fetch_add(1, Ordering::SeqCst) < 5 {
+            return request.answer("503 Full\r\nConnection: close", "") && false;
+        }
+        request.stream(&lines, Some(""))
+    });
+    let gateway = start(&configuration(discovery, &[member("s-1", silent(), "ready", 41)]));
+    say.send(list(42, false, &[]).to_string()).unwrap();
+    gateway.line("discovery: list 42 ");
+    expect(
+        &trace,
+        expect![[r#"
+        discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+        discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+        discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+        discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+        discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+        discovery: GET /v1/endpoints?stream=1&index=41 HTTP/1.1
+    "#]],
+    );
+    let times = times.lock().unwrap();
+    let waits: Vec<Duration> = times.windows(2).map(|w| w[1] - w[0]).collect();
+    // From the third on each wait is at least half of the most; before them half a second, the least told here.
+    assert!(waits[2..].iter().all(|w| *w >= Duration::from_millis(750)), "{waits:?}");
+    assert!(waits.iter().all(|w| *w >= Duration::from_millis(490)), "{waits:?}");
+}
--- a/crates/net/src/feed.rs
+++ b/crates/net/src/feed.rs
@@ -22,8 +22,8 @@
 pub enum Heard {
     Once(Vec<u8>),
     Line(Vec<u8>),
-    /// What was asked for is not to be had.
-    Refused,
+    /// What was asked for is not to be had: the status that says why, if one can be read.
+    Refused(Option<u16>),
     Broken,
 }
 
@@ -181,8 +181,9 @@
         if self.intake.in_head() {
             return true;
         }
-        if !matches!(AnswerHead::read(input), Ok(Some(head)) if head.status == 200) {
-            heard.push(Heard::Refused);
+        let status = AnswerHead::read(input).ok().flatten().map(|head| head.status);
+        if status != Some(200) {
+            heard.push(Heard::Refused(status));
             return false;
         }
         if self.asking == Asking::Once {
