--- a/src/policy/judging.rs
+++ b/src/policy/judging.rs
@@ -117,9 +117,9 @@
         self.unjudged = true;
     }
 
-    /// An arm's payoffs without those of the quarter of its servers that lost most, if it has others: guards
-    /// against quick errors, neighbours or pauses at some servers that would be held against their build
-    /// (departure D). A bad build shows on most of its servers. Harms by waiting for more of them to show it.
+    /// An arm's payoffs without those of servers that stand out for what they lost, a quarter at most: guards
+    /// against errors, neighbours or pauses at some held against their build (departure D). A bad build shows
+    /// on most; what chance gives each is no server's own. Harms by waiting for more of them to show it.
     fn payoff(&self, side: Side, arm: Arm) -> Payoff {
         let Some(by_server) = self.trial.payoffs.get(&(side, arm)) else { return Payoff::default() };
         // Nor are machines the build's fault that fail most of theirs, where the earlier build has such too.
@@ -131,8 +131,10 @@
         let of = by_server.iter().filter(|s| all || !wrecks.contains(s.0));
         let mut seen: Vec<&Payoff> = of.map(|s| s.1).collect();
         seen.sort_by(|a, b| (b.count - b.sum).total_cmp(&(a.count - a.sum)));
-        let aside = if seen.len() > 1 && side != Side::Right { (seen.len() / ASIDE).max(1) } else { 0 };
-        seen[aside..].iter().fold(Payoff::default(), |all, p| all.with(p, 1.0))
+        let most = if seen.len() > 1 && side != Side::Right { (seen.len() / ASIDE).max(1) } else { 0 };
+        let sum = |of: &[&Payoff]| of.iter().fold(Payoff::default(), |all, p| all.with(p, 1.0));
+        let own = |at: &usize| seen[*at].strain_below(&sum(&seen[at + 1..])) > -DELTA.ln();
+        sum(&seen[(0..most).take_while(own).count()..])
     }
 
     /// Elimination between the two builds: KL-Racing in place of the page's bound (departure A). A drop
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -76,9 +76,7 @@
             Event::Mail { from, message } => self.mail(from, message),
             Event::Wake => self.wake(),
             // Guards a key that a newer build has answered at another site (departure J).
-            Event::Pinned { key, build } if self.terms.release.one_way => {
-                self.keep_pin(key, build);
-            }
+            Event::Pinned { key, build } if self.terms.release.one_way => self.keep_pin(key, build),
             Event::Complaint { server, product, .. } => {
                 let Some(listed) = self.servers.get(&server).map(|s| &s.listed) else { return self.emit() };
                 let (mark, build) = (listed.mark, listed.build);
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -23,8 +23,8 @@
         sent + 1.0 <= told.free + cap * self.taken.count(edge + tick, |p| counts(*p))
     }
 
-    /// Whether an attempt counted from `since` on may reach a build on trial only now; then it counts from now on.
-    /// Guards the exposure cap, which counts what arrives, against connections that come up late, many at once.
+    /// Whether an attempt counted from `since` on may arrive only now; then it counts from now on. Guards the
+    /// exposure cap, which counts what arrives, against connections that come up late, many at once.
     pub fn arrives(&mut self, now: Point, since: Point, product: ProductIx, build: Build) -> bool {
         self.now = now;
         self.exposed.take_back(since, &(product, build));
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,6 +112,16 @@
         let mean = self.mean().clamp(0.0, 1.0);
         self.count * (part(mean, q) + part(1.0 - mean, 1.0 - q))
     }
+
+    /// How hard they strain against being no worse than the rest, of which one more may yet be lost.
+    pub fn strain_below(&self, rest: &Payoff) -> f64 {
+        let usual = rest.sum / (rest.count + 1.0);
+        if self.mean() < usual {
+            self.strain(usual)
+        } else {
+            0.0
+        }
+    }
 }
 
 /// What one stage of a rollout has shown so far.
