--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -18,7 +18,7 @@
 use crate::counters::Count;
 use crate::request::{asked, Request};
 use crate::room::{Asked, Body, Notice, Room};
-use listener::{listen, Door};
+use listener::{listen, Accepting};
 use standing::{Standing, WAITING};
 
 /// The protocol lets a connection without an open request be closed after this.
@@ -76,13 +76,13 @@
     NotYet,
     Ready,
     /// Every connection is closed after its answer.
-    Ending,
+    ShuttingDown,
 }
 
 pub struct Clients {
     listener: Rc<TcpListener>,
     token: Option<RegistrationToken>,
-    door: Door,
+    accepting: Accepting,
     all: BTreeMap<ConnectionNo, Client>,
     standing: BTreeSet<(Standing, Point, ConnectionNo)>,
     unused: usize,
@@ -109,7 +109,7 @@
         Ok(Clients {
             listener: Rc::new(listen(address)?),
             token: None,
-            door: Door::Open,
+            accepting: Accepting::Open,
             all: BTreeMap::new(),
             standing: BTreeSet::new(),
             unused: 0,
@@ -306,7 +306,7 @@
         whole: bool,
     ) {
         let Some(client) = self.all.get_mut(&no) else { return };
-        let kept = whole && client.is_alone() && client.keeps && self.serving != Serving::Ending;
+        let kept = whole && client.is_alone() && client.keeps && self.serving != Serving::ShuttingDown;
         client.phase = Phase::Answering { kept };
         let Some(out) = client.connection.out(room) else { return self.close(room, no) };
         write::status_line(out, status);
--- a/crates/gateway/src/clients/listener.rs
+++ b/crates/gateway/src/clients/listener.rs
@@ -19,7 +19,7 @@
 const ACCEPT_MOST: usize = 64;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum Door {
+pub(super) enum Accepting {
     Open,
     /// Nobody is let in for want of descriptors.
     Paused,
@@ -93,8 +93,8 @@
 
     /// Guards against a loop that spins on a listener it cannot serve: no one is let in until `tend`.
     pub fn pause(&mut self, room: &Room) {
-        if let (Door::Open, Some(token)) = (self.door, &self.token) {
-            self.door = Door::Paused;
+        if let (Accepting::Open, Some(token)) = (self.accepting, &self.token) {
+            self.accepting = Accepting::Paused;
             if let Err(e) = room.handle.disable(token) {
                 tracing::warn!("the listener cannot be paused: {e}");
             }
@@ -102,12 +102,12 @@
     }
 
     pub fn is_paused(&self) -> bool {
-        self.door == Door::Paused
+        self.accepting == Accepting::Paused
     }
 
     pub(super) fn resume(&mut self, room: &Room) {
-        if let (Door::Paused, Some(token)) = (self.door, &self.token) {
-            self.door = Door::Open;
+        if let (Accepting::Paused, Some(token)) = (self.accepting, &self.token) {
+            self.accepting = Accepting::Open;
             if let Err(e) = room.handle.enable(token) {
                 tracing::warn!("the listener cannot be resumed: {e}");
             }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -158,7 +158,7 @@
 
     /// What was opened last is over. Guards against a discovery that is asked by hundreds: one that has brought nothing
     /// is asked again later and later.
-    fn over(&mut self) {
+    fn back_off(&mut self) {
         self.wait = if std::mem::take(&mut self.worked) { self.pause } else { self.backoff.failed() };
     }
 
@@ -181,7 +181,7 @@
         self.part.clear();
         self.begun = None;
         self.feed.close(room);
-        self.over();
+        self.back_off();
         if !self.feed.rests(room.now(), self.wait) {
             self.open(room);
         }
--- a/crates/gateway/src/due.rs
+++ b/crates/gateway/src/due.rs
@@ -28,5 +28,5 @@
     /// The counters are logged.
     Report,
     /// Told to end, the gateway looks whether it can.
-    End,
+    Shutdown,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 use crate::with::With;
 
 /// How long after a signal to end new requests may still come.
-const COMING: Span = Span(700_000);
+const SHUTDOWN_GRACE: Span = Span(700_000);
 /// The longest time that a client's wait counts for in ending.
 const LONGEST_WAIT: Span = Span(3_000_000);
 /// The shortest pause of periodic work, whatever is told.
@@ -64,8 +64,8 @@
     /// How often it is looked at whether the end has come: at each tick of the settings.
     tick: Span,
     longest: Span,
-    ending: Option<Point>,
-    over: bool,
+    shutdown_since: Option<Point>,
+    ended: bool,
 }
 
 /// Serves until it is told to end.
@@ -75,7 +75,7 @@
     let mut gateway = Gateway::new(told, with, &event_loop)?;
     let address = gateway.clients.address().map_err(|e| format!("no address: {e}"))?;
     tracing::info!("{} serves on {address}", told.name);
-    while !gateway.over {
+    while !gateway.ended {
         let wait = gateway.room.dues.next().map(|at| gateway.room.clock.until(at));
         // Guards against one socket's trouble ending them all: the loop goes on.
         if let Err(e) = event_loop.dispatch(wait, &mut gateway) {
@@ -130,7 +130,7 @@
         let export = Export::open(room.now(), &with, slas, told.seed())?.map(Box::new);
         let on_signal = |event: Event, _: &mut (), gateway: &mut Gateway| match event.signal() {
             Signal::SIGHUP => gateway.reload(),
-            _ => gateway.end(),
+            _ => gateway.shut_down(),
         };
         event_loop.handle().insert_source(signals, on_signal).map_err(|e| format!("no signals: {e}"))?;
         room.due_in(Span::ZERO, Due::Tend);
@@ -155,8 +155,8 @@
             tending,
             tick,
             longest,
-            ending: None,
-            over: false,
+            shutdown_since: None,
+            ended: false,
         };
         let Gateway { room, driver, servers, discovery, platform, .. } = &mut gateway;
         discovery.recall(room, &mut driver.names, servers, &told.known);
@@ -192,7 +192,7 @@
                 Due::Steward => self.steward_due(),
                 Due::Call(no) => self.give_up_call(no),
                 Due::Tend => self.tend(),
-                Due::End => self.try_to_end(),
+                Due::Shutdown => self.advance_shutdown(),
                 Due::Report => {
                     self.report();
                     self.room.due_in(REPORT, Due::Report);
@@ -222,27 +222,27 @@
     }
 
     /// Ends once no client is left, after the time in which new ones may come.
-    fn try_to_end(&mut self) {
-        let Some(since) = self.ending else { return };
+    fn advance_shutdown(&mut self) {
+        let Some(since) = self.shutdown_since else { return };
         self.accept();
-        let parted = self.clients.part(&mut self.room);
+        let none_left = self.clients.close_between_requests(&mut self.room);
         self.settle();
-        self.over |= parted && self.driver.owed() == 0;
-        if self.room.now() >= since + COMING + self.longest {
+        self.ended |= none_left && self.driver.owed() == 0;
+        if self.room.now() >= since + SHUTDOWN_GRACE + self.longest {
             // Whoever still waits is told so, while there is time to.
             self.void_all();
-            self.over = true;
+            self.ended = true;
         }
-        self.room.due_in(self.tick, Due::End);
+        self.room.due_in(self.tick, Due::Shutdown);
     }
 
     /// How long a txn taken now may take at the most. Guards against a kill that finds it unanswered: one that comes
     /// after the time in which new ones may come has its answer as long before the earliest kill as a connection may
     /// take to come up. Those before it have until their own time is up.
     pub fn left_before_kill(&self, now: Point) -> Span {
-        match self.ending {
-            Some(since) if now > since + COMING => {
-                (since + COMING + self.longest - self.tending - now).max(Span::ZERO)
+        match self.shutdown_since {
+            Some(since) if now > since + SHUTDOWN_GRACE => {
+                (since + SHUTDOWN_GRACE + self.longest - self.tending - now).max(Span::ZERO)
             }
             _ => Span(i64::MAX),
         }
@@ -312,7 +312,7 @@
 
     /// Flows are told where connections are looked after anyway, so that they wake nobody.
     fn tell_flows(&mut self) {
-        let (now, ends) = (self.room.now(), self.ending.is_some());
+        let (now, ends) = (self.room.now(), self.shutdown_since.is_some());
         if let Some(export) = self.export.as_mut().filter(|e| ends || e.next() <= now) {
             export.turn(now, &self.driver.names, ends);
         }
@@ -320,18 +320,18 @@
 
     /// The first signal lets all that is taken be answered; a second one ends at once. Guards what was taken against
     /// an end without a word, however it is hurried: what is still owed is voided.
-    fn end(&mut self) {
-        if self.ending.is_some() {
+    fn shut_down(&mut self) {
+        if self.shutdown_since.is_some() {
             self.void_all();
-            self.over = true;
+            self.ended = true;
             return;
         }
         tracing::info!("told to end");
-        // Before clients are parted, so that another has taken over while they still are.
+        // Before clients are parted with, so that another has taken over while they still are.
         self.fleet(harrierdock_fleet::Event::Ending);
-        self.ending = Some(self.room.now());
-        self.room.due_in(COMING, Due::End);
-        self.clients.turn(Serving::Ending);
+        self.shutdown_since = Some(self.room.now());
+        self.room.due_in(SHUTDOWN_GRACE, Due::Shutdown);
+        self.clients.turn(Serving::ShuttingDown);
         let now = self.room.now();
         self.sites(now, harrierdock_sites::Event::Ending);
     }
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -42,7 +42,7 @@
 
 /// What a connection is at work on, and until when it may be.
 #[derive(Clone, Copy)]
-struct Errand {
+struct Exchange {
     task: Task,
     /// When it is given up: no connection yet, then no answer yet.
     due: Point,
@@ -57,14 +57,14 @@
     Idle,
 }
 
-struct Line {
+struct PooledConnection {
     connection: Connection,
     server: ServerIx,
     machine: Machine,
     phase: Phase,
     intake: Intake,
     since: Point,
-    errand: Option<Errand>,
+    exchange: Option<Exchange>,
     /// Where in what goes out the time that is left stands.
     left: Range<usize>,
 }
@@ -83,7 +83,7 @@
 pub struct Servers {
     /// By server, of those that run.
     places: BTreeMap<ServerIx, Place>,
-    lines: BTreeMap<ConnectionNo, Line>,
+    connections: BTreeMap<ConnectionNo, PooledConnection>,
     out: BTreeMap<(TxnId, usize), ConnectionNo>,
     connect: Span,
     pool: Pool,
@@ -109,7 +109,7 @@
 impl Servers {
     pub fn new(connect: Span, idle: Span) -> Servers {
         let pool = Pool::new(connect, idle);
-        Servers { places: BTreeMap::new(), lines: BTreeMap::new(), out: BTreeMap::new(), connect, pool }
+        Servers { places: BTreeMap::new(), connections: BTreeMap::new(), out: BTreeMap::new(), connect, pool }
     }
 
     /// Sends a txn to a server. What cannot be sent is told in the outcome it amounts to.
@@ -121,16 +121,16 @@
         wait: Span,
         asked: &Asked,
     ) -> Result<(), Outcome> {
-        let no = self.line_to(room, server, wait, Task::Submission { id, attempt })?;
-        let Some(line) = self.lines.get_mut(&no) else { return Err(Outcome::Moot) };
-        let Some(out) = line.connection.out(room) else {
-            self.drop_line(room, no);
+        let no = self.connect_or_reuse(room, server, wait, Task::Submission { id, attempt })?;
+        let Some(pooled) = self.connections.get_mut(&no) else { return Err(Outcome::Moot) };
+        let Some(out) = pooled.connection.out(room) else {
+            self.close(room, no);
             return Err(Outcome::Moot);
         };
         write::request_line(out, asked.method, asked.target);
-        write::field(out, "Host", line.machine.address);
+        write::field(out, "Host", pooled.machine.address);
         write::field(out, FIELD_TXN, asked.txn);
-        line.left = field_of_time(out, wait);
+        pooled.left = field_of_time(out, wait);
         if let Some(reference) = asked.reference {
             write::field(out, FIELD_REFERENCE, reference);
         }
@@ -146,23 +146,23 @@
 
     pub fn probe(&mut self, room: &mut Room, server: ServerIx) {
         let probed = |outcome| Notice::Event(Event::Probed { server, outcome, load: Load::default() });
-        let no = match self.line_to(room, server, self.connect, Task::Probe) {
+        let no = match self.connect_or_reuse(room, server, self.connect, Task::Probe) {
             Ok(no) => no,
             Err(outcome) => return room.tell(probed(outcome)),
         };
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        let Some(out) = line.connection.out(room) else {
-            self.drop_line(room, no);
+        let Some(pooled) = self.connections.get_mut(&no) else { return };
+        let Some(out) = pooled.connection.out(room) else {
+            self.close(room, no);
             return room.tell(probed(Outcome::Moot));
         };
         write::request_line(out, "GET", PATH_HEALTH);
-        write::field(out, "Host", line.machine.address);
+        write::field(out, "Host", pooled.machine.address);
         write::end(out);
         self.send(room, no);
     }
 
-    /// A connection to the server with this errand on it: the last used that has rested and stands, or a new one.
-    fn line_to(
+    /// A connection to the server with this exchange on it: the last used that has rested and stands, or a new one.
+    fn connect_or_reuse(
         &mut self,
         room: &mut Room,
         server: ServerIx,
@@ -171,7 +171,7 @@
     ) -> Result<ConnectionNo, Outcome> {
         let machine = self.places.get(&server).map(|p| p.machine).ok_or(Outcome::ConnectFailed)?;
         let until = room.now() + wait;
-        if let Some(no) = self.reuse(room, server, Errand { task, due: until, until }) {
+        if let Some(no) = self.reuse(room, server, Exchange { task, due: until, until }) {
             return Ok(no);
         }
         if room.descriptors.spare() == 0 {
@@ -193,31 +193,34 @@
         })?;
         let due = until.min(room.now() + self.connect);
         room.dues.set(due, Due::Submission(no));
-        let errand = Some(Errand { task, due, until });
+        let exchange = Some(Exchange { task, due, until });
         let (phase, intake, since) = (Phase::Connecting, Intake::default(), room.now());
-        self.lines.insert(no, Line { connection, server, machine, phase, intake, since, errand, left: 0..0 });
+        self.connections.insert(
+            no,
+            PooledConnection { connection, server, machine, phase, intake, since, exchange, left: 0..0 },
+        );
         Ok(no)
     }
 
     /// A connection that was dialled has come up, or has failed. Gives back what is to be served then.
     fn come_up(&mut self, room: &mut Room, no: ConnectionNo, readiness: Readiness) -> Readiness {
-        let Some(line) = self.lines.get_mut(&no).filter(|l| l.phase == Phase::Connecting) else {
+        let Some(pooled) = self.connections.get_mut(&no).filter(|l| l.phase == Phase::Connecting) else {
             return readiness;
         };
-        if line.connection.is_up().is_err() {
+        if pooled.connection.is_up().is_err() {
             self.fail(room, no, Outcome::ConnectFailed);
             return readiness;
         }
         room.counters.add(Count::ServersConnected);
-        line.phase = Phase::Writing;
-        if let Some(errand) = &mut line.errand {
-            room.dues.clear(errand.due, Due::Submission(no));
-            errand.due = errand.until;
-            room.dues.set(errand.due, Due::Submission(no));
+        pooled.phase = Phase::Writing;
+        if let Some(exchange) = &mut pooled.exchange {
+            room.dues.clear(exchange.due, Due::Submission(no));
+            exchange.due = exchange.until;
+            room.dues.set(exchange.due, Due::Submission(no));
             // Guards against a server told of more time than its client has: what the connection took to come up is over.
-            if !line.left.is_empty() {
-                let left = in_ms(errand.until - room.now()).into_bytes();
-                line.connection.output.splice(line.left.clone(), left);
+            if !pooled.left.is_empty() {
+                let left = in_ms(exchange.until - room.now()).into_bytes();
+                pooled.connection.output.splice(pooled.left.clone(), left);
             }
         }
         Readiness { writable: true, readable: false, ..readiness }
@@ -225,9 +228,10 @@
 
     /// The attempt on this connection, if its request is not all written.
     pub fn unwritten(&self, no: ConnectionNo) -> Option<Unwritten> {
-        let line = self.lines.get(&no).filter(|l| matches!(l.phase, Phase::Connecting | Phase::Writing))?;
-        let Task::Submission { id, attempt } = line.errand?.task else { return None };
-        let placed = self.places.get(&line.server).is_some_and(|p| p.machine == line.machine);
+        let pooled =
+            self.connections.get(&no).filter(|l| matches!(l.phase, Phase::Connecting | Phase::Writing))?;
+        let Task::Submission { id, attempt } = pooled.exchange?.task else { return None };
+        let placed = self.places.get(&pooled.server).is_some_and(|p| p.machine == pooled.machine);
         Some(Unwritten { id, attempt, placed })
     }
 
@@ -237,8 +241,8 @@
     }
 
     fn serve(&mut self, room: &mut Room, no: ConnectionNo, readiness: Readiness) {
-        let Some(line) = self.lines.get(&no) else { return };
-        if readiness.writable && line.phase == Phase::Writing {
+        let Some(pooled) = self.connections.get(&no) else { return };
+        if readiness.writable && pooled.phase == Phase::Writing {
             self.send(room, no);
         }
         if readiness.readable {
@@ -247,45 +251,45 @@
     }
 
     fn send(&mut self, room: &mut Room, no: ConnectionNo) {
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        if line.phase != Phase::Writing {
+        let Some(pooled) = self.connections.get_mut(&no) else { return };
+        if pooled.phase != Phase::Writing {
             return;
         }
         // Guards against writing for a txn that is out of time, where sockets come before what is due.
-        if line.errand.is_some_and(|e| e.until <= room.now()) {
+        if pooled.exchange.is_some_and(|e| e.until <= room.now()) {
             return self.give_up(room, no);
         }
-        match line.connection.flush(room) {
+        match pooled.connection.flush(room) {
             // Not all of the request was written, so the server cannot have started on it.
             Flushed::Failed => self.fail(room, no, Outcome::ConnectFailed),
-            Flushed::Part => line.connection.wants(room, true, true),
+            Flushed::Part => pooled.connection.wants(room, true, true),
             Flushed::All => {
-                line.phase = Phase::Waiting;
-                line.connection.wants(room, true, false);
+                pooled.phase = Phase::Waiting;
+                pooled.connection.wants(room, true, false);
             }
         }
     }
 
     fn hear(&mut self, room: &mut Room, no: ConnectionNo) {
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        let filled = line.connection.fill(room);
+        let Some(pooled) = self.connections.get_mut(&no) else { return };
+        let filled = pooled.connection.fill(room);
         if filled == Filled::Nothing {
             return;
         }
-        if line.phase == Phase::Idle {
+        if pooled.phase == Phase::Idle {
             // A kept connection that is closed, or speaks unasked, is of no more use.
             return self.close_kept(room, no);
         }
-        if line.phase == Phase::Writing {
+        if pooled.phase == Phase::Writing {
             // What comes before the request is all written is no answer to it.
             return self.fail(room, no, Outcome::ConnectFailed);
         }
-        let progress = line.intake.answer(&mut line.connection.input);
+        let progress = pooled.intake.answer(&mut pooled.connection.input);
         if progress == Ok(Progress::Whole) {
             self.answered(room, no, filled == Filled::Some);
-        } else if filled != Filled::Some || progress.is_err() || line.intake.is_open_ended() {
+        } else if filled != Filled::Some || progress.is_err() || pooled.intake.is_open_ended() {
             self.fail(room, no, Outcome::Reset);
-        } else if !line.intake.untouched(&line.connection.input) {
+        } else if !pooled.intake.untouched(&pooled.connection.input) {
             self.hurry(room, no);
         }
     }
@@ -293,16 +297,16 @@
     /// Guards against an answer that stops half-way, as one does that says it is longer than it is: what has
     /// begun is whole within the time in which a connection comes up, or it has failed.
     fn hurry(&mut self, room: &mut Room, no: ConnectionNo) {
-        let errand = self.lines.get_mut(&no).and_then(|l| l.errand.as_mut());
-        let Some(errand) = errand.filter(|e| e.due == e.until) else { return };
-        room.dues.clear(errand.due, Due::Submission(no));
-        errand.due = errand.until.min(room.now() + self.connect);
-        room.dues.set(errand.due, Due::Submission(no));
+        let exchange = self.connections.get_mut(&no).and_then(|l| l.exchange.as_mut());
+        let Some(exchange) = exchange.filter(|e| e.due == e.until) else { return };
+        room.dues.clear(exchange.due, Due::Submission(no));
+        exchange.due = exchange.until.min(room.now() + self.connect);
+        room.dues.set(exchange.due, Due::Submission(no));
     }
 
     fn answered(&mut self, room: &mut Room, no: ConnectionNo, goes_on: bool) {
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        let Ok(Some(head)) = AnswerHead::read(&line.connection.input) else {
+        let Some(pooled) = self.connections.get_mut(&no) else { return };
+        let Ok(Some(head)) = AnswerHead::read(&pooled.connection.input) else {
             return self.fail(room, no, Outcome::Reset);
         };
         let turned_away = || head.fields.one(FIELD_TURNED_AWAY).ok().flatten() == Some("1");
@@ -311,31 +315,31 @@
             503 | 504 if turned_away() => Outcome::Full,
             _ => Outcome::Errored,
         };
-        let keeps = head.keeps() && goes_on && line.phase == Phase::Waiting;
+        let keeps = head.keeps() && goes_on && pooled.phase == Phase::Waiting;
         let told = (outcome == Outcome::Served).then(|| {
-            let (body, end) = (line.intake.body(), line.intake.body().end);
+            let (body, end) = (pooled.intake.body(), pooled.intake.body().end);
             // Whatever stands behind a whole answer was not asked for, and ends the connection.
-            let clean = line.connection.input.len() == end;
-            (Body { buffer: std::mem::take(&mut line.connection.input), body }, clean)
+            let clean = pooled.connection.input.len() == end;
+            (Body { buffer: std::mem::take(&mut pooled.connection.input), body }, clean)
         });
-        let clean = told.as_ref().map_or(line.connection.input.len() == line.intake.body().end, |t| t.1);
-        self.close_errand(room, no, outcome, told.map(|t| t.0));
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        let place = self.places.get_mut(&line.server).filter(|p| p.machine == line.machine);
-        let Some(place) = place.filter(|_| keeps && clean) else { return self.drop_line(room, no) };
-        line.connection.input.clear();
-        line.connection.release_empty(room);
-        (line.intake, line.phase, line.since) = (Intake::default(), Phase::Idle, room.now());
-        line.connection.wants(room, true, false);
+        let clean = told.as_ref().map_or(pooled.connection.input.len() == pooled.intake.body().end, |t| t.1);
+        self.finish_exchange(room, no, outcome, told.map(|t| t.0));
+        let Some(pooled) = self.connections.get_mut(&no) else { return };
+        let place = self.places.get_mut(&pooled.server).filter(|p| p.machine == pooled.machine);
+        let Some(place) = place.filter(|_| keeps && clean) else { return self.close(room, no) };
+        pooled.connection.input.clear();
+        pooled.connection.release_empty(room);
+        (pooled.intake, pooled.phase, pooled.since) = (Intake::default(), Phase::Idle, room.now());
+        pooled.connection.wants(room, true, false);
         place.kept.push(no);
     }
 
-    /// Tells how the errand ended; the connection stays.
-    fn close_errand(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome, told: Option<Body>) {
-        let Some(line) = self.lines.get_mut(&no) else { return };
-        let Some(errand) = line.errand.take() else { return };
-        room.dues.clear(errand.due, Due::Submission(no));
-        match errand.task {
+    /// Tells how the exchange ended; the connection stays.
+    fn finish_exchange(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome, told: Option<Body>) {
+        let Some(pooled) = self.connections.get_mut(&no) else { return };
+        let Some(exchange) = pooled.exchange.take() else { return };
+        room.dues.clear(exchange.due, Due::Submission(no));
+        match exchange.task {
             Task::Submission { id, attempt } => {
                 self.out.remove(&(id, attempt));
                 room.tell(Notice::Closed { id, attempt, outcome, told });
@@ -344,32 +348,32 @@
                 if let Some(mut told) = told {
                     room.pool.give_back(&mut told.buffer);
                 }
-                let server = line.server;
+                let server = pooled.server;
                 room.tell(Notice::Event(Event::Probed { server, outcome, load: Load::default() }));
             }
         }
     }
 
     fn fail(&mut self, room: &mut Room, no: ConnectionNo, outcome: Outcome) {
-        self.close_errand(room, no, outcome, None);
-        self.drop_line(room, no);
+        self.finish_exchange(room, no, outcome, None);
+        self.close(room, no);
     }
 
-    fn drop_line(&mut self, room: &mut Room, no: ConnectionNo) {
-        if let Some(line) = self.lines.remove(&no) {
-            if let Some(errand) = line.errand {
-                room.dues.clear(errand.due, Due::Submission(no));
+    fn close(&mut self, room: &mut Room, no: ConnectionNo) {
+        if let Some(pooled) = self.connections.remove(&no) {
+            if let Some(exchange) = pooled.exchange {
+                room.dues.clear(exchange.due, Due::Submission(no));
             }
-            line.connection.close(room);
+            pooled.connection.close(room);
         }
     }
 
-    /// The errand has had its time: the connection is closed, so that nothing more is written for it.
+    /// The exchange has had its time: the connection is closed, so that nothing more is written for it.
     pub fn give_up(&mut self, room: &mut Room, no: ConnectionNo) {
-        let Some(line) = self.lines.get(&no) else { return };
-        let outcome = match line.phase {
+        let Some(pooled) = self.connections.get(&no) else { return };
+        let outcome = match pooled.phase {
             Phase::Connecting | Phase::Writing => Outcome::ConnectFailed,
-            Phase::Waiting if line.intake.untouched(&line.connection.input) => Outcome::TimedOut,
+            Phase::Waiting if pooled.intake.untouched(&pooled.connection.input) => Outcome::TimedOut,
             Phase::Waiting => Outcome::Reset,
             Phase::Idle => return,
         };
--- a/crates/gateway/src/servers/pool.rs
+++ b/crates/gateway/src/servers/pool.rs
@@ -5,7 +5,7 @@
 use harrierdock_attempts::Kept;
 use harrierdock_net::ConnectionNo;
 
-use super::{Errand, Line, Machine, Phase, Servers};
+use super::{Exchange, Machine, Phase, PooledConnection, Servers};
 use crate::counters::Count;
 use crate::due::Due;
 use crate::room::Room;
@@ -27,7 +27,7 @@
             None => self.places.remove(&server),
         };
         for no in before.into_iter().flat_map(|p| p.kept) {
-            self.drop_line(room, no);
+            self.close(room, no);
         }
     }
 
@@ -37,7 +37,7 @@
     }
 
     fn rests(&self, now: Point, no: ConnectionNo) -> bool {
-        self.lines.get(&no).is_some_and(|l| self.pool.stands(l.since, now) == Kept::Rests)
+        self.connections.get(&no).is_some_and(|l| self.pool.stands(l.since, now) == Kept::Rests)
     }
 
     /// Takes the connection last used out of those kept to a server, of those that do not rest.
@@ -46,26 +46,26 @@
         Some(self.places.get_mut(&server)?.kept.remove(at))
     }
 
-    /// A kept connection that still stands, with this errand on it.
+    /// A kept connection that still stands, with this exchange on it.
     pub(super) fn reuse(
         &mut self,
         room: &mut Room,
         server: ServerIx,
-        errand: Errand,
+        exchange: Exchange,
     ) -> Option<ConnectionNo> {
         // Guards against a kept connection that the server has closed, or is about to close.
         while let Some(no) = self.take_kept(room.now(), server) {
-            let Some(line) = self.lines.get_mut(&no) else { continue };
-            let old = self.pool.stands(line.since, room.now()) == Kept::Old;
-            if old || !line.connection.stands() {
+            let Some(pooled) = self.connections.get_mut(&no) else { continue };
+            let old = self.pool.stands(pooled.since, room.now()) == Kept::Old;
+            if old || !pooled.connection.stands() {
                 room.counters.add(Count::KeptWasClosed);
-                self.drop_line(room, no);
+                self.close(room, no);
                 continue;
             }
             room.counters.add(Count::Reused);
-            (line.phase, line.since) = (Phase::Writing, room.now());
-            line.errand = Some(errand);
-            room.dues.set(errand.due, Due::Submission(no));
+            (pooled.phase, pooled.since) = (Phase::Writing, room.now());
+            pooled.exchange = Some(exchange);
+            room.dues.set(exchange.due, Due::Submission(no));
             return Some(no);
         }
         None
@@ -74,21 +74,23 @@
     /// Closes what was kept for too long.
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
-        let old = |l: &Line| l.phase == Phase::Idle && self.pool.stands(l.since, now) == Kept::Old;
-        let old: Vec<ConnectionNo> = self.lines.iter().filter(|(_, l)| old(l)).map(|(no, _)| *no).collect();
+        let old =
+            |l: &PooledConnection| l.phase == Phase::Idle && self.pool.stands(l.since, now) == Kept::Old;
+        let old: Vec<ConnectionNo> =
+            self.connections.iter().filter(|(_, l)| old(l)).map(|(no, _)| *no).collect();
         old.into_iter().for_each(|no| self.close_kept(room, no));
     }
 
     pub(super) fn close_kept(&mut self, room: &mut Room, no: ConnectionNo) {
-        if let Some(place) = self.lines.get(&no).and_then(|l| self.places.get_mut(&l.server)) {
+        if let Some(place) = self.connections.get(&no).and_then(|l| self.places.get_mut(&l.server)) {
             place.kept.retain(|kept| *kept != no);
         }
-        self.drop_line(room, no);
+        self.close(room, no);
     }
 
     /// Closes the connection that was kept unused longest. Gives back whether there was one.
     pub fn close_idle(&mut self, room: &mut Room) -> bool {
-        let idle = self.lines.iter().filter(|(_, l)| l.phase == Phase::Idle);
+        let idle = self.connections.iter().filter(|(_, l)| l.phase == Phase::Idle);
         let oldest = idle.min_by_key(|(_, l)| l.since).map(|(no, _)| *no);
         oldest.inspect(|no| self.close_kept(room, *no)).is_some()
     }
