--- a/crates/attempts/src/backoff.rs
+++ b/crates/attempts/src/backoff.rs
@@ -8,24 +8,32 @@
 pub struct Backoff {
     least: Span,
     most: Span,
-    failures: i32,
+    whole: Span,
     chance: WyRand,
 }
 
 impl Backoff {
     pub fn new(least: Span, most: Span, seed: u64) -> Backoff {
-        Backoff { least, most, failures: 0, chance: WyRand::new_seed(seed) }
+        Backoff { least, most: most.max(least), whole: Span::ZERO, chance: WyRand::new_seed(seed) }
     }
 
-    /// It failed. Gives back how long to wait.
-    pub fn failed(&mut self) -> Span {
-        let whole = (self.least * f64::powi(2.0, self.failures)).min(self.most);
-        self.failures += i32::from(whole < self.most);
-        (whole * (0.5 + self.chance.generate::<f64>() / 2.0)).max(self.least)
+    /// It failed, after this long. Gives back how long to wait from now on. Guards a service with a queue: one that
+    /// turned the call away late has more waiting than it answers in that time, and works on calls that nobody waits
+    /// for any more until all have waited for longer than that.
+    pub fn failed(&mut self, took: Span) -> Span {
+        let (doubled, queued) = (self.whole * 2.0, took * 2.0);
+        self.whole = doubled.max(queued).max(self.least).min(self.most);
+        (self.whole * (0.5 + self.chance.generate::<f64>() / 2.0)).max(self.least)
+    }
+
+    /// When to ask within this time. Guards a service against being asked by all at the moment at which it is back, or at
+    /// which all start.
+    pub fn spread(&mut self, within: Span) -> Span {
+        within * self.chance.generate::<f64>()
     }
 
     /// It worked: the next failure is a first one again.
     pub fn worked(&mut self) {
-        self.failures = 0;
+        self.whole = Span::ZERO;
     }
 }
--- a/crates/attempts/src/condition.rs
+++ b/crates/attempts/src/condition.rs
@@ -21,6 +21,8 @@
     pub now: Point,
     /// The txn has its answer, or nobody waits for one.
     pub closed: bool,
+    /// The list held may not be acted on any more.
+    pub stale: bool,
     /// The server as it is listed now, if it is, at the address that the connection was made to.
     pub listed: Option<(Lifecycle, Build, Option<Point>)>,
     pub cap: f64,
@@ -33,6 +35,8 @@
 pub enum Lapse {
     /// Guards against work for a client that has left, or has its answer.
     Closed,
+    /// Guards drains that discovery could not tell: see `Freshness`.
+    Stale,
     /// Guards drains: a send counts from its first byte, which may come long after the list did.
     Drains,
     /// Guards the exposure cap and the pins: what runs at the address now is another start, or another build.
@@ -53,6 +57,9 @@
         if standing.closed {
             return Some(Lapse::Closed);
         }
+        if standing.stale {
+            return Some(Lapse::Stale);
+        }
         match standing.listed {
             Some((Lifecycle::Ready, build, started)) if (build, started) == (self.build, self.started) => {}
             Some((Lifecycle::Ready, ..)) | None => return Some(Lapse::Replaced),
--- a/crates/gateway/src/attempts.rs
+++ b/crates/gateway/src/attempts.rs
@@ -26,14 +26,15 @@
     }
 
     /// Why this attempt, of whose request the last byte has not been written, may not be any more. `waits`: its client
-    /// still does.
-    fn lapse(&self, now: Point, of: &Unwritten, waits: bool) -> Option<Lapse> {
+    /// still does. `stale`: the list held may not be acted on any more.
+    fn lapse(&self, now: Point, of: &Unwritten, waits: bool, stale: bool) -> Option<Lapse> {
         let Some(entry) = self.book.get(&of.id) else { return Some(Lapse::Closed) };
         let sent = entry.sent.get(of.attempt)?;
         let server = self.module.servers.get(&sent.server).filter(|_| of.placed);
         sent.condition.lapse(&Standing {
             now,
             closed: entry.answered || !waits,
+            stale,
             listed: server.map(|s| (s.listed.lifecycle, s.listed.build, s.started)),
             cap: self.module.cap_of(sent.condition.build),
             pin: entry.key.map_or(0, |key| self.pin_of(key)),
@@ -60,6 +61,10 @@
 }
 
 impl Gateway {
+    fn list_is_stale(&self) -> bool {
+        self.discovery.is_stale(self.room.now())
+    }
+
     pub fn submit(&mut self, now: Point, id: TxnId, server: ServerIx, timeout: Span) {
         let Some(condition) = self.driver.book.get(&id).map(|e| self.driver.condition(e, server)) else {
             return self.room.counters.must(false, "a submission is of a txn in the book");
@@ -78,6 +83,7 @@
         let left = entry.expiry - self.room.clock.now();
         let wait = if timeout > Span::ZERO { timeout.min(left) } else { left };
         let spent = entry.answered || attempt >= self.driver.most_attempts || wait <= Span::ZERO;
+        let spent = spent || self.list_is_stale();
         if !spent && self.room.descriptors.spare() == 0 && !self.servers.keeps(now, server) {
             self.make_room();
         }
@@ -109,8 +115,9 @@
     pub fn withdraw_lapsed(&mut self, no: ConnectionNo) {
         let Some(unwritten) = self.servers.unwritten(no) else { return };
         let waits = self.is_inward(unwritten.id) || self.clients.still_waits(&mut self.room, unwritten.id);
-        let now = self.room.now();
-        let lapse = self.driver.lapse(now, &unwritten, waits).or_else(|| self.driver.crowds(now, &unwritten));
+        let (now, stale) = (self.room.now(), self.list_is_stale());
+        let lapse =
+            self.driver.lapse(now, &unwritten, waits, stale).or_else(|| self.driver.crowds(now, &unwritten));
         if let Some(lapse) = lapse {
             tracing::debug!("servers: an attempt is not written: {lapse:?}");
             self.room.counters.add(Count::Lapsed);
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use calloop::Readiness;
-use harrierdock::interface::{Event, Lifecycle, Listed, Scope, ServerIx};
+use harrierdock::interface::{self as told, Event, Lifecycle, Listed, Scope, ServerIx, Terms};
 use harrierdock::time::{Point, Span};
-use harrierdock_attempts::Backoff;
+use harrierdock_attempts::{Backoff, Freshness, TOLD_ANYWAY};
 use harrierdock_http::BODY_MOST;
 use harrierdock_net::{Asking, Clock, Feed, Heard};
 use harrierdock_terms::{mark, Names};
@@ -21,8 +21,12 @@
 const SIGN_OF_LIFE: Span = Span(2_000_000);
 /// Signs of life that may be missed before a stream counts as silent.
 const MISSED: f64 = 2.5;
-/// What a watch misses that has fallen silent counts as told after this.
-const TOLD_ANYWAY: Span = Span(6_000_000);
+
+/// Where lists are asked for: so many told times to ask may pass after calls that failed.
+const AFTER_FAILURES: f64 = 4.0;
+
+/// How much longer than two signs of life lie apart a call has stood that has not failed late.
+const LATE: f64 = 1.1;
 
 /// A list as discovery writes it. The page's names end here.
 #[derive(Clone, Default, Deserialize)]
@@ -90,11 +94,15 @@
     feed: Feed,
     revision: Option<i64>,
     pause: Span,
-    backoff: Backoff,
-    /// How long after it was last tried it is tried again.
-    wait: Span,
-    /// When it was opened last, and whether that has brought anything yet.
+    /// Where discovery is one for all gateways.
+    backoff: Option<Backoff>,
+    freshness: Freshness,
+    stale: bool,
+    /// From when on it may be opened again.
+    again: Point,
+    /// When it was opened last, whether anything has been said since, and whether it works.
     opened: Point,
+    said: bool,
     worked: bool,
     /// The lines so far of a list that is written over several, and when its first came.
     part: Vec<u8>,
@@ -114,21 +122,47 @@
 
 impl Discovery {
     /// `pause`: how often it is looked after, and how long its connection may take to come up.
-    pub fn new(address: SocketAddr, pause: Span, seed: u64) -> Discovery {
+    pub fn new(now: Point, address: SocketAddr, pause: Span, terms: &Terms, seed: u64) -> Discovery {
         // Guards what is told anyway, whatever is told of servers' connections: there is time for a look, for a
         // connection that does not come up, and for the next one.
         let silence = (SIGN_OF_LIFE * MISSED).min(TOLD_ANYWAY - pause * 3.0);
         let feed = Feed::new("discovery", address, silence);
-        let backoff = Backoff::new(pause, TOLD_ANYWAY / 4.0, seed);
-        let (opened, part) = (Point(0), Vec::new());
-        let (wait, worked, begun) = (pause, false, None);
-        Discovery { feed, revision: None, pause, backoff, wait, opened, worked, part, begun }
+        // Where lists are pushed, an agent of this gateway's own answers at once, at no cost; where they are asked for,
+        // all gateways share what discovery can do, and are told how long each may go without asking.
+        let asks = terms.discovery == told::Discovery::OnRequest;
+        let backoff = asks.then(|| Backoff::new(pause, terms.rules.ask_within * AFTER_FAILURES, seed));
+        let (freshness, revision) = (Freshness::new(terms, now), None);
+        let (again, opened, part, begun) = (now, now, Vec::new(), None);
+        let (said, worked) = (false, false);
+        let stale = false;
+        Discovery {
+            feed,
+            revision,
+            pause,
+            backoff,
+            freshness,
+            stale,
+            again,
+            opened,
+            said,
+            worked,
+            part,
+            begun,
+        }
+    }
+
+    /// Whether the list held may not be acted on any more.
+    pub fn is_stale(&self, now: Point) -> bool {
+        self.freshness.is_stale(now)
     }
 
     /// The list as this gateway had it last.
     pub fn recall(&mut self, room: &mut Room, names: &mut Names, servers: &mut Servers, list: &ListTold) {
         if !list.members.is_empty() {
             self.revision = Some(list.revision);
+            // The list kept serves meanwhile.
+            let spread = self.backoff.as_mut().map(|backoff| backoff.spread(TOLD_ANYWAY / 2.0));
+            self.again = self.again + spread.unwrap_or_default();
             self.apply(room, names, servers, list, Scope::Kept);
         }
     }
@@ -140,7 +174,8 @@
     /// Opens the watch, or asks for a whole list first if none is held that changes could apply to.
     fn open(&mut self, room: &mut Room) {
         self.part.clear();
-        (self.begun, self.opened, self.worked) = (None, room.now(), false);
+        (self.begun, self.opened) = (None, room.now());
+        (self.said, self.worked) = (false, false);
         match self.revision {
             Some(revision) => self.feed.open(room, &watch(revision), Asking::Lines, on_ready),
             None => self.feed.open(room, "/v1/endpoints", Asking::Once, on_ready),
@@ -150,29 +185,52 @@
     /// A reload has told another address: it is asked at once for what follows the version held.
     pub fn turn_to(&mut self, room: &mut Room, address: SocketAddr) {
         if self.feed.turn_to(room, address) {
-            self.backoff.worked();
-            self.wait = self.pause;
+            self.backoff.iter_mut().for_each(Backoff::worked);
             self.open(room);
         }
     }
 
-    /// What was opened last is over. Guards against a discovery that is asked by hundreds: one that has brought nothing
-    /// is asked again later and later.
-    fn back_off(&mut self) {
-        self.wait = if std::mem::take(&mut self.worked) { self.pause } else { self.backoff.failed() };
+    /// What was opened last has ended. Guards against a discovery that is asked by hundreds: one that has brought
+    /// nothing is asked again later and later.
+    fn back_off(&mut self, now: Point) {
+        let worked = std::mem::take(&mut self.worked);
+        self.again = match &mut self.backoff {
+            Some(backoff) if !worked => now + backoff.failed(now - self.opened),
+            Some(backoff) => now + backoff.spread(TOLD_ANYWAY / 2.0),
+            None => self.opened + self.pause,
+        };
+    }
+
+    /// Something has come, or the watch has been looked at. Guards against taking the first words of a call for its
+    /// success: one that fails late has said that nothing has changed before. A watch that has told a list, or has stood
+    /// for longer than a call may wait, works.
+    fn stands(&mut self, now: Point) {
+        self.worked |= now - self.opened > SIGN_OF_LIFE * LATE;
+        if self.worked {
+            self.freshness.confirm(now);
+            self.backoff.iter_mut().for_each(Backoff::worked);
+        }
     }
 
     pub fn tend(&mut self, room: &mut Room) {
         let now = room.now();
+        let stale = self.is_stale(now);
+        if stale != std::mem::replace(&mut self.stale, stale) {
+            let what = if stale { "too old, nothing is sent by it" } else { "confirmed again" };
+            tracing::warn!("discovery: the list held is {what}");
+        }
         // Guards against a list that stops between two lines, while signs of life go on.
         let stalled = self.begun.is_some_and(|since| now - since > self.pause);
         // A whole list comes at once or not at all. Guards against a start that waits for the signs of life of a watch
         // where none is to come, as while discovery is down.
         let unanswered = !self.knows() && now - self.opened >= SIGN_OF_LIFE;
-        if stalled || unanswered && self.feed.rests(now, Span::ZERO) || self.feed.is_silent(now, self.pause) {
+        let is_open = self.feed.rests(now, Span::ZERO);
+        if stalled || unanswered && is_open || self.feed.is_silent(now, self.pause) {
             self.renew(room);
-        } else if !self.feed.rests(now, self.wait) {
+        } else if !is_open && now >= self.again {
             self.open(room);
+        } else if is_open && self.said && !self.worked {
+            self.stands(now);
         }
     }
 
@@ -181,8 +239,8 @@
         self.part.clear();
         self.begun = None;
         self.feed.close(room);
-        self.back_off();
-        if !self.feed.rests(room.now(), self.wait) {
+        self.back_off(room.now());
+        if room.now() >= self.again {
             self.open(room);
         }
     }
@@ -203,7 +261,8 @@
                 return true;
             }
             Heard::Line(line) if line.is_empty() => {
-                self.worked = true;
+                self.said = true;
+                self.stands(room.now());
                 return true;
             }
             Heard::Line(text) => (text, false),
@@ -226,8 +285,10 @@
             }
         };
         self.part.clear();
-        (self.begun, self.worked) = (None, true);
-        self.backoff.worked();
+        self.begun = None;
+        let news = list.complete || !list.members.is_empty();
+        (self.said, self.worked) = (true, self.worked || news);
+        self.stands(room.now());
         self.revision = Some(list.revision);
         let scope = if list.complete { Scope::Whole } else { Scope::Changes };
         self.apply(room, names, servers, &list, scope);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,7 +121,7 @@
         let control = control.map(|path| Control::open(&room.handle, path)).transpose()?;
         let (vote_wait, vote_life) = (terms.release.vote_wait, terms.release.vote_life);
         let platform = told.rollouts.as_ref().map(|r| Platform::new(r.address, vote_wait, tending));
-        let discovery = Discovery::new(told.discovery, tending, told.seed());
+        let discovery = Discovery::new(room.now(), told.discovery, tending, &terms, told.seed());
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
             .map_err(|e| format!("no signals: {e}"))?;
         // Guards against a signal that ends the program at once: a helper thread takes over the signals that are held
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -114,6 +114,7 @@
             fall: Span(s.fall),
             fall_multiple: s.fall_multiple,
             ask_within: Span(s.must_ask_in),
+            drain_grace: Span(s.drain_grace),
         },
         limits: LimitTerms {
             attempts: l.max_attempts.max(1),
--- a/crates/terms/src/told.rs
+++ b/crates/terms/src/told.rs
@@ -119,6 +119,7 @@
     pub fall: i64,
     pub fall_multiple: f64,
     pub must_ask_in: i64,
+    pub drain_grace: i64,
 }
 
 // The words that a setting may hold. One that is not among them is refused: taken for another it could claim more
@@ -254,6 +255,7 @@
             ("fall", s.fall as f64),
             ("fall_multiple", s.fall_multiple),
             ("must_ask_in", s.must_ask_in as f64),
+            ("drain_grace", s.drain_grace as f64),
         ];
         not_negative("safety.", &times)?;
         part("safety.", &[("cold_from", s.cold_from)])?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -101,6 +101,8 @@
     pub fall: Span,
     pub fall_multiple: f64,
     pub ask_within: Span,
+    /// How long after it is told that a server drains something new may still go there.
+    pub drain_grace: Span,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/tests/decisions/desk.rs
+++ b/tests/decisions/desk.rs
@@ -46,6 +46,7 @@
             fall: ms(1000),
             fall_multiple: 3.0,
             ask_within: ms(8000),
+            drain_grace: ms(500),
         },
         limits: LimitTerms {
             attempts: 3,
