--- a/src/policy/judging.rs
+++ b/src/policy/judging.rs
@@ -133,7 +133,8 @@
         seen.sort_by(|a, b| (b.count - b.sum).total_cmp(&(a.count - a.sum)));
         let most = if seen.len() > 1 && side != Side::Right { (seen.len() / ASIDE).max(1) } else { 0 };
         let sum = |of: &[&Payoff]| of.iter().fold(Payoff::default(), |all, p| all.with(p, 1.0));
-        let own = |at: &usize| seen[*at].strain_below(&sum(&seen[at + 1..])) > -DELTA.ln();
+        let own =
+            |at: &usize| side < Side::Sound || seen[*at].strain_below(&sum(&seen[at + 1..])) > -DELTA.ln();
         sum(&seen[(0..most).take_while(own).count()..])
     }
 
