--- a/src/policy/judging.rs
+++ b/src/policy/judging.rs
@@ -125,7 +125,8 @@
         // Nor are machines the build's fault that fail most of theirs, where the earlier build has such too.
         let sound = |arm| self.trial.payoffs.get(&(Side::Sound, arm)).into_iter().flatten();
         let wreck = |s: &(&ServerIx, &Payoff)| s.1.sum < s.1.count * (1.0 - FAILING);
-        let known = sound(Arm::Earlier).any(|s| wreck(&s)) && !matches!(side, Side::Whole | Side::Brisk);
+        let whole = matches!(side, Side::Whole | Side::Brisk); // by product, and one of them is set aside
+        let known = sound(Arm::Earlier).any(|s| wreck(&s)) && !whole;
         let wrecks: BTreeSet<&ServerIx> = sound(arm).filter(|s| known && wreck(s)).map(|s| s.0).collect();
         let all = by_server.keys().all(|ix| wrecks.contains(ix));
         let of = by_server.iter().filter(|s| all || !wrecks.contains(s.0));
@@ -133,8 +134,7 @@
         seen.sort_by(|a, b| (b.count - b.sum).total_cmp(&(a.count - a.sum)));
         let most = if seen.len() > 1 && side != Side::Right { (seen.len() / ASIDE).max(1) } else { 0 };
         let sum = |of: &[&Payoff]| of.iter().fold(Payoff::default(), |all, p| all.with(p, 1.0));
-        let own =
-            |at: &usize| side < Side::Sound || seen[*at].strain_below(&sum(&seen[at + 1..])) > -DELTA.ln();
+        let own = |n: &usize| whole || seen[*n].strain_below(&sum(&seen[n + 1..])) > -DELTA.ln();
         sum(&seen[(0..most).take_while(own).count()..])
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,8 +17,7 @@
 use crate::time::{Point, Span};
 use crate::{interface::*, state::*};
 
-// The design page's starting values.
-const ETA: f64 = 0.9;
+const ETA: f64 = 0.9; // this and the next two: the design page's starting values
 const DELTA: f64 = 0.05;
 const FIRST_OUTCOMES: f64 = 20.0;
 const EPSILON: f64 = 0.15; // the paper's approximation factor, for pace and for the time before
