--- a/crates/gateway/tests/sockets/discovery.rs
+++ b/crates/gateway/tests/sockets/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery that is down, or full.
 
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -124,3 +125,51 @@
     gateway.line("too old, nothing is sent by it");
     assert_eq!(gateway.caller().ask(txn("draft", "a1", 9000)), "503 Retry-After: 1.5");
 }
+
+/// Discovery that all gateways share: it works on one call at a time, for this long. One whose turn does not come in 2 s is
+/// turned away then, and worked on for nobody all the same; one that would wait for over 5 s is turned away at once.
+fn shared_discovery(trace: &Trace, work: Duration) -> SocketAddr {
+    let (trace, free) = (trace.clone(), Mutex::new(Instant::now()));
+    let (patience, most) = (Duration::from_secs(2), Duration::from_secs(5));
+    stand_in(move |request| {
+        let now = Instant::now();
+        let turn = {
+            let mut free = free.lock().unwrap();
+            let turn = free.saturating_duration_since(now);
+            if turn <= most {
+                *free = now + turn + work;
+            }
+            turn
+        };
+        if turn > patience {
+            thread::sleep(if turn > most { Duration::ZERO } else { patience });
+            trace.note("turned away");
+            request.answer("503 Full\r\nConnection: close", "");
+            return false;
+        }
+        thread::sleep(turn + work);
+        let (say, lines) = channel();
+        say.send(list(42, false, &[]).to_string()).unwrap();
+        request.stream(&Mutex::new(lines), Some(""))
+    })
+}
+
+#[test]
+fn gateways_that_start_at_once_all_get_their_list_from_a_discovery_that_can_take_few_calls() {
+    let trace = Trace::default();
+    // 5.4 s of work for the calls of a start.
+    let discovery = shared_discovery(&trace, Duration::from_millis(450));
+    let server = silent();
+    let gateways: Vec<Gateway> = (0..12)
+        .map(|n| {
+            let mut told = configuration(discovery, &[member("s-1", server, "ready", 41)]);
+            told["seed"] = format!("{n:016x}").into();
+            told["settings"]["discovery"] = "on_request".into();
+            told["settings"]["safety"]["must_ask_in"] = 10_000_000.into();
+            start(&told)
+        })
+        .collect();
+    // Where all call again at once, the calls that nobody waits for any more take up all of its time.
+    gateways.iter().for_each(|gateway| drop(gateway.line("discovery: list 42 ")));
+    assert!(trace.count("turned away") < 3 * gateways.len(), "{} calls turned away", trace.count(""));
+}
