--- a/crates/attempts/src/freshness.rs
+++ b/crates/attempts/src/freshness.rs
@@ -5,6 +5,10 @@
 
 /// The protocol: whatever a call for lists came to, a change counts as told this long after discovery had it.
 pub const TOLD_ANYWAY: Span = Span(6_000_000);
+/// For how long a list counts that was kept over a start: half of that.
+pub(crate) const KEPT: Span = Span(3_000_000);
+/// A call that has stood for longer has not failed late: a tenth more than the 2 s that one waits at the most.
+const CALL: Span = Span(2_200_000);
 
 /// Since when nothing has said that the list held is still all there is.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +27,11 @@
         Freshness { asks, grace: grace.max(Span::ZERO), started, confirmed: None }
     }
 
+    /// Whether a call that was made then, and has not failed by now, works though it has told no list.
+    pub fn works(made: Point, now: Point) -> bool {
+        now - made > CALL
+    }
+
     /// Discovery has told a list, or that nothing has changed since.
     pub fn confirm(&mut self, now: Point) {
         self.confirmed = Some(now);
@@ -34,7 +43,7 @@
     pub fn is_stale(&self, now: Point) -> bool {
         let (since, most) = match self.confirmed {
             Some(at) => (at, TOLD_ANYWAY + self.grace),
-            None => (self.started, TOLD_ANYWAY / 2.0),
+            None => (self.started, KEPT),
         };
         self.asks && now - since >= most
     }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use calloop::Readiness;
-use harrierdock::interface::{self as told, Event, Lifecycle, Listed, Scope, ServerIx, Terms};
+use harrierdock::interface::{Event, Lifecycle, Listed, Scope, ServerIx, Terms};
 use harrierdock::time::{Point, Span};
 use harrierdock_attempts::{Backoff, Freshness, TOLD_ANYWAY};
 use harrierdock_http::BODY_MOST;
@@ -22,12 +22,6 @@
 /// Signs of life that may be missed before a stream counts as silent.
 const MISSED: f64 = 2.5;
 
-/// Where lists are asked for: so many told times to ask may pass after calls that failed.
-const AFTER_FAILURES: f64 = 4.0;
-
-/// How much longer than two signs of life lie apart a call has stood that has not failed late.
-const LATE: f64 = 1.1;
-
 /// A list as discovery writes it. The page's names end here.
 #[derive(Clone, Default, Deserialize)]
 pub struct ListTold {
@@ -127,10 +121,7 @@
         // connection that does not come up, and for the next one.
         let silence = (SIGN_OF_LIFE * MISSED).min(TOLD_ANYWAY - pause * 3.0);
         let feed = Feed::new("discovery", address, silence);
-        // Where lists are pushed, an agent of this gateway's own answers at once, at no cost; where they are asked for,
-        // all gateways share what discovery can do, and are told how long each may go without asking.
-        let asks = terms.discovery == told::Discovery::OnRequest;
-        let backoff = asks.then(|| Backoff::new(pause, terms.rules.ask_within * AFTER_FAILURES, seed));
+        let backoff = Backoff::of_discovery(terms, pause, seed);
         let (freshness, revision) = (Freshness::new(terms, now), None);
         let (again, opened, part, begun) = (now, now, Vec::new(), None);
         let (said, worked) = (false, false);
@@ -161,7 +152,7 @@
         if !list.members.is_empty() {
             self.revision = Some(list.revision);
             // The list kept serves meanwhile.
-            let spread = self.backoff.as_mut().map(|backoff| backoff.spread(TOLD_ANYWAY / 2.0));
+            let spread = self.backoff.as_mut().map(|backoff| backoff.spread());
             self.again = self.again + spread.unwrap_or_default();
             self.apply(room, names, servers, list, Scope::Kept);
         }
@@ -196,7 +187,7 @@
         let worked = std::mem::take(&mut self.worked);
         self.again = match &mut self.backoff {
             Some(backoff) if !worked => now + backoff.failed(now - self.opened),
-            Some(backoff) => now + backoff.spread(TOLD_ANYWAY / 2.0),
+            Some(backoff) => now + backoff.spread(),
             None => self.opened + self.pause,
         };
     }
@@ -205,7 +196,7 @@
     /// success: one that fails late has said that nothing has changed before. A watch that has told a list, or has stood
     /// for longer than a call may wait, works.
     fn stands(&mut self, now: Point) {
-        self.worked |= now - self.opened > SIGN_OF_LIFE * LATE;
+        self.worked |= Freshness::works(self.opened, now);
         if self.worked {
             self.freshness.confirm(now);
             self.backoff.iter_mut().for_each(Backoff::worked);
