--- a/crates/gateway/src/runtime/shutdown.rs
+++ b/crates/gateway/src/runtime/shutdown.rs
@@ -41,12 +41,11 @@
 }
 
 impl Gateway {
-    /// Starts the shutdown at the first signal. The second one ends the gateway at once; what is not answered by then fails,
-    /// so that no client is left without an answer.
+    /// Starts the shutdown at the first signal. Further ones change nothing: requests under way could still be answered before
+    /// the kill, and whoever wants the process to end at once can kill it.
     pub(super) fn shut_down(&mut self) {
         if self.shutdown.has_started() {
-            self.fail_all_requests();
-            self.shutdown.is_complete = true;
+            tracing::info!("told to end again: the shutdown goes on");
             return;
         }
         tracing::info!("told to end");
