--- /dev/null
+++ b/crates/attempt-guard/tests/shutdown_schedule.rs
@@ -0,0 +1,68 @@
+//! Until when a gateway that shuts down accepts and answers requests.
+
+use harrierdock_attempt_guard::ShutdownSchedule;
+use harrierdock_types::{TimeDelta, Timestamp};
+
+const SIGNAL: Timestamp = Timestamp(5_000_000);
+const CONNECT_TIME: TimeDelta = TimeDelta::from_millis(500);
+
+fn after_signal(milliseconds: i64) -> Timestamp {
+    SIGNAL + TimeDelta::from_millis(milliseconds)
+}
+
+/// A schedule where the longest class may take this long.
+fn schedule(longest_timeout_ms: i64) -> ShutdownSchedule {
+    ShutdownSchedule::new(SIGNAL, TimeDelta::from_millis(longest_timeout_ms))
+}
+
+#[test]
+fn a_timeout_above_three_seconds_delays_the_kill_by_three() {
+    assert_eq!(schedule(2_000).earliest_kill_at(), after_signal(2_700));
+    assert_eq!(schedule(3_251).earliest_kill_at(), after_signal(3_700));
+    assert_eq!(schedule(60_000).earliest_kill_at(), after_signal(3_700));
+}
+
+#[test]
+fn answers_are_due_two_stalls_and_a_write_before_the_kill() {
+    assert_eq!(schedule(3_251).answers_due_at(), after_signal(3_350));
+    assert_eq!(schedule(800).answers_due_at(), after_signal(1_150));
+}
+
+#[test]
+fn answers_are_never_due_within_the_grace_period() {
+    for longest_timeout_ms in [0, 100, 350, 400, 3_000] {
+        let schedule = schedule(longest_timeout_ms);
+        assert!(schedule.answers_due_at() >= schedule.grace_ends_at());
+        assert!(schedule.answers_due_at() <= schedule.earliest_kill_at());
+    }
+}
+
+#[test]
+fn a_request_within_the_grace_period_ends_before_the_kill_whatever_its_class_allows() {
+    let schedule = schedule(3_251);
+    assert_eq!(
+        schedule.time_left(after_signal(500), CONNECT_TIME),
+        TimeDelta::from_millis(2_850)
+    );
+    assert_eq!(
+        schedule.time_left(after_signal(700), CONNECT_TIME),
+        TimeDelta::from_millis(2_650)
+    );
+}
+
+#[test]
+fn a_request_after_the_grace_period_leaves_time_for_a_connection_set_up() {
+    let schedule = schedule(3_251);
+    assert_eq!(
+        schedule.time_left(after_signal(701), CONNECT_TIME),
+        TimeDelta::from_millis(2_499)
+    );
+    assert_eq!(
+        schedule.time_left(after_signal(701), TimeDelta::ZERO),
+        TimeDelta::from_millis(2_649)
+    );
+    assert_eq!(
+        schedule.time_left(after_signal(9_000), CONNECT_TIME),
+        TimeDelta::ZERO
+    );
+}
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -28,8 +28,6 @@
 use crate::runtime::timer::Timer;
 use crate::upstream::Upstream;
 
-/// The longest request timeout that a shutdown waits for.
-const MAX_SHUTDOWN_WAIT: TimeDelta = TimeDelta(3_000_000);
 /// The shortest interval of periodic work, whatever is configured.
 const MIN_INTERVAL: TimeDelta = TimeDelta(1_000);
 /// Descriptors that are set aside: standard streams (3), the loop's own (3), signals, listener, peers, discovery, the stream
@@ -253,11 +251,9 @@
 fn new_shutdown_state(parameters: &Parameters) -> ShutdownState {
     let longest_timeout = parameters.classes.iter().map(|class| class.timeout).max();
     ShutdownState {
-        started_at: None,
+        schedule: None,
         is_complete: false,
-        max_request_time: longest_timeout
-            .unwrap_or(MAX_SHUTDOWN_WAIT)
-            .min(MAX_SHUTDOWN_WAIT),
+        longest_timeout: longest_timeout.unwrap_or(TimeDelta(i64::MAX)),
         check_interval: parameters.tick.max(MIN_INTERVAL),
     }
 }
--- a/crates/gateway/tests/sockets/graceful_shutdown.rs
+++ b/crates/gateway/tests/sockets/graceful_shutdown.rs
@@ -2,12 +2,17 @@
 
 use std::io::Read;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use expect_test::expect;
 
 use crate::support::*;
 
+/// The earliest kill after a signal, as the longest class here counts for 3 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// How long a gateway may be kept from running at any moment.
+const MAX_STALL: Duration = Duration::from_millis(150);
+
 #[test]
 fn a_shutdown_answers_all_requests_and_closes_connections_between_them() {
     let trace = Trace::default();
@@ -147,6 +152,50 @@
     assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn a_request_in_the_grace_period_is_answered_before_the_earliest_kill() {
+    let sent = signal_and_request_in_grace_period(Duration::ZERO);
+    assert!(sent.answered_after <= EARLIEST_KILL - MAX_STALL, "{sent:?}");
+}
+
+#[test]
+fn a_shutdown_whose_signal_is_handled_late_answers_before_the_earliest_kill() {
+    let sent = signal_and_request_in_grace_period(MAX_STALL);
+    assert!(sent.answered_after <= EARLIEST_KILL, "{sent:?}");
+}
+
+/// When a request of the longest class, sent in the grace period to an endpoint that doesn't answer, had its answer.
+#[derive(Debug)]
+struct GraceRequest {
+    answered_after: Duration,
+}
+
+/// Signals a gateway that is kept from running for a while, and sends the request 0.5 s after the signal.
+fn signal_and_request_in_grace_period(stall: Duration) -> GraceRequest {
+    let trace = Trace::default();
+    let one = endpoint("one", &trace, &[EndpointBehavior::Unresponsive]);
+    let mut gateway = start(&configuration(
+        unresponsive_server(),
+        &[endpoint_record("s-1", one, "ready", 41)],
+    ));
+    if !stall.is_zero() {
+        gateway.stop();
+    }
+    let signalled_at = Instant::now();
+    gateway.signal(Signal::TERM);
+    thread::sleep(stall);
+    gateway.signal(Signal::CONT);
+    thread::sleep(Duration::from_millis(500).saturating_sub(signalled_at.elapsed()));
+    let mut late = gateway.client();
+    assert_eq!(
+        late.request(client_request("lodge", "a1", 3_251)),
+        "502 Connection: close"
+    );
+    let answered_after = signalled_at.elapsed();
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+    GraceRequest { answered_after }
+}
+
 #[test]
 fn further_signals_change_nothing_for_requests_under_way() {
     use Signal as S;
