--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// How a turn of accepting ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AcceptResult {
+    /// No connection waits any more.
+    NoneWaiting,
+    /// The turn is over before it was known whether another connection waits.
+    MoreMayWait,
+    /// A descriptor has to be freed before another connection can be accepted.
+    NoDescriptor,
+}
+
 /// What an attempt to accept a connection came to.
 enum Accepted {
     Stream(TcpStream),
@@ -91,29 +102,30 @@
         Ok(())
     }
 
-    /// Accepts waiting connections while descriptors last. Returns whether one has to be freed for more.
-    pub(crate) fn accept(&mut self, context: &mut Context) -> bool {
+    /// Accepts waiting connections while descriptors last, and so many in one turn.
+    pub(crate) fn accept(&mut self, context: &mut Context) -> AcceptResult {
         for accepted_count in 0..MAX_ACCEPTS_PER_TURN {
             if context.descriptors.available() == 0 {
                 // After the first connection it is not known whether another waits. The listener is ready again if so, and
                 // no connection is closed for nobody.
                 let is_first = accepted_count == 0;
-                if is_first {
-                    context.counters.add(Counter::DescriptorShortages);
+                if !is_first {
+                    return AcceptResult::MoreMayWait;
                 }
-                return is_first;
+                context.counters.add(Counter::DescriptorShortages);
+                return AcceptResult::NoDescriptor;
             }
             match accept_one(&self.listener.socket) {
                 Accepted::Stream(stream) => self.add_connection(context, stream),
                 Accepted::Aborted => {}
-                Accepted::NoneWaiting => return false,
+                Accepted::NoneWaiting => return AcceptResult::NoneWaiting,
                 Accepted::NoDescriptor => {
                     context.counters.add(Counter::DescriptorShortages);
-                    return true;
+                    return AcceptResult::NoDescriptor;
                 }
             }
         }
-        false
+        AcceptResult::MoreMayWait
     }
 
     /// Adds an accepted connection. One that cannot be registered is dropped.
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -22,6 +22,7 @@
 use idle_eviction::{IdleList, READABLE};
 use listener::Listener;
 
+pub(crate) use listener::AcceptResult;
 pub(crate) use responses::Answer;
 
 /// How long the protocol grants a connection without an open request at the least.
--- a/crates/gateway/src/runtime/maintenance.rs
+++ b/crates/gateway/src/runtime/maintenance.rs
@@ -2,6 +2,7 @@
 
 use harrierdock_event_loop::logging;
 
+use crate::downstream::AcceptResult;
 use crate::runtime::gateway::Gateway;
 use crate::runtime::timer::Timer;
 
@@ -28,10 +29,12 @@
     }
 
     /// Accepts the connections that wait, and stops accepting while there are no descriptors for them.
-    pub(super) fn accept_connections(&mut self) {
-        if self.downstream.accept(&mut self.context) && !self.free_descriptor() {
+    pub(super) fn accept_connections(&mut self) -> AcceptResult {
+        let result = self.downstream.accept(&mut self.context);
+        if result == AcceptResult::NoDescriptor && !self.free_descriptor() {
             self.downstream.pause(&self.context);
         }
+        result
     }
 
     /// Closes a connection so that another can be opened, and returns whether there was one to close. Clients' connections
--- a/crates/gateway/src/runtime/shutdown.rs
+++ b/crates/gateway/src/runtime/shutdown.rs
@@ -4,6 +4,7 @@
 use harrierdock_attempt_guard::ShutdownSchedule;
 use harrierdock_types::{TimeDelta, Timestamp};
 
+use crate::downstream::AcceptResult;
 use crate::runtime::gateway::Gateway;
 use crate::runtime::timer::Timer;
 
@@ -54,20 +55,22 @@
         self.handle_multi_site_event(now, harrierdock_multi_site::Event::ShutdownStarted);
     }
 
-    /// Ends the gateway once no client is connected and every request has its answer, or once the process may
+    /// Ends the gateway once no client is connected or waits to be, and every request has its answer, or once the process may
     /// be killed at any moment.
     pub(super) fn advance_shutdown(&mut self) {
         let Some(schedule) = self.shutdown.schedule else {
             return;
         };
-        self.accept_connections();
+        let accepted = self.accept_connections();
         let all_closed = self.downstream.close_between_requests(&mut self.context);
         self.process_events();
         let now = self.context.now();
         if now >= schedule.answers_due_at() {
             self.fail_all_requests();
         }
-        let is_done = all_closed && self.dispatcher.requests.unanswered_count() == 0;
+        let is_done = accepted == AcceptResult::NoneWaiting
+            && all_closed
+            && self.dispatcher.requests.unanswered_count() == 0;
         self.shutdown.is_complete = is_done || now >= schedule.earliest_kill_at();
         self.context
             .set_timer_after(self.shutdown.check_interval, Timer::Shutdown);
--- a/crates/gateway/src/runtime/socket_handlers.rs
+++ b/crates/gateway/src/runtime/socket_handlers.rs
@@ -39,7 +39,7 @@
     /// The handlers of a gateway.
     pub(crate) fn of_gateway() -> SocketHandlers {
         SocketHandlers {
-            listener: Gateway::accept_connections,
+            listener: handle_listener,
             downstream: handle_downstream,
             upstream: handle_upstream,
             discovery: handle_discovery,
@@ -51,6 +51,10 @@
     }
 }
 
+fn handle_listener(gateway: &mut Gateway) {
+    gateway.accept_connections();
+}
+
 fn handle_downstream(gateway: &mut Gateway, connection_id: ConnectionId, readiness: Readiness) {
     gateway
         .downstream
--- a/crates/gateway/tests/sockets/graceful_shutdown.rs
+++ b/crates/gateway/tests/sockets/graceful_shutdown.rs
@@ -230,3 +230,30 @@
         assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
     }
 }
+
+#[test]
+fn a_crowd_that_waits_for_the_listener_at_the_end_of_a_shutdown_is_answered() {
+    let mut config = configuration(unresponsive_server(), &[]);
+    config["limits"]["sockets"] = json!(1_000);
+    let mut gateway = start(&config);
+    gateway.signal(Signal::TERM);
+    gateway.line("told to end");
+    gateway.stop();
+    // More silent connections than are accepted in one turn come first.
+    let silent: Vec<Client> = (0..200).map(|_| gateway.client()).collect();
+    let mut crowd: Vec<Client> = (0..100).map(|_| gateway.client()).collect();
+    for (number, client) in crowd.iter_mut().enumerate() {
+        client.say(client_request("lodge", &format!("a{number}"), 9_000));
+    }
+    // The grace period is over when the gateway runs again.
+    thread::sleep(Duration::from_millis(750));
+    gateway.signal(Signal::CONT);
+    let unanswered = crowd
+        .iter_mut()
+        .map(Client::receive)
+        .filter(|answer| answer != "503 Retry-After: 1.5 Connection: close")
+        .count();
+    drop(silent);
+    assert_eq!(unanswered, 0);
+    assert_eq!(gateway.child.wait().unwrap().code(), Some(0));
+}
