--- a/crates/gateway/src/runtime/event_loop.rs
+++ b/crates/gateway/src/runtime/event_loop.rs
@@ -7,6 +7,7 @@
 use crate::config::gateway::GatewayConfig;
 use crate::runtime::error::StartError;
 use crate::runtime::gateway::Gateway;
+use crate::runtime::startup::{block_signals, watch_signals};
 use crate::runtime::timer::Timer;
 
 /// Serves until a signal ends the gateway.
@@ -18,8 +19,11 @@
     config: &GatewayConfig,
     extension_path: Option<PathBuf>,
 ) -> Result<(), StartError> {
+    // Before the listener is bound, so that no signal ends the process under a client that has connected.
+    let signals = block_signals()?;
     let mut event_loop: EventLoop<Gateway> = EventLoop::try_new().map_err(StartError::EventLoop)?;
     let mut gateway = Gateway::start(config, extension_path, &event_loop)?;
+    watch_signals(&event_loop, signals)?;
     let address = gateway
         .downstream
         .local_address()
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -35,7 +35,8 @@
 const RESERVED_DESCRIPTORS: usize = 24;
 
 impl Gateway {
-    /// Opens every part and applies the state that the configuration gives.
+    /// Opens every part and applies the state that the configuration gives. Signals have to be blocked: the exporter starts a
+    /// helper thread, which inherits the block. Otherwise they could end the program through that thread.
     ///
     /// # Errors
     ///
@@ -75,11 +76,7 @@
             &parameters,
             config.seed(),
         );
-        let signals = block_signals()?;
-        // The exporter starts a helper thread, which inherits the blocked signals. Started before, it would leave them to end
-        // the program at once.
         let exporter = open_exporter(&context, config, &extension, &parameters)?;
-        watch_signals(event_loop, signals)?;
         context.set_timer_after(TimeDelta::ZERO, Timer::Maintenance);
         context.set_timer_after(REPORT_INTERVAL, Timer::Report);
         let command_times =
@@ -209,11 +206,20 @@
 }
 
 /// Blocks the signals that the event loop handles. A thread that starts later inherits the block.
-fn block_signals() -> Result<Signals, StartError> {
+///
+/// # Errors
+///
+/// The system refuses it.
+pub(super) fn block_signals() -> Result<Signals, StartError> {
     Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(StartError::Signals)
 }
 
-fn watch_signals(
+/// Has the event loop handle the signals. Those that came since they were blocked are handled in its first turn.
+///
+/// # Errors
+///
+/// The loop cannot watch them.
+pub(super) fn watch_signals(
     event_loop: &EventLoop<'static, Gateway>,
     signals: Signals,
 ) -> Result<(), StartError> {
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -13,5 +13,6 @@
 mod preconditions;
 mod resource_limits;
 mod rollout_platform;
+mod startup;
 mod sticky_versions;
 mod support;
