--- a/crates/event-loop/src/connection.rs
+++ b/crates/event-loop/src/connection.rs
@@ -9,13 +9,19 @@
 use calloop::{Interest, Readiness, RegistrationToken};
 use rustix::buffer::spare_capacity;
 use rustix::io::Errno;
-use rustix::net::{recv, RecvFlags};
+use rustix::net::{recv, send, RecvFlags, SendFlags};
 use socket2::{Domain, Protocol, Socket, Type};
+use thiserror::Error;
 
 use crate::buffer_pool::Buffer;
 use crate::interest::StreamSource;
 use crate::io_context::{IoContext, ResourceClass};
 
+/// How much input is discarded at once.
+const DISCARD_BYTES: usize = 4096;
+/// How often input is discarded before a connection is closed, so that a client that keeps sending holds up nobody.
+const MAX_DISCARDS: usize = 16;
+
 /// What a read came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadResult {
@@ -42,6 +48,39 @@
     Failed,
 }
 
+/// The loop cannot watch a stream.
+#[derive(Debug, Error)]
+#[error("the loop cannot watch a connection: {source}")]
+pub struct RegisterError {
+    /// The stream, which is still open.
+    pub stream: Rc<TcpStream>,
+    /// Why.
+    #[source]
+    pub source: calloop::Error,
+}
+
+impl From<RegisterError> for io::Error {
+    fn from(error: RegisterError) -> io::Error {
+        io::Error::other(error.source)
+    }
+}
+
+/// Answers on a stream that the loop does not watch, and closes it. What the client has sent so far is discarded, so that the
+/// close does not reset the connection before the response is read. Nothing blocks: a response that does not fit into the
+/// socket's buffer is cut.
+pub fn respond_and_close(stream: &TcpStream, response: &[u8]) {
+    let mut discarded = [0_u8; DISCARD_BYTES];
+    for _ in 0..MAX_DISCARDS {
+        match recv(stream, &mut discarded[..], RecvFlags::DONTWAIT) {
+            Ok((count, _)) if count > 0 => {}
+            _ => break,
+        }
+    }
+    // The client has gone if either fails.
+    let _ = send(stream, response, SendFlags::DONTWAIT | SendFlags::NOSIGNAL);
+    let _ = stream.shutdown(Shutdown::Write);
+}
+
 /// A TCP connection in the loop. It has to be closed with `close`, which releases its buffers and descriptor.
 pub struct Connection {
     stream: Rc<TcpStream>,
@@ -61,14 +100,14 @@
     ///
     /// # Errors
     ///
-    /// The loop cannot watch the socket.
+    /// The loop cannot watch the socket. The error holds the stream.
     pub fn register<D>(
         context: &mut IoContext<D>,
         stream: TcpStream,
         interest: Interest,
         class: ResourceClass,
         on_ready: impl Fn(&mut D, Readiness) + 'static,
-    ) -> io::Result<Connection> {
+    ) -> Result<Connection, RegisterError> {
         let stream = Rc::new(stream);
         let interest = Rc::new(Cell::new(interest));
         let source = StreamSource::new(stream.clone(), interest.clone());
@@ -76,7 +115,10 @@
         let token = context
             .handle
             .insert_source(source, callback)
-            .map_err(|e| io::Error::other(e.error))?;
+            .map_err(|e| RegisterError {
+                stream: stream.clone(),
+                source: e.error,
+            })?;
         if class != ResourceClass::Reserved {
             context.descriptors.in_use += 1;
         }
@@ -110,7 +152,9 @@
                 return Err(error);
             }
         }
-        Connection::register(context, socket.into(), Interest::WRITE, class, on_ready)
+        let connection =
+            Connection::register(context, socket.into(), Interest::WRITE, class, on_ready)?;
+        Ok(connection)
     }
 
     /// Whether a connection that became writable has come up.
--- a/crates/event-loop/src/lib.rs
+++ b/crates/event-loop/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use buffer_pool::{Buffer, BufferPool};
 pub use clock::Clock;
-pub use connection::{Connection, ReadResult, WriteResult};
+pub use connection::{respond_and_close, Connection, ReadResult, RegisterError, WriteResult};
 pub use descriptor_budget::DescriptorBudget;
 pub use io_context::{ConnectionId, IoContext, ResourceClass};
 pub use line_stream::{LineStream, ResponseMode, StreamEvent};
--- /dev/null
+++ b/crates/event-loop/tests/connection.rs
@@ -0,0 +1,60 @@
+//! Connections that the loop cannot watch.
+
+use std::fs::File;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::time::Duration;
+
+use calloop::{EventLoop, Interest};
+use harrierdock_event_loop::{
+    respond_and_close, BufferPool, Connection, DescriptorBudget, IoContext, ResourceClass,
+};
+
+const RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\n";
+
+/// A client's end and the accepted end of one connection.
+fn connected_pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let timeout = Some(Duration::from_secs(20));
+    client.set_read_timeout(timeout).unwrap();
+    (client, listener.accept().unwrap().0)
+}
+
+#[test]
+fn a_stream_that_cannot_be_watched_comes_back_and_holds_no_descriptor() {
+    let event_loop: EventLoop<()> = EventLoop::try_new().unwrap();
+    let budget = DescriptorBudget::new(100, 0);
+    let mut context = IoContext::new(event_loop.handle(), BufferPool::new(1), budget);
+    // The system watches no regular file.
+    let file = File::open(env!("CARGO_MANIFEST_PATH")).unwrap();
+    let stream = TcpStream::from(OwnedFd::from(file));
+    let registered = Connection::register(
+        &mut context,
+        stream,
+        Interest::READ,
+        ResourceClass::Downstream,
+        |(), _| {},
+    );
+    let error = registered.err().expect("the registration is refused");
+    assert!(
+        error.to_string().contains("Operation not permitted"),
+        "{error}"
+    );
+    assert_eq!(context.descriptors.in_use, 0);
+    assert_eq!(std::rc::Rc::strong_count(&error.stream), 1);
+}
+
+#[test]
+fn a_client_on_an_unwatched_stream_reads_the_whole_response_and_then_its_end() {
+    for request in [&b""[..], b"GET / HTTP/1.1\r\n\r\n", &[b'x'; 20_000]] {
+        let (mut client, accepted) = connected_pair();
+        client.write_all(request).unwrap();
+        respond_and_close(&accepted, RESPONSE);
+        drop(accepted);
+        let mut received = Vec::new();
+        client.read_to_end(&mut received).unwrap();
+        assert_eq!(received, RESPONSE);
+    }
+}
--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -1,12 +1,14 @@
 //! The listener: connections are accepted while there are descriptors for them.
 
+use std::error::Error;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use harrierdock_event_loop::{Connection, ResourceClass};
+use harrierdock_event_loop::{respond_and_close, Connection, ResourceClass};
+use harrierdock_http::write;
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::connection::ClientConnection;
@@ -16,6 +18,7 @@
 use crate::runtime::error::WatchError;
 
 const BACKLOG: i32 = 1024;
+const SERVICE_UNAVAILABLE: u16 = 503;
 /// Connections accepted in one turn of the loop, so that a flood of them gives way to requests under way.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 
@@ -73,6 +76,17 @@
     }
 }
 
+/// Rejects an accepted connection that the loop cannot watch: whatever is requested on it may be sent again.
+fn reject_unwatched(context: &mut Context, stream: &TcpStream, error: &dyn Error) {
+    context.counters.add(Counter::ConnectionsUnwatched);
+    tracing::warn!("a client's connection is rejected: {error}");
+    let mut response = Vec::new();
+    write::status_line(&mut response, SERVICE_UNAVAILABLE);
+    write::field(&mut response, "Connection", "close");
+    write::body(&mut response, b"");
+    respond_and_close(stream, &response);
+}
+
 impl Downstream {
     /// The address of the listener.
     ///
@@ -128,23 +142,26 @@
         AcceptResult::MoreMayWait
     }
 
-    /// Adds an accepted connection. One that cannot be registered is dropped.
+    /// Adds an accepted connection. One that cannot be watched is rejected, counted and logged.
     fn add_connection(&mut self, context: &mut Context, stream: TcpStream) {
-        let configured = stream
-            .set_nonblocking(true)
-            .and_then(|()| stream.set_nodelay(true));
+        // Without it a response may be late, which is no reason to drop the connection.
+        let _ = stream.set_nodelay(true);
+        if let Err(e) = stream.set_nonblocking(true) {
+            return reject_unwatched(context, &stream, &e);
+        }
         let id = context.next_connection_id();
         let handle_downstream = context.handlers.downstream;
-        let registered = configured.and_then(|()| {
-            Connection::register(
-                context,
-                stream,
-                Interest::READ,
-                ResourceClass::Downstream,
-                move |gateway, readiness| handle_downstream(gateway, id, readiness),
-            )
-        });
-        let Ok(connection) = registered else { return };
+        let registered = Connection::register(
+            context,
+            stream,
+            Interest::READ,
+            ResourceClass::Downstream,
+            move |gateway, readiness| handle_downstream(gateway, id, readiness),
+        );
+        let connection = match registered {
+            Ok(connection) => connection,
+            Err(e) => return reject_unwatched(context, &e.stream, &e),
+        };
         context.counters.add(Counter::ConnectionsAccepted);
         let client = ClientConnection::new(connection, context.now());
         self.connections.insert(id, client);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     AttemptsNotSent => "not-sent",
     /// Connections accepted from clients.
     ConnectionsAccepted => "connections-accepted",
+    /// Connections accepted from clients that could not be watched, and were rejected.
+    ConnectionsUnwatched => "connections-unwatched",
     /// Connections opened to endpoints.
     EndpointConnectionsOpened => "endpoint-connections-opened",
     /// Idle connections to endpoints that carried another attempt.
