--- a/crates/policy/src/rollout_voter.rs
+++ b/crates/policy/src/rollout_voter.rs
@@ -32,8 +32,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum VoteState {
-    /// To be cast, or to be cast again.
-    Pending,
+    /// Waits for its first turn: an answer that comes now belongs to an earlier vote.
+    NotCast,
+    /// Cast, and to be cast again unless it turns out to be counted.
+    Uncounted,
     /// Counted by the platform.
     Counted,
 }
@@ -153,7 +155,8 @@
         status: PlatformStatus,
         rng: &mut WyRand,
     ) {
-        let Some(cast) = &mut self.cast else {
+        let cast = self.cast.as_mut();
+        let Some(cast) = cast.filter(|cast| cast.state != VoteState::NotCast) else {
             return;
         };
         let rollout = &context.parameters.rollout;
@@ -168,7 +171,7 @@
                 let turn = fleet_time * (rng.generate::<f64>() / 2.0);
                 (
                     turn.max(rollout.vote_timeout / MIN_RECAST_DIVISOR),
-                    VoteState::Pending,
+                    VoteState::Uncounted,
                 )
             }
         };
@@ -193,7 +196,7 @@
                 other.insert(CastVote {
                     vote,
                     next_at: context.now + turn.max(TimeDelta::ZERO),
-                    state: VoteState::Pending,
+                    state: VoteState::NotCast,
                 })
             }
         };
@@ -204,7 +207,7 @@
         }
         let parameters = &context.parameters;
         cast.next_at = context.now + parameters.rollout.vote_timeout + parameters.tick;
-        cast.state = VoteState::Pending;
+        cast.state = VoteState::Uncounted;
         actions.push(Action::Vote {
             build: vote.build,
             stage: vote.stage,
--- a/crates/policy/tests/decisions/rollout_votes.rs
+++ b/crates/policy/tests/decisions/rollout_votes.rs
@@ -109,6 +109,40 @@
     .assert_eq(&gateway.decisions());
 }
 
+/// A gateway of eight whose calls the platform takes one a second, so that each vote waits for a turn by chance.
+fn gateway_that_waits_for_turns(stage_control: StageControl) -> ScriptedGateway {
+    let mut parameters = default_parameters();
+    parameters.gateway_count = 8;
+    parameters.rollout.stage_control = stage_control;
+    parameters.rollout.votes_per_second = 1.0;
+    ScriptedGateway::with_endpoints(parameters, &[1, 1, 1, 2], RolloutPhase::Canary)
+}
+
+#[test]
+fn an_answer_to_the_vote_before_counts_for_none_that_waits_for_its_turn() {
+    let mut gateway = gateway_that_waits_for_turns(StageControl::Votes);
+    gateway.run_until(500);
+    for from in [1, 2, 3, 4] {
+        gateway.receive_gossip(from, "2.0.14.e");
+    }
+    gateway.run_until(2600);
+    gateway.answer_vote(2, 0, PlatformStatus::TimedOut);
+    gateway.run_until(3000);
+    for from in [1, 2, 3, 4] {
+        gateway.receive_gossip(from, "2.0.14.t");
+    }
+    gateway.trace.push_str("the canary is eliminated\n");
+    gateway.run_until(3100);
+    gateway.answer_vote(2, 0, PlatformStatus::Valid);
+    gateway.run_until(5000);
+    expect![[r#"
+        2550: vote Promote on 2 stage 0
+        the canary is eliminated
+        4200: vote RollBack on 2 stage 0
+    "#]]
+    .assert_eq(&gateway.decisions());
+}
+
 #[test]
 fn the_same_events_give_the_same_actions() {
     let run = || {
