--- a/crates/policy/tests/decisions/rollout_votes.rs
+++ b/crates/policy/tests/decisions/rollout_votes.rs
@@ -105,6 +105,10 @@
         3000: vote Hold on 2 stage 0
         3850: vote Hold on 2 stage 0
         4000: vote Withdraw on 2 stage 0
+        4850: vote Withdraw on 2 stage 0
+        5700: vote Withdraw on 2 stage 0
+        6550: vote Withdraw on 2 stage 0
+        7400: vote Withdraw on 2 stage 0
     "#]]
     .assert_eq(&gateway.decisions());
 }
@@ -118,6 +122,37 @@
     ScriptedGateway::with_endpoints(parameters, &[1, 1, 1, 2], RolloutPhase::Canary)
 }
 
+#[test]
+fn a_withdrawal_that_waits_for_its_turn_is_cast_until_it_counts_or_the_hold_lapses() {
+    let mut trace = String::new();
+    for (case, is_answered) in [("never answered", false), ("answered", true)] {
+        let mut gateway = gateway_that_waits_for_turns(StageControl::Clock);
+        for from in [1, 2, 3, 4] {
+            gateway.receive_gossip(from, "2.0.4.t");
+        }
+        gateway.run_until(2500);
+        gateway.answer_vote(2, 0, PlatformStatus::TimedOut);
+        gateway.run_until(4500);
+        if is_answered {
+            gateway.answer_vote(2, 0, PlatformStatus::Valid);
+        }
+        gateway.run_until(12_000);
+        trace += &format!("{case}\n{}", gateway.decisions());
+    }
+    // A hold counts for 4 s from when it was cast.
+    expect![[r#"
+        never answered
+        2050: vote Hold on 2 stage 0
+        4200: vote Withdraw on 2 stage 0
+        5050: vote Withdraw on 2 stage 0
+        5900: vote Withdraw on 2 stage 0
+        answered
+        2050: vote Hold on 2 stage 0
+        4200: vote Withdraw on 2 stage 0
+    "#]]
+    .assert_eq(&trace);
+}
+
 #[test]
 fn an_answer_to_the_vote_before_counts_for_none_that_waits_for_its_turn() {
     let mut gateway = gateway_that_waits_for_turns(StageControl::Votes);
