--- a/crates/policy/tests/decisions/endpoint_list.rs
+++ b/crates/policy/tests/decisions/endpoint_list.rs
@@ -75,3 +75,28 @@
     "#]]
     .assert_eq(&trace);
 }
+
+#[test]
+fn an_endpoint_that_changes_list_and_remove_is_remembered_as_long_as_any_other() {
+    let mut gateway =
+        ScriptedGateway::with_endpoints(default_parameters(), &[1], RolloutPhase::Released);
+    gateway.run_until(60_000);
+    gateway.update_endpoints(UpdateKind::Delta, vec![endpoint(1, 1)]);
+    let removed = EndpointRecord {
+        lifecycle: Lifecycle::Removed,
+        ..endpoint(1, 1)
+    };
+    gateway.update_endpoints(UpdateKind::Delta, vec![removed]);
+    let mut trace = String::new();
+    // Remembered for 3 s and three slow start windows of 5 s.
+    for milliseconds in [100, 17_800, 200] {
+        gateway.advance(milliseconds);
+        trace += &format!("{}\n", gateway.retained_state());
+    }
+    expect![[r#"
+        2 endpoints, 2 gossip ids, 0 keys
+        2 endpoints, 2 gossip ids, 0 keys
+        1 endpoints, 1 gossip ids, 0 keys
+    "#]]
+    .assert_eq(&trace);
+}
