--- a/crates/flow-metering/src/timer_wheel.rs
+++ b/crates/flow-metering/src/timer_wheel.rs
@@ -43,8 +43,10 @@
             self.next_tick = self.next_tick + self.tick;
         }
         // After a full round every timer has expired; ticks missed beyond it are skipped.
-        let missed = (now - self.next_tick).0.max(-1) / self.tick.0 + 1;
-        self.next_tick = self.next_tick + TimeDelta(self.tick.0.saturating_mul(missed.max(0)));
+        if self.next_tick <= now {
+            let missed = (now - self.next_tick).0 / self.tick.0 + 1;
+            self.next_tick = self.next_tick + TimeDelta(self.tick.0.saturating_mul(missed));
+        }
         expired
     }
 
--- a/crates/flow-metering/tests/metering.rs
+++ b/crates/flow-metering/tests/metering.rs
@@ -32,6 +32,21 @@
     *counts.entry((flow.key.kind, flow.key.build)).or_default() += flow.counters.count;
 }
 
+#[test]
+fn advancing_by_a_full_round_passes_no_further_tick() {
+    for extra in [0, 1, 99_999, 100_000, 250_000] {
+        let mut wheel: TimerWheel<u32> = TimerWheel::new(Timestamp(0), TimeDelta(100_000), 4);
+        let now = Timestamp(400_000 + extra);
+        wheel.advance(now);
+        let until_next = wheel.next_tick() - now;
+        let within_a_tick = TimeDelta(1)..=TimeDelta(100_000);
+        assert!(
+            within_a_tick.contains(&until_next),
+            "{extra}: {until_next:?}"
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
 
