--- a/crates/flow-export/src/rotating_file.rs
+++ b/crates/flow-export/src/rotating_file.rs
@@ -75,13 +75,16 @@
 
     /// Appends a message, to the next file if it would make this one too large.
     pub(crate) fn append(&mut self, message: &[u8]) -> io::Result<()> {
-        if self.templates.is_empty() {
+        let is_first = self.templates.is_empty();
+        if is_first {
             self.templates = message.to_vec();
         }
         if self.octets + message.len() as u64 > self.max_octets {
             self.rotate()?;
-            let templates = self.templates.clone();
-            self.write(&templates)?;
+            if !is_first {
+                let templates = self.templates.clone();
+                self.write(&templates)?;
+            }
         }
         self.write(message)
     }
--- /dev/null
+++ b/crates/flow-export/tests/flow_file.rs
@@ -0,0 +1,70 @@
+//! The flow file: what a start finds there, and rotation.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use harrierdock_config::Names;
+use harrierdock_flow_export::{ExporterSetup, FlowExportSettings, FlowExporter, RequestEnded};
+use harrierdock_flow_metering::{FlowOutcome, FlowPath};
+use harrierdock_types::{ClassId, TimeDelta, Timestamp};
+use serde_json::json;
+
+const MEGABYTE: usize = 1 << 20;
+/// Where a message states its length.
+const LENGTH_OCTETS: std::ops::Range<usize> = 2..4;
+
+fn empty_folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = fs::remove_dir_all(&folder);
+    fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// Starts an exporter that writes a file of a megabyte at most, and closes it.
+fn export_once(folder: &Path) {
+    let file = json!({"path": "flows.ipfix", "most_mb": 1, "keep": 1});
+    let settings: FlowExportSettings =
+        serde_json::from_value(json!({"domain": 1, "file": file})).unwrap();
+    let setup = ExporterSetup {
+        settings: &settings,
+        folder,
+        latency_objectives: Vec::new(),
+        seed: 7,
+    };
+    let mut exporter = FlowExporter::open(Timestamp(1_000_000), setup).unwrap();
+    let request = RequestEnded {
+        class: ClassId(0),
+        outcome: FlowOutcome::RequestSucceeded,
+        path: FlowPath::Local,
+        duration: TimeDelta::from_millis(30),
+    };
+    exporter.record_request(Timestamp(1_500_000), &request);
+    exporter.close(Timestamp(3_000_000), &Names::default());
+}
+
+fn messages(content: &[u8]) -> Vec<&[u8]> {
+    let mut rest = content;
+    let mut messages = Vec::new();
+    while !rest.is_empty() {
+        let length = u16::from_be_bytes(rest[LENGTH_OCTETS].try_into().unwrap());
+        let (message, others) = rest.split_at(usize::from(length));
+        messages.push(message);
+        rest = others;
+    }
+    messages
+}
+
+#[test]
+fn a_first_message_that_fills_the_file_stands_once_in_the_next_one() {
+    let folder = empty_folder("first-message");
+    let path = folder.join("flows.ipfix");
+    export_once(&folder);
+    let first = fs::read(&path).unwrap();
+    let count = messages(&first).len();
+    assert!(count > 0);
+    fs::write(&path, first.repeat(MEGABYTE / first.len())).unwrap();
+    export_once(&folder);
+    assert!(folder.join("flows.ipfix.1").exists());
+    let rotated = fs::read(&path).unwrap();
+    assert_eq!(messages(&rotated).len(), count);
+}
