--- a/crates/flow-export/src/collector.rs
+++ b/crates/flow-export/src/collector.rs
@@ -85,14 +85,16 @@
         &mut self.queue
     }
 
-    /// Takes over from the collector of the same name before a reload: its connection too if nothing has changed, else what waits.
-    pub(crate) fn take_over(&mut self, earlier: Collector) {
+    /// Takes over from the collector of the same name before a reload: its connection too if nothing has changed, else what waits
+    /// and what was counted.
+    pub(crate) fn take_over(&mut self, now: Timestamp, earlier: Collector) {
         // Key files may have new content under the same path.
         let is_unchanged =
             earlier.settings == self.settings && earlier.settings.key_files.is_none();
         if is_unchanged {
             *self = earlier;
         } else {
+            self.in_doubt = earlier.in_doubt + earlier.connection.in_doubt(now);
             self.queue.take_over(earlier.queue);
         }
     }
@@ -179,9 +181,7 @@
         if self.failed_attempts == 0 {
             tracing::warn!("flows: collector {name} at {address}: {error}");
         }
-        if let Connection::Stream(stream) = &self.connection {
-            self.in_doubt += stream.in_doubt(now);
-        }
+        self.in_doubt += self.connection.in_doubt(now);
         self.queue.requeue_messages();
         let doublings = self.failed_attempts.min(MAX_BACKOFF_DOUBLINGS) as i32;
         let delay = (FIRST_BACKOFF * f64::powi(2.0, doublings)).min(MAX_BACKOFF);
--- a/crates/flow-export/src/connection/mod.rs
+++ b/crates/flow-export/src/connection/mod.rs
@@ -38,3 +38,13 @@
     /// Not connected until this point, when it is tried again.
     Backoff(Timestamp),
 }
+
+impl Connection {
+    /// How many attempts and requests were written lately, and may be lost if the connection ends now.
+    pub(crate) fn in_doubt(&self, now: Timestamp) -> u64 {
+        match self {
+            Connection::Stream(stream) => stream.in_doubt(now),
+            Connection::Udp(_) | Connection::Backoff(_) => 0,
+        }
+    }
+}
--- a/crates/flow-export/src/exporter.rs
+++ b/crates/flow-export/src/exporter.rs
@@ -268,7 +268,7 @@
                 .iter()
                 .position(|earlier| earlier.name() == collector.name());
             if let Some(index) = earlier {
-                collector.take_over(self.collectors.swap_remove(index));
+                collector.take_over(now, self.collectors.swap_remove(index));
             }
         }
         let removed = std::mem::replace(&mut self.collectors, collectors);
--- /dev/null
+++ b/crates/flow-export/tests/reload.rs
@@ -0,0 +1,110 @@
+//! Reloaded settings: counts that stay.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use harrierdock_config::Names;
+use harrierdock_flow_export::{AttemptEnded, ExporterSetup, FlowExportSettings, FlowExporter};
+use harrierdock_types::{AttemptOutcome, BuildId, ClassId, EndpointId, TimeDelta, Timestamp};
+use serde_json::json;
+
+/// Where an IPFIX message states its observation domain.
+const DOMAIN_OCTETS: std::ops::Range<usize> = 12..16;
+const BOUND: Duration = Duration::from_secs(20);
+
+fn settings(address: SocketAddr, road: &str, domain: u32, rate: u32) -> FlowExportSettings {
+    let collector = json!({"name": "c", "address": address, "road": road, "octets_a_second": rate});
+    let settings = json!({"domain": domain, "active_ms": 1000, "collectors": [collector]});
+    serde_json::from_value(settings).unwrap()
+}
+
+/// An exporter with its clock, which stands still until it exports.
+struct Exporter {
+    exporter: FlowExporter,
+    now: Timestamp,
+}
+
+impl Exporter {
+    fn open(settings: &FlowExportSettings) -> Exporter {
+        let now = Timestamp(1_000_000);
+        let setup = ExporterSetup {
+            settings,
+            folder: Path::new("."),
+            latency_objectives: vec![TimeDelta::from_millis(500)],
+            seed: 7,
+        };
+        let exporter = FlowExporter::open(now, setup).unwrap();
+        Exporter { exporter, now }
+    }
+
+    fn reload(&mut self, settings: &FlowExportSettings) {
+        let folder = Path::new(".");
+        self.exporter
+            .reload(self.now, Some(settings), folder)
+            .unwrap();
+    }
+
+    /// Records an attempt and exports it a moment later.
+    fn export_attempt(&mut self) {
+        let attempt = AttemptEnded {
+            class: ClassId(0),
+            build: BuildId(41),
+            endpoint: EndpointId(0),
+            outcome: AttemptOutcome::Succeeded,
+            duration: TimeDelta::from_millis(30),
+            is_retry: false,
+            is_inbound: false,
+            request_octets: 2,
+            response_octets: 2,
+        };
+        self.exporter.record_attempt(self.now, &attempt);
+        self.now = self.now + TimeDelta::from_millis(1_200);
+        self.exporter.export(self.now, &Names::default(), false);
+    }
+
+    /// Exports attempts until this gives something.
+    fn export_until<T>(&mut self, mut result: impl FnMut() -> Option<T>) -> T {
+        let from = Instant::now();
+        loop {
+            self.export_attempt();
+            if let Some(result) = result() {
+                return result;
+            }
+            assert!(from.elapsed() < BOUND, "nothing comes");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn in_doubt(&mut self) -> u64 {
+        let summary = self.exporter.close(self.now, &Names::default());
+        summary.collectors[0].in_doubt
+    }
+}
+
+fn domain_of(message: &[u8]) -> u32 {
+    u32::from_be_bytes(message[DOMAIN_OCTETS].try_into().unwrap())
+}
+
+/// Accepts the next connection and reads the domain of its first message.
+fn domain_of_next_session(exporter: &mut Exporter, listener: &TcpListener) -> (TcpStream, u32) {
+    listener.set_nonblocking(true).unwrap();
+    let mut stream = exporter.export_until(|| listener.accept().ok()).0;
+    stream.set_nonblocking(true).unwrap();
+    let mut header = [0; 16];
+    exporter.export_until(|| stream.read_exact(&mut header).ok());
+    (stream, domain_of(&header))
+}
+
+#[test]
+fn a_reload_keeps_what_is_in_doubt() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut exporter = Exporter::open(&settings(address, "tcp", 1, 16_384));
+    let (_stream, _) = domain_of_next_session(&mut exporter, &listener);
+    // What was written a moment ago may be lost with the connection that the reload ends.
+    exporter.export_attempt();
+    exporter.reload(&settings(address, "tcp", 1, 20_000));
+    assert!(exporter.in_doubt() > 0);
+}
