--- a/crates/flow-export/src/collector.rs
+++ b/crates/flow-export/src/collector.rs
@@ -89,8 +89,9 @@
     /// and what was counted.
     pub(crate) fn take_over(&mut self, now: Timestamp, earlier: Collector) {
         // Key files may have new content under the same path.
-        let is_unchanged =
-            earlier.settings == self.settings && earlier.settings.key_files.is_none();
+        let is_unchanged = earlier.settings == self.settings
+            && earlier.settings.key_files.is_none()
+            && earlier.queue.observation_domain() == self.queue.observation_domain();
         if is_unchanged {
             *self = earlier;
         } else {
--- a/crates/flow-export/src/exporter.rs
+++ b/crates/flow-export/src/exporter.rs
@@ -250,7 +250,8 @@
         }
     }
 
-    /// Takes the collectors of reloaded settings. A collector of the same name keeps what waits for it.
+    /// Takes the collectors of reloaded settings. A collector of the same name keeps what waits for it. The flow file keeps the
+    /// observation domain that it was opened with.
     ///
     /// # Errors
     /// Export is no longer asked for, or key files cannot be used. Then nothing changes.
@@ -271,6 +272,7 @@
                 collector.take_over(now, self.collectors.swap_remove(index));
             }
         }
+        self.observation_domain = settings.observation_domain;
         let removed = std::mem::replace(&mut self.collectors, collectors);
         for mut collector in removed {
             collector.queue_mut().drop_all();
--- a/crates/flow-export/src/send_queue.rs
+++ b/crates/flow-export/src/send_queue.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// The observation domain that its messages name.
+    pub(crate) fn observation_domain(&self) -> u32 {
+        self.settings.observation_domain
+    }
+
     /// Starts a new transport session, whose sequence numbers start at 0.
     pub(crate) fn start_session(&mut self, observation_domain: u32) {
         self.settings.observation_domain = observation_domain;
--- a/crates/flow-export/tests/reload.rs
+++ b/crates/flow-export/tests/reload.rs
@@ -1,7 +1,7 @@
-//! Reloaded settings: counts that stay.
+//! Reloaded settings: the observation domain, and counts that stay.
 
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -97,6 +97,41 @@
     (stream, domain_of(&header))
 }
 
+#[test]
+fn a_reloaded_domain_holds_for_a_collector_that_is_otherwise_the_same() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(BOUND)).unwrap();
+    let address = socket.local_addr().unwrap();
+    let mut exporter = Exporter::open(&settings(address, "udp", 1, 16_384));
+    let next_domain = |exporter: &mut Exporter| {
+        exporter.export_attempt();
+        let mut message = [0; 2_000];
+        let length = socket.recv(&mut message).unwrap();
+        domain_of(&message[..length])
+    };
+    assert_eq!(next_domain(&mut exporter), 1);
+    // More datagrams may have come with the first one.
+    socket.set_nonblocking(true).unwrap();
+    while socket.recv(&mut [0; 2_000]).is_ok() {}
+    socket.set_nonblocking(false).unwrap();
+    exporter.reload(&settings(address, "udp", 2, 16_384));
+    assert_eq!(next_domain(&mut exporter), 2);
+}
+
+#[test]
+fn a_reloaded_domain_holds_for_every_later_session() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut exporter = Exporter::open(&settings(address, "tcp", 1, 16_384));
+    assert_eq!(domain_of_next_session(&mut exporter, &listener).1, 1);
+    exporter.reload(&settings(address, "tcp", 2, 20_000));
+    for session in 0..2 {
+        let (stream, domain) = domain_of_next_session(&mut exporter, &listener);
+        assert_eq!(domain, 2, "session {session}");
+        drop(stream);
+    }
+}
+
 #[test]
 fn a_reload_keeps_what_is_in_doubt() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
