--- a/crates/ipfix/src/reader.rs
+++ b/crates/ipfix/src/reader.rs
@@ -5,7 +5,7 @@
 use crate::octets::Octets;
 use crate::wire_format::{
     SetKind, ENTERPRISE_BIT, FIRST_DATA_SET_ID, IPFIX_HEADER_OCTETS, IPFIX_VERSION,
-    NETFLOW_V9_VERSION, SET_HEADER_OCTETS,
+    NETFLOW_V9_ALIGNMENT_OCTETS, NETFLOW_V9_VERSION, SET_HEADER_OCTETS,
 };
 use crate::{
     DataRecord, DecodeError, FieldValue, Message, WireFormat, ENTERPRISE_NUMBER, NETFLOW_V9_SCOPE,
@@ -100,8 +100,9 @@
     /// The first fault in the message; templates read before it are kept.
     pub fn read(&mut self, octets: &[u8]) -> Result<Message, DecodeError> {
         let mut rest = Octets(octets);
-        let format = read_format(&mut rest, octets.len())?;
+        let Preamble { format, announced } = read_preamble(&mut rest, octets.len())?;
         let mut message = read_header(&mut rest, format)?;
+        let mut template_count = 0;
         while !rest.is_empty() {
             let set_id = rest.u16()?;
             let length = usize::from(rest.u16()?);
@@ -111,22 +112,28 @@
             let set = Octets(rest.take(body_length)?);
             match format.set_kind(set_id) {
                 Some(SetKind::Data(template_id)) => {
-                    self.read_data(&mut message, template_id, set)?
+                    let announced = announced.map(|all| all.saturating_sub(template_count));
+                    self.read_data(&mut message, template_id, set, announced)?
+                }
+                Some(kind) => {
+                    let domain = message.observation_domain;
+                    template_count += self.read_templates(domain, set, format, kind)?;
                 }
-                Some(kind) => self.read_templates(message.observation_domain, set, format, kind)?,
                 None => return Err(DecodeError::Malformed),
             }
         }
         Ok(message)
     }
 
+    /// Reads a set of templates and returns how many it holds.
     fn read_templates(
         &mut self,
         domain: u32,
         mut set: Octets,
         format: WireFormat,
         kind: SetKind,
-    ) -> Result<(), DecodeError> {
+    ) -> Result<usize, DecodeError> {
+        let mut count = 0;
         if !self.templates.contains_key(&domain) && self.templates.len() >= MAX_DOMAINS {
             return Err(DecodeError::LimitExceeded);
         }
@@ -136,11 +143,12 @@
             if template_id < FIRST_DATA_SET_ID {
                 let is_padding = template_id == 0 && set.0.iter().all(|octet| *octet == 0);
                 return if is_padding {
-                    Ok(())
+                    Ok(count)
                 } else {
                     Err(DecodeError::Malformed)
                 };
             }
+            count += 1;
             let counts = read_field_counts(&mut set, format, kind)?;
             if counts.all == 0 && kind == SetKind::Templates {
                 // A template withdrawal (RFC 7011, section 8.1).
@@ -153,7 +161,7 @@
             let template = read_template(&mut set, format, &counts)?;
             self.keep_template(domain, template_id, template)?;
         }
-        Ok(())
+        Ok(count)
     }
 
     fn keep_template(
@@ -170,11 +178,13 @@
         Ok(())
     }
 
+    /// Reads a set of data records. `announced` is how many the message holds in all, where its header says it.
     fn read_data(
         &self,
         message: &mut Message,
         template_id: u16,
         mut set: Octets,
+        announced: Option<usize>,
     ) -> Result<(), DecodeError> {
         let template = self
             .templates
@@ -190,6 +200,11 @@
             return Err(DecodeError::Malformed);
         }
         while set.len() >= min_octets {
+            // Records as short as the padding behind them are told from it by their number.
+            let are_all_read = announced.is_some_and(|all| message.records.len() >= all);
+            if are_all_read && is_padding(&set) {
+                break;
+            }
             let mut fields = Vec::with_capacity(template.fields.len());
             for field in &template.fields {
                 fields.push(field.read_value(&mut set)?);
@@ -204,14 +219,32 @@
     }
 }
 
+/// Whether the rest of a set of NetFlow v9 can be the padding at its end.
+fn is_padding(rest: &Octets) -> bool {
+    rest.len() < NETFLOW_V9_ALIGNMENT_OCTETS && rest.0.iter().all(|octet| *octet == 0)
+}
+
+/// How a message begins.
+struct Preamble {
+    format: WireFormat,
+    /// How many records, templates among them, the header of NetFlow v9 announces.
+    announced: Option<usize>,
+}
+
 /// Reads the version, and the length of an IPFIX message or the record count of NetFlow v9.
-fn read_format(rest: &mut Octets, message_octets: usize) -> Result<WireFormat, DecodeError> {
+fn read_preamble(rest: &mut Octets, message_octets: usize) -> Result<Preamble, DecodeError> {
     let version = rest.u16()?;
-    let length_or_count = rest.u16()?;
+    let length_or_count = usize::from(rest.u16()?);
     match version {
-        IPFIX_VERSION if usize::from(length_or_count) == message_octets => Ok(WireFormat::Ipfix),
+        IPFIX_VERSION if length_or_count == message_octets => Ok(Preamble {
+            format: WireFormat::Ipfix,
+            announced: None,
+        }),
         IPFIX_VERSION => Err(DecodeError::WrongLength),
-        NETFLOW_V9_VERSION => Ok(WireFormat::NetflowV9),
+        NETFLOW_V9_VERSION => Ok(Preamble {
+            format: WireFormat::NetflowV9,
+            announced: Some(length_or_count),
+        }),
         version => Err(DecodeError::UnsupportedVersion(version)),
     }
 }
--- a/crates/ipfix/src/wire_format.rs
+++ b/crates/ipfix/src/wire_format.rs
@@ -3,6 +3,8 @@
 /// NetFlow v9 records carry no lengths: text takes this many octets there, padded with zeros.
 pub const NETFLOW_V9_STRING_OCTETS: u16 = 32;
 
+/// NetFlow v9 pads each set to a multiple of this many octets.
+pub(crate) const NETFLOW_V9_ALIGNMENT_OCTETS: usize = 4;
 pub(crate) const IPFIX_VERSION: u16 = 10;
 pub(crate) const NETFLOW_V9_VERSION: u16 = 9;
 pub(crate) const IPFIX_HEADER_OCTETS: usize = 16;
--- a/crates/ipfix/src/writer.rs
+++ b/crates/ipfix/src/writer.rs
@@ -1,13 +1,13 @@
 //! Collects template and data records into messages of a given size.
 
 use crate::octets::put_u16;
-use crate::wire_format::{SetKind, IPFIX_VERSION, NETFLOW_V9_VERSION, SET_HEADER_OCTETS};
+use crate::wire_format::{
+    SetKind, IPFIX_VERSION, NETFLOW_V9_ALIGNMENT_OCTETS, NETFLOW_V9_VERSION, SET_HEADER_OCTETS,
+};
 use crate::{RecordTooLarge, Template, Value, WireFormat};
 
 const MIN_MESSAGE_OCTETS: usize = 512;
 const MAX_MESSAGE_OCTETS: usize = 65_535;
-/// NetFlow v9 pads each set to a multiple of this many octets.
-const NETFLOW_V9_ALIGNMENT_OCTETS: usize = 4;
 
 /// A finished message.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/ipfix/tests/round_trip.rs
+++ b/crates/ipfix/tests/round_trip.rs
@@ -113,6 +113,29 @@
     }
 }
 
+#[test]
+fn netflow_v9_records_shorter_than_their_padding_are_read_without_it() {
+    let field = |data_type| InformationElement { data_type, ..PORT };
+    for (data_type, octets) in [(DataType::Unsigned8, 1), (DataType::Unsigned16, 2)] {
+        for count in 1..9 {
+            let template = Template {
+                id: 256,
+                scope_field_count: 0,
+                fields: vec![field(data_type)],
+            };
+            let mut writer = MessageWriter::new(WireFormat::NetflowV9, 7, 1400);
+            writer.add_template(&template).unwrap();
+            for _ in 0..count {
+                writer.add_record(&template, &[Value::Number(0)]).unwrap();
+            }
+            writer.flush();
+            let messages = writer.take_messages(1_764_600_000, 5_000);
+            let read = MessageReader::default().read(&messages[0].octets).unwrap();
+            assert_eq!(read.records.len(), count, "records of {octets} octets");
+        }
+    }
+}
+
 #[test]
 fn an_independent_library_decodes_the_same_records() {
     for format in [WireFormat::Ipfix, WireFormat::NetflowV9] {
