--- a/crates/gateway/src/dispatch/multi_site.rs
+++ b/crates/gateway/src/dispatch/multi_site.rs
@@ -7,7 +7,7 @@
 use harrierdock_site_messages::{
     self as site_messages, ForwardedRequest, ForwardingOutcome, ForwardingResponse, SiteMessage,
 };
-use harrierdock_site_transport::{PathId, TransportEvent};
+use harrierdock_site_transport::{CloseCause, PathId, TransportEvent};
 use harrierdock_types::{
     AffinityKey, BuildId, ClassId, Event as PolicyEvent, RequestId, TimeDelta, Timestamp,
 };
@@ -93,14 +93,15 @@
             TransportEvent::Closed {
                 path,
                 peer,
-                orderly,
+                cause,
                 reason,
             } => {
                 if let Some(peer) = forwarding.connecting.remove(&path) {
-                    log::connect_failed(&peer, &reason);
+                    log::connect_failed(&peer, cause, &reason);
                     self.handle_multi_site_event(now, Event::ConnectFailed { peer });
                 } else {
                     log::disconnected(peer.as_ref(), &reason);
+                    let orderly = cause == CloseCause::Orderly;
                     self.handle_multi_site_event(now, Event::PathClosed { path, orderly });
                 }
             }
--- a/crates/gateway/src/multi_site/log.rs
+++ b/crates/gateway/src/multi_site/log.rs
@@ -4,6 +4,7 @@
 
 use harrierdock_multi_site::{status, Change};
 use harrierdock_site_messages::GatewayName;
+use harrierdock_site_transport::CloseCause;
 use harrierdock_types::{TimeDelta, Timestamp};
 
 /// How often it is logged that connections were refused.
@@ -32,11 +33,13 @@
     }
 }
 
-/// A connection that was opened has not come up.
-pub(crate) fn connect_failed(peer: &GatewayName, reason: &str) {
-    tracing::debug!("sites: {peer} cannot be reached: {reason}");
-    if reason.contains("certificate") {
-        tracing::warn!("sites: {peer} refused: {reason}");
+/// A connection that was opened has not come up. Operators are warned of refused credentials, which no retry mends.
+pub(crate) fn connect_failed(peer: &GatewayName, cause: CloseCause, reason: &str) {
+    match cause {
+        CloseCause::CredentialsRefused => tracing::warn!("sites: {peer} refused: {reason}"),
+        CloseCause::Orderly | CloseCause::Lost => {
+            tracing::debug!("sites: {peer} cannot be reached: {reason}");
+        }
     }
 }
 
--- a/crates/site-transport/src/connection.rs
+++ b/crates/site-transport/src/connection.rs
@@ -7,18 +7,22 @@
 use bytes::Bytes;
 use harrierdock_site_messages::{GatewayName, PathId};
 use quinn_proto::{
-    Connection, ConnectionError, ConnectionEvent, ConnectionHandle, Endpoint, Event, VarInt,
+    Connection, ConnectionError, ConnectionEvent, ConnectionHandle, Endpoint, Event,
+    TransportErrorCode, VarInt,
 };
 use rustls_pki_types::CertificateDer;
 
 use crate::certificate::gateway_name;
 use crate::streams::MessageStreams;
 use crate::transport::OutgoingDatagrams;
-use crate::{HandshakeError, TransportEvent};
+use crate::{CloseCause, HandshakeError, TransportEvent};
 
 /// The error codes with which this program closes connections.
 const CLOSE_ORDERLY: u32 = 0;
 const CLOSE_REFUSED: u32 = 1;
+/// The TLS alerts (RFC 8446, section 6) by which an end refuses a certificate: bad_certificate to certificate_unknown,
+/// unknown_ca, access_denied, decrypt_error for a wrong signature, certificate_required.
+const CERTIFICATE_ALERTS: [u8; 9] = [42, 43, 44, 45, 46, 48, 49, 51, 116];
 
 pub(crate) struct PathConnection {
     pub(crate) path: PathId,
@@ -194,14 +198,13 @@
     fn lose(&mut self, reason: &ConnectionError, events: &mut VecDeque<TransportEvent>) {
         let was_open = std::mem::take(&mut self.is_open);
         let peer = self.peer.take();
-        let orderly = matches!(reason, ConnectionError::ApplicationClosed(close)
-            if close.error_code == VarInt::from_u32(CLOSE_ORDERLY));
+        let cause = close_cause(reason);
         let reason = reason.to_string();
         events.push_back(if was_open || peer.is_some() {
             TransportEvent::Closed {
                 path: self.path,
                 peer,
-                orderly,
+                cause,
                 reason,
             }
         } else {
@@ -220,7 +223,7 @@
         Some(TransportEvent::Closed {
             path: self.path,
             peer: self.peer.take(),
-            orderly: true,
+            cause: CloseCause::Orderly,
             reason: "closed here".into(),
         })
     }
@@ -236,3 +239,30 @@
         self.connection.remote_address()
     }
 }
+
+/// What closed a connection, by the codes that both ends know.
+fn close_cause(error: &ConnectionError) -> CloseCause {
+    let refuses_certificate = |code: TransportErrorCode| {
+        let mut alerts = CERTIFICATE_ALERTS.into_iter();
+        alerts.any(|alert| code == TransportErrorCode::crypto(alert))
+    };
+    match error {
+        ConnectionError::ApplicationClosed(close)
+            if close.error_code == VarInt::from_u32(CLOSE_ORDERLY) =>
+        {
+            CloseCause::Orderly
+        }
+        ConnectionError::ApplicationClosed(close)
+            if close.error_code == VarInt::from_u32(CLOSE_REFUSED) =>
+        {
+            CloseCause::CredentialsRefused
+        }
+        ConnectionError::TransportError(error) if refuses_certificate(error.code) => {
+            CloseCause::CredentialsRefused
+        }
+        ConnectionError::ConnectionClosed(close) if refuses_certificate(close.error_code) => {
+            CloseCause::CredentialsRefused
+        }
+        _ => CloseCause::Lost,
+    }
+}
--- a/crates/site-transport/src/event.rs
+++ b/crates/site-transport/src/event.rs
@@ -4,6 +4,17 @@
 
 use harrierdock_site_messages::{GatewayName, PathId};
 
+/// What closed a path, as far as it makes a difference.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseCause {
+    /// One end has announced that it closes the path.
+    Orderly,
+    /// One end did not accept the other one's certificate.
+    CredentialsRefused,
+    /// Anything else: silence, a fault in the handshake, a restart.
+    Lost,
+}
+
 /// One event, in the order of occurrence.
 #[derive(Debug, PartialEq)]
 pub enum TransportEvent {
@@ -20,8 +31,8 @@
         path: PathId,
         /// The gateway at its other end.
         peer: Option<GatewayName>,
-        /// The other end has announced that it closes the path.
-        orderly: bool,
+        /// What closed it.
+        cause: CloseCause,
         /// Why it is closed.
         reason: String,
     },
--- a/crates/site-transport/src/lib.rs
+++ b/crates/site-transport/src/lib.rs
@@ -23,6 +23,6 @@
     AuthorityError, CertificateError, ConnectError, CredentialsError, HandshakeError, LabelError,
     SetupError,
 };
-pub use event::TransportEvent;
+pub use event::{CloseCause, TransportEvent};
 pub use harrierdock_site_messages::PathId;
 pub use transport::{Delivery, SiteTransport};
