--- a/crates/admission/src/load_report.rs
+++ b/crates/admission/src/load_report.rs
@@ -6,7 +6,7 @@
 use crate::latency_histogram::{LatencyHistogram, BUCKETS};
 
 /// The first byte. Builds that know only text messages refuse a message that begins so.
-pub const FIRST_BYTE: u8 = 0xF7;
+pub const FIRST_BYTE: u8 = 0xF8;
 const VERSION: u8 = 1;
 /// The longest report in bytes.
 pub const MAX_REPORT_BYTES: usize = 256;
