--- a/crates/fault-injection/src/cli/mod.rs
+++ b/crates/fault-injection/src/cli/mod.rs
@@ -4,6 +4,7 @@
 
 use std::process::ExitCode;
 
+use bpaf::{Args, ParseFailure};
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde::Serialize;
 use thiserror::Error;
@@ -17,6 +18,7 @@
 
 const EXIT_VIOLATED_PROPERTY: u8 = 1;
 const EXIT_BAD_USAGE: u8 = 2;
+const HELP_COLUMNS: usize = 100;
 /// Steps of the progress bar where progress is a ratio.
 const RATIO_STEPS: f64 = 1000.0;
 const MEMBERSHIP_STEPS: u64 = 30;
@@ -50,7 +52,11 @@
 /// Runs the sub-command that the process's arguments name. Exit code 0 if every property holds, 1 if one does not, 2 if
 /// the run is not possible as asked.
 pub fn run() -> ExitCode {
-    match run_command(command_line().run()) {
+    let command = match command_line().run_inner(Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return report_parse_failure(failure),
+    };
+    match run_command(command) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(EXIT_VIOLATED_PROPERTY),
         Err(error) => {
@@ -61,6 +67,16 @@
     }
 }
 
+/// Prints help, or what is wrong with the arguments.
+fn report_parse_failure(failure: ParseFailure) -> ExitCode {
+    failure.print_message(HELP_COLUMNS);
+    if failure.exit_code() == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_BAD_USAGE)
+    }
+}
+
 fn run_command(command: Command) -> Verdict {
     match command {
         Command::Core(arguments) => run_core(&arguments),
