--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -21,16 +21,14 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use bpaf::{Args, ParseFailure};
 use harrierdock_event_loop::logging;
 use harrierdock_flow_export::report::FlowReport;
 
 use cli::arguments::{command_line, Command, KeysCommand};
 use config::gateway::GatewayConfig;
 
-/// The exit code of every failure, wrong arguments among them.
+/// The exit code of every failure.
 const FAILURE: u8 = 2;
-const HELP_COLUMNS: usize = 100;
 
 fn print(text: &str) -> Result<(), Box<dyn Error>> {
     write_line(io::stdout(), text)
@@ -93,22 +91,8 @@
     }
 }
 
-/// Prints help, or what is wrong with the arguments.
-fn report_parse_failure(failure: ParseFailure) -> ExitCode {
-    failure.print_message(HELP_COLUMNS);
-    if failure.exit_code() == 0 {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(FAILURE)
-    }
-}
-
 fn main() -> ExitCode {
-    let command = match command_line().run_inner(Args::current_args()) {
-        Ok(command) => command,
-        Err(failure) => return report_parse_failure(failure),
-    };
-    match run(command) {
+    match run(command_line().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             let message = e.to_string().replace('\n', " ");
