--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -2,7 +2,7 @@
 
 use harrierdock_event_loop::Connection;
 use harrierdock_http::MessageReader;
-use harrierdock_types::{RequestId, Timestamp};
+use harrierdock_types::{RequestId, TimeDelta, Timestamp};
 
 /// What a connection is used for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,19 +56,26 @@
     pub(super) keeps_alive: bool,
     /// Since when its phase lasts. The first request counts from the connection's opening.
     pub(super) since: Timestamp,
+    /// How long its first request may have waited for the connection to be accepted.
+    pub(super) queue_time: TimeDelta,
     /// How the connection is listed for eviction.
     pub(super) listed_idle: Option<Idle>,
 }
 
 impl ClientConnection {
-    /// A connection that was just accepted.
-    pub(super) fn new(connection: Connection, now: Timestamp) -> ClientConnection {
+    /// A connection that was just accepted, and has waited for that with a request.
+    pub(super) fn new(
+        connection: Connection,
+        now: Timestamp,
+        queue_time: TimeDelta,
+    ) -> ClientConnection {
         ClientConnection {
             connection,
             reader: MessageReader::default(),
             phase: Phase::Reading,
             keeps_alive: false,
             since: now,
+            queue_time,
             listed_idle: None,
         }
     }
--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -9,6 +9,7 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use harrierdock_event_loop::{respond_and_close, Connection, ResourceClass};
 use harrierdock_http::write;
+use harrierdock_types::{TimeDelta, Timestamp};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::connection::ClientConnection;
@@ -27,6 +28,8 @@
     socket: Rc<TcpListener>,
     token: Option<RegistrationToken>,
     is_paused: bool,
+    /// Since when connections may wait that could not be accepted at once.
+    backlog_since: Option<Timestamp>,
 }
 
 impl Listener {
@@ -41,6 +44,7 @@
             socket: Rc::new(socket.into()),
             token: None,
             is_paused: false,
+            backlog_since: None,
         })
     }
 }
@@ -118,6 +122,18 @@
 
     /// Accepts waiting connections while descriptors last, and so many in one turn.
     pub(crate) fn accept(&mut self, context: &mut Context) -> AcceptResult {
+        let result = self.accept_up_to_limit(context);
+        self.listener.backlog_since = match result {
+            AcceptResult::NoneWaiting => None,
+            AcceptResult::MoreMayWait | AcceptResult::NoDescriptor => {
+                let now = context.now();
+                Some(self.listener.backlog_since.unwrap_or(now))
+            }
+        };
+        result
+    }
+
+    fn accept_up_to_limit(&mut self, context: &mut Context) -> AcceptResult {
         for accepted_count in 0..MAX_ACCEPTS_PER_TURN {
             if context.descriptors.available() == 0 {
                 // After the first connection it is not known whether another waits. The listener is ready again if so, and
@@ -163,11 +179,20 @@
             Err(e) => return reject_unwatched(context, &e.stream, &e),
         };
         context.counters.add(Counter::ConnectionsAccepted);
-        let client = ClientConnection::new(connection, context.now());
+        let queue_time = self.queue_time(context, &connection);
+        let client = ClientConnection::new(connection, context.now(), queue_time);
         self.connections.insert(id, client);
         self.update_idle(id);
     }
 
+    /// How long a connection that was just accepted may have waited with a request on it.
+    fn queue_time(&self, context: &Context, connection: &Connection) -> TimeDelta {
+        match self.listener.backlog_since {
+            Some(since) if !connection.is_open_and_quiet() => context.now() - since,
+            _ => TimeDelta::ZERO,
+        }
+    }
+
     /// Stops accepting until `close_expired` finds descriptors, so that the loop does not spin on a listener that stays ready.
     pub(crate) fn pause(&mut self, context: &Context) {
         let Some(token) = self.listener.token.filter(|_| !self.listener.is_paused) else {
--- a/crates/gateway/src/downstream/requests.rs
+++ b/crates/gateway/src/downstream/requests.rs
@@ -3,6 +3,7 @@
 use calloop::Readiness as SocketReadiness;
 use harrierdock_event_loop::{ConnectionId, ReadResult};
 use harrierdock_http::{write, ParseError, Progress, RequestHead};
+use harrierdock_types::{RequestId, TimeDelta};
 
 use super::connection::{IdleKind, Phase};
 use super::request_parser::{ParsedRequest, RequestAttributes};
@@ -130,6 +131,7 @@
             Err(error) => return self.refuse(context, id, error),
         };
         client.keeps_alive = head.keeps_alive();
+        let queue_time = std::mem::take(&mut client.queue_time);
         let message;
         let response = match ParsedRequest::read(&head, &self.classes) {
             ParsedRequest::Request(attributes) => {
@@ -138,7 +140,7 @@
                     client.phase = Phase::Waiting(request_id);
                     self.waiting
                         .insert(request_id, id, attributes.client_request_id);
-                    let request = received_request(request_id, &attributes);
+                    let request = received_request(request_id, &attributes, queue_time);
                     context.counters.add(Counter::RequestsReceived);
                     return context.emit(InternalEvent::RequestReceived(request));
                 }
@@ -170,16 +172,18 @@
     }
 }
 
+/// A request that was read. Its time counts from when its client sent it, before its connection was accepted.
 fn received_request(
-    id: harrierdock_types::RequestId,
+    id: RequestId,
     attributes: &RequestAttributes<'_>,
+    queue_time: TimeDelta,
 ) -> ReceivedRequest {
     ReceivedRequest {
         id,
         class: attributes.class,
         key: attributes.key,
         is_client_retry: attributes.is_client_retry,
-        time_left: attributes.time_left,
+        time_left: (attributes.time_left - queue_time).max(TimeDelta::ZERO),
         inbound: None,
     }
 }
--- a/crates/gateway/tests/sockets/resource_limits.rs
+++ b/crates/gateway/tests/sockets/resource_limits.rs
@@ -189,3 +189,57 @@
     assert_eq!(last.request("GET /ready HTTP/1.1\r\n\r\n"), "503");
     assert!(others.iter_mut().all(|c| c.request("\r\n") == "503"));
 }
+
+#[test]
+fn time_in_the_queue_of_the_listener_is_not_stated_to_an_endpoint() {
+    let trace = Trace::default();
+    let seen = trace.clone();
+    let one = serve_requests(move |request| {
+        let field = |name| request.field(name).unwrap_or("none").to_string();
+        seen.note(format!("{} {}", field("X-Txn"), field("X-Remaining-Ms")));
+        thread::sleep(Duration::from_millis(600));
+        request.respond("200 OK", "answer")
+    });
+    let mut config = configuration(
+        unresponsive_server(),
+        &[endpoint_record("s-1", one, "ready", 41)],
+    );
+    // Four connections: two requests under way take all of them.
+    config["limits"]["sockets"] = json!(28);
+    let gateway = start(&config);
+    // A time without clients is none in the queue.
+    thread::sleep(Duration::from_millis(400));
+    let mut clients: Vec<Client> = (0..2).map(|_| gateway.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.say(client_request("lodge", &format!("a{number}"), 5_000));
+    }
+    trace.wait("a", 2);
+    let stated_to = |id: &str| -> Duration {
+        let text = trace.text();
+        let stated = text.lines().find_map(|line| line.strip_prefix(id));
+        Duration::from_millis(stated.unwrap().trim().parse().unwrap())
+    };
+    for id in ["a0 ", "a1 "] {
+        assert!(
+            stated_to(id) > Duration::from_millis(4_800),
+            "{}",
+            trace.text()
+        );
+    }
+    let mut queued = gateway.client();
+    queued.say(client_request("lodge", "b", 2_000));
+    let written_at = Instant::now();
+    trace.wait("b ", 1);
+    let waited = written_at.elapsed();
+    let text = trace.text();
+    let stated = text.lines().find_map(|line| line.strip_prefix("b "));
+    let stated = Duration::from_millis(stated.unwrap().parse().unwrap());
+    assert!(
+        waited > Duration::from_millis(300),
+        "it did not wait: {waited:?}"
+    );
+    let left = Duration::from_millis(2_000).saturating_sub(waited);
+    let slack = Duration::from_millis(150);
+    assert!(stated <= left + slack, "{stated:?} stated, {left:?} left");
+    assert_eq!(queued.receive(), "200 answer");
+}
