--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -5,11 +5,12 @@
 use harrierdock_multi_site::Event as MultiSiteEvent;
 use harrierdock_policy::Policy;
 use harrierdock_types::{
-    Action, AffinityKey, BuildId, EndpointId, Event, Lifecycle, Parameters, RequestId, TimeDelta,
-    Timestamp,
+    Action, AffinityKey, BuildId, EndpointId, Event, GossipMessage, Lifecycle, Parameters,
+    RequestId, TimeDelta, Timestamp,
 };
 
 use crate::dispatch::request_table::{RequestEntry, RequestTable, ServingSite};
+use crate::rollout::elimination_log::{EliminationLog, EliminationVote};
 use crate::runtime::context::{InternalEvent, ReceivedRequest};
 use crate::runtime::gateway::Gateway;
 use crate::runtime::timer::Timer;
@@ -27,6 +28,8 @@
     pub(crate) max_attempts: usize,
     /// The granularity of the platform's clock.
     pub(crate) tick: TimeDelta,
+    /// The elimination votes that were logged.
+    elimination_log: EliminationLog,
 }
 
 impl Dispatcher {
@@ -37,6 +40,7 @@
             requests: RequestTable::default(),
             max_attempts: parameters.limits.max_attempts,
             tick: parameters.tick,
+            elimination_log: EliminationLog::default(),
             policy: Policy::new(parameters, seed),
         }
     }
@@ -59,6 +63,27 @@
             .count()
     }
 
+    /// Logs an elimination vote of this gateway, as it is sent to the others.
+    fn log_elimination(&mut self, message: &GossipMessage) {
+        let GossipMessage::EliminationVote {
+            build,
+            stage,
+            weight,
+            arm,
+        } = *message
+        else {
+            return;
+        };
+        let vote = EliminationVote {
+            build,
+            stage,
+            arm,
+            weight,
+        };
+        let evidence = self.policy.elimination_evidence();
+        self.elimination_log.log(vote, &self.names, evidence);
+    }
+
     /// Forgets the names of endpoints that are gone, so that they don't pile up as endpoints come and go. To be called when
     /// the policy has received every endpoint list.
     fn forget_removed_endpoints(&mut self) {
@@ -201,6 +226,7 @@
                 }
             }
             Action::SendGossip { to, message } => {
+                self.dispatcher.log_elimination(&message);
                 if let Some(gossip) = &self.gossip {
                     gossip.send_gossip(&mut self.context, to, &message);
                 }
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod commands;
 mod deployment_messages;
+pub(crate) mod elimination_log;
 mod log;
 pub(crate) mod votes;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,7 +45,7 @@
 
 use crate::context::Context;
 use crate::discovery_watch::DiscoveryWatch;
-use crate::elimination_test::EliminationTest;
+use crate::elimination_test::{EliminationEvidence, EliminationTest};
 use crate::elimination_votes::EliminationVotes;
 use crate::endpoint_table::EndpointTable;
 use crate::exposure_limiter::{CanaryAttempt, ExposureLimiter};
@@ -194,6 +194,11 @@
         self.sticky_versions.len()
     }
 
+    /// What this gateway's elimination votes rest on, metric by metric.
+    pub fn elimination_evidence(&self) -> impl Iterator<Item = EliminationEvidence> + '_ {
+        self.elimination.evidence()
+    }
+
     /// What is configured.
     pub fn parameters(&self) -> &Parameters {
         &self.context.parameters
--- a/crates/policy/src/payoff.rs
+++ b/crates/policy/src/payoff.rs
@@ -36,8 +36,8 @@
     }
 
     /// All of these together.
-    pub fn total(payoffs: &[&Payoff]) -> Payoff {
-        payoffs.iter().fold(Payoff::default(), |sum, payoff| {
+    pub fn total<'a>(payoffs: impl IntoIterator<Item = &'a Payoff>) -> Payoff {
+        payoffs.into_iter().fold(Payoff::default(), |sum, payoff| {
             sum.plus_scaled(payoff, 1.0)
         })
     }
