--- a/crates/event-loop/src/connection.rs
+++ b/crates/event-loop/src/connection.rs
@@ -120,7 +120,7 @@
                 source: e.error,
             })?;
         if class != ResourceClass::Reserved {
-            context.descriptors.in_use += 1;
+            context.descriptors.acquire();
         }
         Ok(Connection {
             stream,
@@ -271,7 +271,7 @@
         context.buffers.release(&mut self.input);
         context.buffers.release(&mut self.output);
         if self.class != ResourceClass::Reserved {
-            context.descriptors.in_use = context.descriptors.in_use.saturating_sub(1);
+            context.descriptors.release();
         }
     }
 }
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -127,6 +127,11 @@
         })
     }
 
+    /// How many connections clients have.
+    pub(crate) fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Answers readiness checks with yes, unless the gateway shuts down.
     pub(crate) fn set_ready(&mut self) {
         self.readiness = self.readiness.max(Readiness::Ready);
--- a/crates/gateway/src/runtime/reporting.rs
+++ b/crates/gateway/src/runtime/reporting.rs
@@ -29,9 +29,12 @@
             tracing::info!("counts: {}", leases.counts(context.io.now()));
         }
         tracing::info!(
-            "counts: {} open={} lent={} owed={}",
+            "counts: {} open={} open-peak={} open-to-clients={} open-to-endpoints={} lent={} owed={}",
             context.counters,
-            context.io.descriptors.in_use,
+            context.io.descriptors.in_use(),
+            context.io.descriptors.take_peak(),
+            self.downstream.connection_count(),
+            self.upstream.connection_count(),
             context.io.buffers.in_use,
             self.dispatcher.requests.unanswered_count()
         );
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// How many connections to endpoints there are.
+    pub(crate) fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Starts an attempt. Its end is reported as an internal event.
     ///
     /// # Errors
