--- a/crates/fault-injection/src/cli/arguments.rs
+++ b/crates/fault-injection/src/cli/arguments.rs
@@ -39,6 +39,9 @@
     /// Duties of one fleet without sockets, in simulated time: kills, stalls, cuts, skewed clocks, by the seed.
     #[bpaf(command)]
     Duties(#[bpaf(external(duties_arguments))] DutiesArguments),
+    /// Restarts of built gateways under clients that use open connections until the kill, by the seed.
+    #[bpaf(command)]
+    Soak(#[bpaf(external(soak_arguments))] SoakArguments),
     /// Membership without sockets: rounds and bytes until a change is known to all, at 0, 10 and 30% loss.
     #[bpaf(command)]
     Membership(#[bpaf(external(membership_arguments))] MembershipArguments),
@@ -238,3 +241,19 @@
     #[bpaf(long("bound"), argument("ROUNDS"), fallback(20))]
     pub(super) bound_rounds: usize,
 }
+
+#[derive(Bpaf, Clone, Debug)]
+pub(super) struct SoakArguments {
+    /// The first seed
+    #[bpaf(long("seed"), argument("N"), fallback(1))]
+    pub(super) seed: u64,
+    /// How many seeds are played, one after another
+    #[bpaf(long("seeds"), argument("K"), fallback(1))]
+    pub(super) seeds: u64,
+    /// Gateways
+    #[bpaf(long("gateways"), argument("G"), fallback(3))]
+    pub(super) gateways: usize,
+    /// How long clients come
+    #[bpaf(long("seconds"), argument("S"), fallback(9.0))]
+    pub(super) seconds: f64,
+}
--- a/crates/fault-injection/src/cli/mod.rs
+++ b/crates/fault-injection/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bpaf::{Args, ParseFailure};
 use indicatif::{ProgressBar, ProgressDrawTarget};
@@ -10,10 +11,11 @@
 use thiserror::Error;
 
 use crate::collector::{CollectorTransport, UnknownTransport};
-use crate::{admission, core, duties, fleet, flows, membership, sites};
+use crate::{admission, core, duties, fleet, flows, membership, sites, soak};
 use arguments::{
     command_line, AdmissionArguments, CollectorArguments, Command, CoreArguments, CostArguments,
     DutiesArguments, FleetArguments, FlowsArguments, MembershipArguments, SitesArguments,
+    SoakArguments,
 };
 
 const EXIT_VIOLATED_PROPERTY: u8 = 1;
@@ -23,6 +25,7 @@
 const RATIO_STEPS: f64 = 1000.0;
 const MEMBERSHIP_STEPS: u64 = 30;
 const SMALLEST_FLEET: usize = 3;
+const MOST_SOAK_GATEWAYS: usize = 20;
 const SHORTEST_LEASE_MS: u32 = 100;
 /// Heartbeats of a lease.
 const HEARTBEATS_PER_LEASE: u32 = 4;
@@ -36,6 +39,12 @@
     SitesRange,
     #[error("--gateways is 3 or more, --lease 100 or more, --seconds and --rate above 0")]
     FleetRange,
+    #[error("--seeds is 1 or more")]
+    SoakSeeds,
+    #[error("--gateways is from 1 to {MOST_SOAK_GATEWAYS}")]
+    SoakGateways,
+    #[error("--seconds is {shortest} or more: a shutdown and the start anew take that long", shortest = soak::plan::SHORTEST_RUN.as_secs())]
+    SoakSeconds,
     #[error("--form is ipfix, or v9 with --road udp")]
     WireFormat,
     #[error(transparent)]
@@ -87,6 +96,7 @@
         Command::Collector(arguments) => run_collector(&arguments),
         Command::Fleet(arguments) => run_fleet(arguments),
         Command::Duties(arguments) => run_duties(&arguments),
+        Command::Soak(arguments) => run_soak(&arguments),
         Command::Membership(arguments) => run_membership(&arguments),
     }
 }
@@ -231,6 +241,31 @@
     print_report(&report, report.ok)
 }
 
+fn run_soak(arguments: &SoakArguments) -> Verdict {
+    if arguments.seeds == 0 {
+        return Err(CliError::SoakSeeds);
+    }
+    if !(1..=MOST_SOAK_GATEWAYS).contains(&arguments.gateways) {
+        return Err(CliError::SoakGateways);
+    }
+    let shortest = soak::plan::SHORTEST_RUN;
+    let duration = Duration::try_from_secs_f64(arguments.seconds).unwrap_or_default();
+    if duration < shortest {
+        return Err(CliError::SoakSeconds);
+    }
+    let mut all_hold = true;
+    for seed in arguments.seed..arguments.seed.saturating_add(arguments.seeds) {
+        let settings = soak::SoakSettings {
+            seed,
+            gateways: arguments.gateways,
+            duration,
+        };
+        let report = soak::play(&settings).map_err(|error| CliError::Run(error.to_string()))?;
+        all_hold &= print_report(&report, report.ok)?;
+    }
+    Ok(all_hold)
+}
+
 fn run_membership(arguments: &MembershipArguments) -> Verdict {
     let bar = progress_bar(MEMBERSHIP_STEPS);
     let report = membership::play(
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! - without sockets, in simulated time: [`core`] (two sites), [`duties`] (leases), [`membership`] (members of a site),
 //!   [`admission`] (admission policies compared);
-//! - with built gateways: [`sites`] (two sites), [`fleet`] (leases and rollouts), [`flows`] (flow export);
+//! - with built gateways: [`sites`] (two sites), [`fleet`] (leases and rollouts), [`flows`] (flow export), [`soak`]
+//!   (restarts under load);
 //! - what these share: [`gateway_process`], [`collector`], [`record_tables`], [`stand_ins`], [`schedule`], [`simulation`];
 //! - [`cli`]: the command line.
 
@@ -20,4 +21,5 @@
 pub mod schedule;
 pub mod simulation;
 pub mod sites;
+pub mod soak;
 pub mod stand_ins;
--- /dev/null
+++ b/crates/fault-injection/src/soak/restarts.rs
@@ -0,0 +1,246 @@
+//! Restarts: signals in series, a kill at the earliest moment that the platform grants, and the start anew.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use serde_json::{json, Value};
+
+use super::clients::{run_asking_client, run_silent_client, Shared};
+use super::judge::ShutdownRecord;
+use super::plan::{Crowd, Restart, SignalKind, Stall, EARLIEST_KILL};
+use super::servers::DiscoveryStandIn;
+use crate::gateway_process::{GatewayProcess, GatewayProcessError};
+use crate::stand_ins::policy_settings;
+
+/// How often it is checked whether a process has ended, or is ready.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1);
+/// How long a gateway may take to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const READY_REQUEST: &[u8] = b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+const MEMORY_MB: u32 = 192;
+/// A crowd's clients connect within this time.
+const CROWD_SPREAD: Duration = Duration::from_millis(50);
+const CROWD_STACK_BYTES: usize = 256 * 1024;
+
+/// What the gateways of a soak are started with.
+pub(super) struct GatewaySetup {
+    pub(super) program: PathBuf,
+    pub(super) folder: PathBuf,
+    pub(super) seed: u64,
+    pub(super) descriptors: usize,
+    pub(super) discovery: DiscoveryStandIn,
+}
+
+impl GatewaySetup {
+    fn configuration(&self, gateway: usize, listen: &str) -> Value {
+        json!({"name": format!("n{gateway}"), "listen": listen, "discovery": self.discovery.address,
+            "seed": format!("{:016x}", self.seed), "known": self.discovery.current_list(),
+            "limits": {"memory_mb": MEMORY_MB, "sockets": self.descriptors}, "settings": policy_settings()})
+    }
+
+    /// Starts a gateway at an address, on a port of the system's choice if that is 0.
+    pub(super) fn start(
+        &self,
+        gateway: usize,
+        listen: &str,
+    ) -> Result<GatewayProcess, GatewayProcessError> {
+        let configuration = self.configuration(gateway, listen);
+        let name = format!("n{gateway}");
+        GatewayProcess::start(&self.program, &self.folder, &name, &configuration, None)
+    }
+}
+
+/// What came of a restart beside its shutdown.
+pub(super) struct RestartOutcome {
+    pub(super) process: GatewayProcess,
+    pub(super) shutdown: Option<ShutdownRecord>,
+    /// From the start anew until the gateway was ready.
+    pub(super) ready_after: Option<Duration>,
+    pub(super) violations: Vec<String>,
+}
+
+/// Plays a restart. The time until it begins has passed.
+pub(super) fn play_restart(
+    setup: &GatewaySetup,
+    shared: &Arc<Shared>,
+    restart: &Restart,
+    mut process: GatewayProcess,
+) -> Result<RestartOutcome, GatewayProcessError> {
+    let crowd = restart
+        .crowd
+        .map(|crowd| start_crowd(shared, restart.gateway, crowd));
+    let mut violations = Vec::new();
+    let signal_at = send_signals(shared, restart, &process);
+    let Some(signal_at) = signal_at else {
+        return Ok(RestartOutcome {
+            process,
+            shutdown: None,
+            ready_after: None,
+            violations,
+        });
+    };
+    let killed_at = end(shared, restart, &mut process, signal_at, &mut violations);
+    let address = process.listen_address.to_string();
+    shared.set_admission(restart.gateway, |admission| admission.is_admitted = false);
+    let started_at = Instant::now();
+    let process = setup.start(restart.gateway, &address)?;
+    let ready_after = wait_until_ready(process.listen_address, started_at);
+    if ready_after.is_none() {
+        violations.push(format!("n{} is not ready after a restart", restart.gateway));
+    }
+    shared.set_admission(restart.gateway, |admission| {
+        admission.is_admitted = true;
+        admission.until = None;
+    });
+    if let Some(crowd) = crowd {
+        // A crowd's client ends with its request.
+        let _ = crowd.join();
+    }
+    let shutdown = ShutdownRecord {
+        gateway: restart.gateway,
+        signal_at: signal_at - shared.started_at,
+        killed_at,
+    };
+    Ok(RestartOutcome {
+        process,
+        shutdown: Some(shutdown),
+        ready_after,
+        violations,
+    })
+}
+
+fn system_signal(kind: SignalKind) -> Signal {
+    match kind {
+        SignalKind::Terminate => Signal::TERM,
+        SignalKind::Interrupt => Signal::INT,
+        SignalKind::HangUp => Signal::HUP,
+    }
+}
+
+/// Sends the signals, and returns when the first that ends the gateway was sent.
+fn send_signals(shared: &Shared, restart: &Restart, process: &GatewayProcess) -> Option<Instant> {
+    let stall = match restart.stall {
+        Stall::BeforeSignal(length) => Some(length),
+        Stall::None | Stall::BeforeKill(_) => None,
+    };
+    let stalled_at = Instant::now();
+    if stall.is_some() {
+        process.signal(Signal::STOP);
+    }
+    let mut signal_at = None;
+    for (index, kind) in restart.signals.iter().enumerate() {
+        if index > 0 {
+            thread::sleep(restart.signal_gap);
+        }
+        if kind.ends() && signal_at.is_none() {
+            let now = Instant::now();
+            signal_at = Some(now);
+            let until = now + restart.new_connections_for;
+            shared.set_admission(restart.gateway, |admission| admission.until = Some(until));
+        }
+        process.signal(system_signal(*kind));
+    }
+    if let Some(length) = stall {
+        thread::sleep(length.saturating_sub(stalled_at.elapsed()));
+        process.signal(Signal::CONT);
+    }
+    signal_at
+}
+
+/// Waits until the process has ended, or kills it at the earliest moment. Returns when it was killed.
+fn end(
+    shared: &Shared,
+    restart: &Restart,
+    process: &mut GatewayProcess,
+    signal_at: Instant,
+    violations: &mut Vec<String>,
+) -> Option<Duration> {
+    let kill_at = signal_at + EARLIEST_KILL;
+    let stall_at = match restart.stall {
+        Stall::BeforeKill(length) => Some(kill_at - length),
+        Stall::None | Stall::BeforeSignal(_) => None,
+    };
+    let mut is_stalled = false;
+    loop {
+        if let Some(status) = process.exit_status() {
+            if !status.success() {
+                violations.push(format!("n{} ended with {status}", restart.gateway));
+            }
+            process.read_log();
+            violations.append(&mut process.violations);
+            return None;
+        }
+        let now = Instant::now();
+        if now >= kill_at {
+            process.kill();
+            return Some(shared.now());
+        }
+        if !is_stalled && stall_at.is_some_and(|at| now >= at) {
+            is_stalled = true;
+            process.signal(Signal::STOP);
+        }
+        thread::sleep(CHECK_INTERVAL.min(kill_at - now));
+    }
+}
+
+fn is_ready(address: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return false;
+    };
+    let mut response = [0; 12];
+    let has_asked = stream.set_read_timeout(Some(READY_TIMEOUT)).is_ok()
+        && stream.write_all(READY_REQUEST).is_ok();
+    has_asked && stream.read_exact(&mut response).is_ok() && response.ends_with(b"200")
+}
+
+fn wait_until_ready(address: SocketAddr, started_at: Instant) -> Option<Duration> {
+    while started_at.elapsed() < READY_TIMEOUT {
+        if is_ready(address) {
+            return Some(started_at.elapsed());
+        }
+        thread::sleep(CHECK_INTERVAL);
+    }
+    None
+}
+
+/// Starts a crowd on a thread of its own, which ends with its last client.
+fn start_crowd(shared: &Arc<Shared>, gateway: usize, crowd: Crowd) -> thread::JoinHandle<()> {
+    let shared = shared.clone();
+    thread::spawn(move || {
+        thread::sleep(crowd.delay);
+        let size = crowd.silent + crowd.requests;
+        let pause = CROWD_SPREAD / size.max(1) as u32;
+        // Those that ask come evenly among the others.
+        let asks =
+            |index: usize| index * crowd.requests / size != (index + 1) * crowd.requests / size;
+        let mut clients = Vec::with_capacity(size);
+        for index in 0..size {
+            let shared = shared.clone();
+            let play = if asks(index) {
+                run_asking_client
+            } else {
+                run_silent_client
+            };
+            let client = thread::Builder::new()
+                .stack_size(CROWD_STACK_BYTES)
+                .spawn(move || play(&shared, gateway));
+            clients.extend(client);
+            thread::sleep(pause);
+        }
+        for client in clients {
+            // A client that panicked would have left no record: its request counts as none.
+            let _ = client.join();
+        }
+    })
+}
+
+/// How many descriptors a process holds now.
+pub(super) fn descriptor_count(process_id: u32) -> usize {
+    let folder = Path::new("/proc").join(process_id.to_string()).join("fd");
+    std::fs::read_dir(folder).map_or(0, Iterator::count)
+}
