--- a/crates/policy/src/rollout_voter.rs
+++ b/crates/policy/src/rollout_voter.rs
@@ -32,10 +32,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum VoteState {
-    /// Waits for its first turn: an answer that comes now belongs to an earlier vote.
-    NotCast,
-    /// Cast, and to be cast again unless it turns out to be counted.
-    Uncounted,
+    /// To be cast, or to be cast again.
+    Pending,
     /// Counted by the platform.
     Counted,
 }
@@ -46,8 +44,6 @@
     vote: RolloutVote,
     /// When it is cast next.
     next_at: Timestamp,
-    /// Until when the platform may count a vote of this gateway on the stage. `None` if none was cast.
-    counts_until: Option<Timestamp>,
     state: VoteState,
 }
 
@@ -157,8 +153,7 @@
         status: PlatformStatus,
         rng: &mut WyRand,
     ) {
-        let cast = self.cast.as_mut();
-        let Some(cast) = cast.filter(|cast| cast.state != VoteState::NotCast) else {
+        let Some(cast) = &mut self.cast else {
             return;
         };
         let rollout = &context.parameters.rollout;
@@ -173,7 +168,7 @@
                 let turn = fleet_time * (rng.generate::<f64>() / 2.0);
                 (
                     turn.max(rollout.vote_timeout / MIN_RECAST_DIVISOR),
-                    VoteState::Uncounted,
+                    VoteState::Pending,
                 )
             }
         };
@@ -187,10 +182,9 @@
     /// what it accepts from then on: if hundreds cast at once, those let in first would take up all that it accepts by renewing
     /// their votes. About half of the calls of a large fleet are refused while it wants to vote.
     pub(crate) fn emit(&mut self, context: &Context, rng: &mut WyRand, actions: &mut Vec<Action>) {
-        let Some(vote) = self.vote_to_cast(context.now) else {
+        let Some(vote) = self.vote_to_cast() else {
             return;
         };
-        let counts_until = self.cast.as_ref().and_then(|cast| cast.counts_until);
         let cast = match &mut self.cast {
             Some(cast) if cast.vote == vote => cast,
             other => {
@@ -199,9 +193,7 @@
                 other.insert(CastVote {
                     vote,
                     next_at: context.now + turn.max(TimeDelta::ZERO),
-                    counts_until: counts_until
-                        .filter(|_| vote.decision == RolloutDecision::Withdraw),
-                    state: VoteState::NotCast,
+                    state: VoteState::Pending,
                 })
             }
         };
@@ -212,10 +204,7 @@
         }
         let parameters = &context.parameters;
         cast.next_at = context.now + parameters.rollout.vote_timeout + parameters.tick;
-        cast.state = VoteState::Uncounted;
-        if vote.decision != RolloutDecision::Withdraw {
-            cast.counts_until = Some(context.now + parameters.rollout.vote_ttl);
-        }
+        cast.state = VoteState::Pending;
         actions.push(Action::Vote {
             build: vote.build,
             stage: vote.stage,
@@ -223,19 +212,13 @@
         });
     }
 
-    /// The vote that is wanted. A hold that is over is withdrawn until that counts or the hold has lapsed; other votes lapse with
-    /// their stage.
-    fn vote_to_cast(&self, now: Timestamp) -> Option<RolloutVote> {
+    /// The vote that is wanted. A hold that is over is withdrawn; other votes lapse with their stage.
+    fn vote_to_cast(&self) -> Option<RolloutVote> {
         if self.wanted.is_some() {
             return self.wanted;
         }
         let cast = self.cast.as_ref()?;
-        let is_hold = matches!(
-            cast.vote.decision,
-            RolloutDecision::Hold | RolloutDecision::Withdraw
-        );
-        let may_count = cast.counts_until.is_some_and(|until| now < until);
-        (is_hold && may_count).then_some(RolloutVote {
+        (cast.vote.decision == RolloutDecision::Hold).then_some(RolloutVote {
             decision: RolloutDecision::Withdraw,
             ..cast.vote
         })
