--- a/crates/fault-injection/src/soak/judge.rs
+++ b/crates/fault-injection/src/soak/judge.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::Serialize;
+
 use super::plan::{RequestClass, EARLIEST_KILL};
 
 /// How long after its deadline an answer may come.
@@ -146,7 +148,7 @@
 }
 
 /// What came of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Verdict {
     /// Requests whose last byte was written.
     pub requests: usize,
--- a/crates/fault-injection/src/soak/mod.rs
+++ b/crates/fault-injection/src/soak/mod.rs
@@ -79,32 +79,13 @@
     pub seed: u64,
     /// What was played.
     pub drawn: Vec<String>,
-    /// Requests whose last byte was written.
-    pub requests: usize,
-    /// Those with a whole answer of their own.
-    pub answered: usize,
-    /// Those that crossed a close between requests.
-    pub sent_again: usize,
-    /// Those without an answer.
-    pub lost: usize,
-    /// Requests that may not be repeated and were.
-    pub effects_twice: usize,
-    /// Answers that came too late.
-    pub late: usize,
-    /// Attempts at an endpoint that was known to drain.
-    pub stale_endpoint: usize,
-    /// Attempts after their client had closed.
-    pub after_close: usize,
-    /// Attempts that were told more time than was left.
-    pub overstated_time: usize,
-    /// Connections that did not come up.
-    pub refused: usize,
+    /// What was judged.
+    #[serde(flatten)]
+    pub verdict: Verdict,
     /// How long restarted gateways took to be ready.
     pub ready_ms: ReadyTimes,
     /// The most descriptors that a gateway held.
     pub descriptors_max: usize,
-    /// Some violations.
-    pub violations: Vec<String>,
 }
 
 /// Plays one seed.
@@ -251,11 +232,11 @@
 fn report(
     settings: &SoakSettings,
     plan: &Plan,
-    verdict: Verdict,
+    mut verdict: Verdict,
     mut outcomes: Vec<RestartOutcome>,
     descriptors_max: usize,
 ) -> SoakReport {
-    let mut violations = verdict.violations.clone();
+    let violations = &mut verdict.violations;
     for outcome in &mut outcomes {
         outcome.process.read_log();
         violations.append(&mut outcome.violations);
@@ -278,25 +259,15 @@
     }
     let at = |index: usize| ready.get(index).map_or(0, |after| after.as_millis() as u64);
     SoakReport {
-        ok: verdict.is_ok() && violations.is_empty(),
+        ok: verdict.is_ok() && verdict.violations.is_empty(),
         seed: settings.seed,
         drawn: plan.describe(),
-        requests: verdict.requests,
-        answered: verdict.answered,
-        sent_again: verdict.sent_again,
-        lost: verdict.lost,
-        effects_twice: verdict.effects_twice,
-        late: verdict.late,
-        stale_endpoint: verdict.stale_endpoint,
-        after_close: verdict.after_close,
-        overstated_time: verdict.overstated_time,
-        refused: verdict.refused,
+        verdict,
         ready_ms: ReadyTimes {
             median: at(ready.len() / 2),
             max: at(ready.len().saturating_sub(1)),
         },
         descriptors_max,
-        violations,
     }
 }
 
--- a/crates/fault-injection/src/soak/restarts.rs
+++ b/crates/fault-injection/src/soak/restarts.rs
@@ -36,6 +36,13 @@
     pub(super) discovery: DiscoveryStandIn,
 }
 
+impl Drop for GatewaySetup {
+    fn drop(&mut self) {
+        // Configurations that stay behind harm nobody.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 impl GatewaySetup {
     fn configuration(&self, gateway: usize, listen: &str) -> Value {
         json!({"name": format!("n{gateway}"), "listen": listen, "discovery": self.discovery.address,
