--- a/crates/gateway/tests/sockets/support.rs
+++ b/crates/gateway/tests/sockets/support.rs
@@ -2,9 +2,9 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Mutex;
 use std::thread;
@@ -35,6 +35,17 @@
     pub log: Receiver<String>,
 }
 
+/// An address on which nobody listens: its host is used by no other call and hardly by another process. No listener is opened
+/// to find it, as a process that another test starts in this moment would hold it for a while.
+pub fn unused_address() -> SocketAddr {
+    const PORT: u16 = 8_443;
+    static NUMBERS: AtomicU8 = AtomicU8::new(0);
+    let number = NUMBERS.fetch_add(1, Ordering::SeqCst);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let host = Ipv4Addr::new(127, 1 + high % 254, low, 1 + number % 254);
+    SocketAddr::from((host, PORT))
+}
+
 pub fn address_in(line: &str) -> Option<SocketAddr> {
     line.rsplit(' ').next()?.parse().ok()
 }
