--- a/crates/gateway/src/config/error.rs
+++ b/crates/gateway/src/config/error.rs
@@ -2,6 +2,7 @@
 //! the reason.
 
 use std::io;
+use std::net::{AddrParseError, SocketAddr};
 use std::path::PathBuf;
 
 use harrierdock_config::SettingsError;
@@ -18,6 +19,14 @@
     /// No file is named.
     #[error("no configuration: LB_CONFIG is not set")]
     NoPath,
+    /// The environment's address to listen on is none.
+    #[error("LB_LISTEN {text}: {source}")]
+    ListenVariable {
+        /// What it holds.
+        text: String,
+        /// Why.
+        source: AddrParseError,
+    },
     /// A file is refused as a whole.
     #[error("{}: {source}", path.display())]
     File {
@@ -68,6 +77,14 @@
     /// A field is missing, unknown, or not of its type.
     #[error("{0}")]
     Field(#[from] serde_path_to_error::Error<serde_json::Error>),
+    /// It names another address to listen on than the environment.
+    #[error("listen: {named} differs from LB_LISTEN {listening_on}")]
+    ListenDiffers {
+        /// The file's.
+        named: String,
+        /// The environment's.
+        listening_on: SocketAddr,
+    },
 }
 
 /// Why the extension is refused beside the configuration.
--- a/crates/gateway/src/config/gateway.rs
+++ b/crates/gateway/src/config/gateway.rs
@@ -6,8 +6,9 @@
 use harrierdock_config::Names;
 use harrierdock_types::Parameters;
 use serde::Deserialize;
-use serde_json::{Map, Value};
+use serde_json::Value;
 
+use super::environment::{self, Precedence};
 use super::error::{ConfigError, ExtensionError, FileError};
 use super::extension::ExtensionConfig;
 use super::lease::FleetContext;
@@ -17,34 +18,6 @@
 const PATH_VARIABLE: &str = "LB_CONFIG";
 const HEXADECIMAL: u32 = 16;
 
-/// A field that a variable of the environment may give.
-struct EnvironmentField {
-    variable: &'static str,
-    field: &'static str,
-}
-
-const ENVIRONMENT_FIELDS: [EnvironmentField; 3] = [
-    EnvironmentField {
-        variable: "LB_NAME",
-        field: "name",
-    },
-    EnvironmentField {
-        variable: "LB_LISTEN",
-        field: "listen",
-    },
-    EnvironmentField {
-        variable: "LB_DISCOVERY",
-        field: "discovery",
-    },
-];
-
-/// Whether the environment or the file comes first.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Precedence {
-    Environment,
-    File,
-}
-
 /// The configuration of a gateway.
 #[derive(Deserialize)]
 #[serde(rename = "Told")]
@@ -121,10 +94,22 @@
     ///
     /// The file cannot be read, or a field is refused.
     pub(crate) fn read(path: Option<PathBuf>) -> Result<GatewayConfig, ConfigError> {
-        let path = path
-            .or_else(|| std::env::var_os(PATH_VARIABLE).map(PathBuf::from))
-            .ok_or(ConfigError::NoPath)?;
-        GatewayConfig::read_file(&path, Precedence::Environment)
+        let path = named_path(path)?;
+        GatewayConfig::read_file(&path, Precedence::Environment, None)
+    }
+
+    /// Reads the configuration of a gateway that starts, as `read` does. If it listens already, the file may name no other
+    /// address.
+    ///
+    /// # Errors
+    ///
+    /// As in `read`, or the file's address differs.
+    pub(crate) fn read_at_start(
+        path: Option<PathBuf>,
+        listening_on: Option<SocketAddr>,
+    ) -> Result<GatewayConfig, ConfigError> {
+        let path = named_path(path)?;
+        GatewayConfig::read_file(&path, Precedence::Environment, listening_on)
     }
 
     /// Reads the file again. The environment cannot have changed since the start, so the file comes before it now.
@@ -133,11 +118,15 @@
     ///
     /// As in `read`.
     pub(crate) fn read_again(path: &Path) -> Result<GatewayConfig, ConfigError> {
-        GatewayConfig::read_file(path, Precedence::File)
+        GatewayConfig::read_file(path, Precedence::File, None)
     }
 
-    fn read_file(path: &Path, precedence: Precedence) -> Result<GatewayConfig, ConfigError> {
-        let parsed = parse(path, precedence).map_err(|source| ConfigError::File {
+    fn read_file(
+        path: &Path,
+        precedence: Precedence,
+        listening_on: Option<SocketAddr>,
+    ) -> Result<GatewayConfig, ConfigError> {
+        let parsed = parse(path, precedence, listening_on).map_err(|source| ConfigError::File {
             path: path.into(),
             source,
         })?;
@@ -258,21 +247,22 @@
     }
 }
 
-fn parse(path: &Path, precedence: Precedence) -> Result<GatewayConfig, FileError> {
+fn named_path(path: Option<PathBuf>) -> Result<PathBuf, ConfigError> {
+    path.or_else(|| std::env::var_os(PATH_VARIABLE).map(PathBuf::from))
+        .ok_or(ConfigError::NoPath)
+}
+
+fn parse(
+    path: &Path,
+    precedence: Precedence,
+    listening_on: Option<SocketAddr>,
+) -> Result<GatewayConfig, FileError> {
     let text = std::fs::read_to_string(path)?;
     let mut value: Value = serde_json::from_str(&text)?;
     let fields = value.as_object_mut().ok_or(FileError::NotAnObject)?;
-    apply_environment(fields, precedence);
-    Ok(serde_path_to_error::deserialize(value)?)
-}
-
-fn apply_environment(fields: &mut Map<String, Value>, precedence: Precedence) {
-    for EnvironmentField { variable, field } in ENVIRONMENT_FIELDS {
-        let Ok(value) = std::env::var(variable) else {
-            continue;
-        };
-        if precedence == Precedence::Environment || !fields.contains_key(field) {
-            fields.insert(field.into(), value.into());
-        }
+    if let Some(address) = listening_on {
+        environment::check_listen_address(fields, address)?;
     }
+    environment::apply(fields, precedence);
+    Ok(serde_path_to_error::deserialize(value)?)
 }
--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -4,6 +4,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -24,8 +25,9 @@
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 
 /// The listening socket.
-pub(super) struct Listener {
+pub(crate) struct Listener {
     socket: Rc<TcpListener>,
+    bound_at: Instant,
     token: Option<RegistrationToken>,
     is_paused: bool,
     /// Since when connections may wait that could not be accepted at once.
@@ -34,7 +36,11 @@
 
 impl Listener {
     /// Listens at an address. Connections wait until `Downstream::start_accepting`.
-    pub(super) fn bind(address: SocketAddr) -> io::Result<Listener> {
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on.
+    pub(crate) fn bind(address: SocketAddr) -> io::Result<Listener> {
         let kind = Type::STREAM.nonblocking().cloexec();
         let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
@@ -42,6 +48,7 @@
         socket.listen(BACKLOG)?;
         Ok(Listener {
             socket: Rc::new(socket.into()),
+            bound_at: Instant::now(),
             token: None,
             is_paused: false,
             backlog_since: None,
@@ -101,7 +108,7 @@
         self.listener.socket.local_addr()
     }
 
-    /// Begins to accept connections.
+    /// Begins to accept connections. Those that came since the listener was bound may have waited since then.
     ///
     /// # Errors
     ///
@@ -117,6 +124,8 @@
             })
             .map_err(|e| WatchError(e.error))?;
         self.listener.token = Some(token);
+        let waiting_time = TimeDelta(self.listener.bound_at.elapsed().as_micros() as i64);
+        self.listener.backlog_since = Some(context.now() - waiting_time);
         Ok(())
     }
 
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -8,8 +8,6 @@
 mod responses;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io;
-use std::net::SocketAddr;
 
 use harrierdock_config::ClassNames;
 use harrierdock_event_loop::ConnectionId;
@@ -20,9 +18,8 @@
 use crate::runtime::context::{Context, InternalEvent, OutboundRequest};
 use connection::{ClientConnection, Phase};
 use idle_eviction::{IdleList, READABLE};
-use listener::Listener;
 
-pub(crate) use listener::AcceptResult;
+pub(crate) use listener::{AcceptResult, Listener};
 pub(crate) use responses::Answer;
 
 /// How long the protocol grants a connection without an open request at the least.
@@ -40,10 +37,8 @@
     ShuttingDown,
 }
 
-/// Where and how clients are served.
+/// How clients are served.
 pub(crate) struct DownstreamSettings {
-    /// The address of the listener.
-    pub(crate) address: SocketAddr,
     /// The request classes.
     pub(crate) classes: ClassNames,
     /// How long a connection is kept unused, or a response unread.
@@ -108,14 +103,10 @@
 }
 
 impl Downstream {
-    /// Listens for clients. None is accepted until `start_accepting`.
-    ///
-    /// # Errors
-    ///
-    /// The address cannot be listened on.
-    pub(crate) fn bind(settings: DownstreamSettings) -> io::Result<Downstream> {
-        Ok(Downstream {
-            listener: Listener::bind(settings.address)?,
+    /// Serves the clients of a listener. None is accepted until `start_accepting`.
+    pub(crate) fn new(listener: Listener, settings: DownstreamSettings) -> Downstream {
+        Downstream {
+            listener,
             connections: BTreeMap::new(),
             idle: IdleList::default(),
             max_unused: settings.descriptor_limit / DESCRIPTORS_PER_REQUEST / 2,
@@ -124,7 +115,7 @@
             idle_timeout: settings.idle_timeout,
             stall_timeout: settings.stall_timeout,
             readiness: Readiness::NotReady,
-        })
+        }
     }
 
     /// How many connections clients have.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -47,8 +47,7 @@
             extension,
         } => {
             logging::start(log, format);
-            let config = GatewayConfig::read(config)?;
-            Ok(runtime::event_loop::serve(&config, extension)?)
+            Ok(runtime::event_loop::serve(config, extension)?)
         }
         Command::Check { config, extension } => {
             let config = GatewayConfig::read(config)?;
--- a/crates/gateway/src/runtime/event_loop.rs
+++ b/crates/gateway/src/runtime/event_loop.rs
@@ -4,31 +4,42 @@
 
 use calloop::EventLoop;
 
+use crate::config::environment;
 use crate::config::gateway::GatewayConfig;
 use crate::runtime::error::StartError;
 use crate::runtime::gateway::Gateway;
-use crate::runtime::startup::{block_signals, watch_signals};
+use crate::runtime::startup::{block_signals, listen_on, watch_signals};
 use crate::runtime::timer::Timer;
 
-/// Serves until a signal ends the gateway.
+/// Serves until a signal ends the gateway. Listens as early as the address is known: a client that connects during the start
+/// waits in the listener's queue.
 ///
 /// # Errors
 ///
 /// The configuration does not fit, or a socket cannot be opened.
 pub(crate) fn serve(
-    config: &GatewayConfig,
+    config_path: Option<PathBuf>,
     extension_path: Option<PathBuf>,
 ) -> Result<(), StartError> {
     // Before the listener is bound, so that no signal ends the process under a client that has connected.
     let signals = block_signals()?;
+    let early_address = environment::listen_address()?;
+    let early_listener = early_address.map(listen_on).transpose()?;
+    let config = GatewayConfig::read_at_start(config_path, early_address)?;
+    let listener = match early_listener {
+        Some(listener) => listener,
+        None => listen_on(config.listen)?,
+    };
     let mut event_loop: EventLoop<Gateway> = EventLoop::try_new().map_err(StartError::EventLoop)?;
-    let mut gateway = Gateway::start(config, extension_path, &event_loop)?;
+    let mut gateway = Gateway::start(&config, listener, extension_path, &event_loop)?;
     watch_signals(&event_loop, signals)?;
     let address = gateway
         .downstream
         .local_address()
         .map_err(StartError::Address)?;
     tracing::info!("{} serves on {address}", config.name);
+    // Those that connected during the start. Later ones have not waited.
+    gateway.accept_connections();
     while !gateway.shutdown.is_complete {
         gateway.turn(&mut event_loop);
     }
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -1,5 +1,6 @@
-//! Startup: the parts are opened in an order in which a failure leaves nothing running, the listener last.
+//! Startup: the listener is bound first, so that clients wait while the other parts are opened, and accepts last.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use calloop::signals::{Event as SignalEvent, Signal, Signals};
@@ -14,7 +15,7 @@
 use crate::control_plane::discovery::Discovery;
 use crate::control_plane::rollout_platform::RolloutPlatform;
 use crate::dispatch::dispatcher::Dispatcher;
-use crate::downstream::{Downstream, DownstreamSettings, MIN_IDLE_TIME};
+use crate::downstream::{Downstream, DownstreamSettings, Listener, MIN_IDLE_TIME};
 use crate::gossip::GossipSocket;
 use crate::multi_site::control_socket::{ControlSocket, ControlSocketError};
 use crate::multi_site::forwarding::Forwarding;
@@ -35,14 +36,15 @@
 const RESERVED_DESCRIPTORS: usize = 24;
 
 impl Gateway {
-    /// Opens every part and applies the state that the configuration gives. Signals have to be blocked: the exporter starts a
-    /// helper thread, which inherits the block. Otherwise they could end the program through that thread.
+    /// Opens every part behind a listener and applies the state that the configuration gives. Signals have to be blocked: the
+    /// exporter starts a helper thread, which inherits the block. Otherwise they could end the program through that thread.
     ///
     /// # Errors
     ///
     /// The settings do not fit, or a socket cannot be opened.
     pub(super) fn start(
         config: &GatewayConfig,
+        listener: Listener,
         extension_path: Option<PathBuf>,
         event_loop: &EventLoop<'static, Gateway>,
     ) -> Result<Gateway, StartError> {
@@ -54,7 +56,8 @@
         let maintenance_interval = limits
             .connect_timeout
             .clamp(MIN_INTERVAL, MIN_IDLE_TIME / 4.0);
-        let downstream = bind_downstream(config, &parameters, &names, maintenance_interval)?;
+        let downstream_settings =
+            downstream_settings(config, &parameters, &names, maintenance_interval);
         let gossip = GossipSocket::open(
             &context.handle,
             config,
@@ -83,7 +86,7 @@
             command_times(&parameters, &extension, vote_timeout, maintenance_interval);
         let mut gateway = Gateway {
             context,
-            downstream,
+            downstream: Downstream::new(listener, downstream_settings),
             upstream: Upstream::new(limits.connect_timeout, limits.idle_timeout),
             discovery,
             rollout_platform,
@@ -144,23 +147,27 @@
     Context::new(io, SocketHandlers::of_gateway())
 }
 
-fn bind_downstream(
+fn downstream_settings(
     config: &GatewayConfig,
     parameters: &Parameters,
     names: &Names,
     stall_timeout: TimeDelta,
-) -> Result<Downstream, StartError> {
-    let settings = DownstreamSettings {
-        address: config.listen,
+) -> DownstreamSettings {
+    DownstreamSettings {
         classes: names.classes.clone(),
         idle_timeout: parameters.limits.idle_timeout,
         stall_timeout,
         descriptor_limit: config.limits.descriptors,
-    };
-    Downstream::bind(settings).map_err(|source| StartError::Listen {
-        address: config.listen,
-        source,
-    })
+    }
+}
+
+/// Listens for clients, who wait until the gateway has started.
+///
+/// # Errors
+///
+/// The address cannot be listened on.
+pub(super) fn listen_on(address: SocketAddr) -> Result<Listener, StartError> {
+    Listener::bind(address).map_err(|source| StartError::Listen { address, source })
 }
 
 fn open_control_socket(
