--- a/crates/policy/src/endpoint_table.rs
+++ b/crates/policy/src/endpoint_table.rs
@@ -70,6 +70,12 @@
     pub(crate) newest_start: Option<Timestamp>,
 }
 
+/// The ready endpoints of one build.
+struct ReadyBuild {
+    arm: Arm,
+    endpoints: usize,
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointTable {
@@ -197,7 +203,7 @@
     /// Derives what each request or message needs of the list, so that none walks it.
     pub(crate) fn survey(&mut self, context: &Context, rollout: &RolloutState) {
         let stage_build = rollout.stage().build;
-        let mut ready_by_build: BTreeMap<BuildId, usize> = BTreeMap::new();
+        let mut ready_by_build: BTreeMap<BuildId, ReadyBuild> = BTreeMap::new();
         let mut arms: PerArm<Vec<EndpointId>> = PerArm::default();
         let mut newest_start = None;
         for (id, endpoint) in &self.endpoints {
@@ -205,9 +211,12 @@
                 continue;
             }
             let build = endpoint.record.build;
-            *ready_by_build.entry(build).or_default() += 1;
-            let arm = arm_if_canary(rollout.is_canary(build, self));
-            arms.get_mut(arm).push(*id);
+            let ready = ready_by_build.entry(build).or_insert_with(|| ReadyBuild {
+                arm: arm_if_canary(rollout.is_canary(build, self)),
+                endpoints: 0,
+            });
+            ready.endpoints += 1;
+            arms.get_mut(ready.arm).push(*id);
             if build == stage_build {
                 newest_start = newest_start.max(endpoint.started);
             }
@@ -218,23 +227,26 @@
         let canary_or_newer: usize = ready_by_build
             .iter()
             .filter(|(build, _)| **build >= stage_build)
-            .map(|(_, count)| count)
+            .map(|(_, ready)| ready.endpoints)
             .sum();
         self.canary = CanaryDeployment {
             ratio: canary_or_newer as f64 / ready,
-            endpoints: ready_by_build.get(&stage_build).copied().unwrap_or(0),
+            endpoints: ready_by_build
+                .get(&stage_build)
+                .map_or(0, |ready| ready.endpoints),
             newest_start,
         };
         self.arms = arms;
         self.fleet_size = ready_by_build
             .into_values()
+            .map(|ready| ready.endpoints)
             .fold(self.fleet_size, usize::max);
     }
 
     /// Sorts an arm alike at all gateways and lets each begin elsewhere, so that the few that each sends to are spread evenly.
     fn rotate(&self, context: &Context, arm: &mut [EndpointId]) {
         let start_ratio = (context.parameters.local_peer.0 as f64 * GOLDEN_RATIO).fract();
-        arm.sort_by_key(|id| self.endpoints[id].record.gossip_id);
+        arm.sort_by_cached_key(|id| self.endpoints[id].record.gossip_id);
         let start = (start_ratio * arm.len() as f64) as usize;
         arm.rotate_left(start);
     }
