--- a/crates/gateway/src/config/environment.rs
+++ b/crates/gateway/src/config/environment.rs
@@ -6,7 +6,12 @@
 
 use super::error::{ConfigError, FileError};
 
-const LISTEN_VARIABLE: &str = "LB_LISTEN";
+/// Gives this gateway's name.
+pub(super) const NAME_VARIABLE: &str = "LB_NAME";
+/// Gives the address to listen on.
+pub(super) const LISTEN_VARIABLE: &str = "LB_LISTEN";
+/// Gives the address of discovery.
+pub(super) const DISCOVERY_VARIABLE: &str = "LB_DISCOVERY";
 const LISTEN_FIELD: &str = "listen";
 
 /// A field that a variable of the environment may give.
@@ -17,7 +22,7 @@
 
 const ENVIRONMENT_FIELDS: [EnvironmentField; 3] = [
     EnvironmentField {
-        variable: "LB_NAME",
+        variable: NAME_VARIABLE,
         field: "name",
     },
     EnvironmentField {
@@ -25,7 +30,7 @@
         field: LISTEN_FIELD,
     },
     EnvironmentField {
-        variable: "LB_DISCOVERY",
+        variable: DISCOVERY_VARIABLE,
         field: "discovery",
     },
 ];
--- a/crates/gateway/src/config/gateway.rs
+++ b/crates/gateway/src/config/gateway.rs
@@ -1,6 +1,6 @@
 //! The platform's configuration of a gateway, read at its start and again at a reload, and the environment beside it.
 
-use std::net::SocketAddr;
+use std::net::{AddrParseError, SocketAddr};
 use std::path::{Path, PathBuf};
 
 use harrierdock_config::Names;
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::environment::{self, Precedence};
+use super::environment::{self, Precedence, DISCOVERY_VARIABLE, LISTEN_VARIABLE, NAME_VARIABLE};
 use super::error::{ConfigError, ExtensionError, FileError};
 use super::extension::ExtensionConfig;
 use super::lease::FleetContext;
@@ -138,6 +138,20 @@
         Ok(config)
     }
 
+    /// This configuration with the fields that variables of the environment give.
+    fn with_environment(self) -> Result<GatewayConfig, AddrParseError> {
+        let address = |variable: &str, in_file: SocketAddr| match std::env::var(variable) {
+            Ok(text) => text.parse(),
+            Err(_) => Ok(in_file),
+        };
+        Ok(GatewayConfig {
+            name: std::env::var(NAME_VARIABLE).unwrap_or(self.name),
+            listen: address(LISTEN_VARIABLE, self.listen)?,
+            discovery: address(DISCOVERY_VARIABLE, self.discovery)?,
+            ..self
+        })
+    }
+
     /// The policy's parameters, and the names that their ids stand for.
     ///
     /// # Errors
@@ -258,7 +272,31 @@
     listening_on: Option<SocketAddr>,
 ) -> Result<GatewayConfig, FileError> {
     let text = std::fs::read_to_string(path)?;
-    let mut value: Value = serde_json::from_str(&text)?;
+    if precedence == Precedence::Environment {
+        if let Some(config) = parse_directly(&text, listening_on) {
+            return Ok(config);
+        }
+    }
+    parse_by_field(&text, precedence, listening_on)
+}
+
+/// Parses a configuration straight into its types, as a start has little processor time. `None` if it is refused: the errors
+/// met here do not say which field is at fault, and a variable of the environment may stand in for it.
+fn parse_directly(text: &str, listening_on: Option<SocketAddr>) -> Option<GatewayConfig> {
+    let config: GatewayConfig = serde_json::from_str(text).ok()?;
+    if listening_on.is_some_and(|address| address != config.listen) {
+        return None;
+    }
+    config.with_environment().ok()
+}
+
+/// Parses a configuration by way of a JSON value. An error names the field.
+fn parse_by_field(
+    text: &str,
+    precedence: Precedence,
+    listening_on: Option<SocketAddr>,
+) -> Result<GatewayConfig, FileError> {
+    let mut value: Value = serde_json::from_str(text)?;
     let fields = value.as_object_mut().ok_or(FileError::NotAnObject)?;
     if let Some(address) = listening_on {
         environment::check_listen_address(fields, address)?;
--- a/crates/gateway/tests/sockets/configuration.rs
+++ b/crates/gateway/tests/sockets/configuration.rs
@@ -147,3 +147,58 @@
     "#]],
     );
 }
+
+/// What `check` says of a configuration under variables of the environment, and its exit code.
+fn check_with(config: &Value, variables: &[(&str, &str)]) -> String {
+    let mut command = program(config, &["check"]);
+    command.envs(variables.iter().copied());
+    let path = write_config(config);
+    let out = command.env("LB_CONFIG", &path).output().unwrap();
+    let said = [out.stderr, out.stdout].concat();
+    let said = String::from_utf8_lossy(&said).replace(&path, "PATH");
+    format!("{:?} {said}", out.status.code())
+}
+
+#[test]
+fn a_variable_of_the_environment_stands_in_for_a_field_that_is_wrong_or_missing() {
+    let mut good = configuration("127.0.0.1:8500".parse().unwrap(), &[]);
+    good["listen"] = "127.0.0.1:1".into();
+    let mut wrong = good.clone();
+    wrong["listen"] = json!(7);
+    let mut missing = good.clone();
+    missing.as_object_mut().unwrap().remove("listen");
+    missing.as_object_mut().unwrap().remove("name");
+    let variables = [("LB_LISTEN", "127.0.0.2:2"), ("LB_NAME", "n7")];
+    let nowhere = [("LB_LISTEN", "nowhere")];
+    let trace = [
+        check_with(&wrong, &[]),
+        check_with(&wrong, &variables),
+        check_with(&missing, &[]),
+        check_with(&missing, &variables),
+        check_with(&good, &nowhere),
+    ];
+    expect![[r#"
+        Some(2) harrierdock: PATH: listen: invalid type: integer `7`, expected socket address
+        Some(0) n7 listens on 127.0.0.2:2, discovery at 127.0.0.1:8500, platform none, 0 of 1 gateways, products draft payment lodge, 192 MB, 200 descriptors
+        Some(2) harrierdock: PATH: missing field `listen`
+        Some(0) n7 listens on 127.0.0.2:2, discovery at 127.0.0.1:8500, platform none, 0 of 1 gateways, products draft payment lodge, 192 MB, 200 descriptors
+        Some(2) harrierdock: PATH: listen: invalid socket address syntax
+    "#]]
+    .assert_eq(&trace.concat());
+}
+
+#[test]
+fn a_wrong_entry_of_a_list_is_named_by_its_place() {
+    let address = "127.0.0.1:8500".parse().unwrap();
+    let mut endpoint = endpoint_record("s-1", address, "ready", 41);
+    endpoint["phase"] = "asleep".into();
+    let config = configuration(address, &[endpoint]);
+    let mut peers = configuration(address, &[]);
+    peers["peers"] = json!(["127.0.0.1:1", "nowhere"]);
+    let trace = [check_with(&config, &[]), check_with(&peers, &[])];
+    expect![[r#"
+        Some(2) harrierdock: PATH: known.members[0].phase: unknown variant `asleep`, expected one of `ready`, `draining`, `gone`
+        Some(2) harrierdock: PATH: peers[1]: invalid socket address syntax
+    "#]]
+    .assert_eq(&trace.concat());
+}
