--- a/crates/config/src/names.rs
+++ b/crates/config/src/names.rs
@@ -34,7 +34,7 @@
 
 /// The names of endpoints, which come and go. An identifier is never given to two names, so that whatever still holds one of
 /// a forgotten name cannot take another endpoint for it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EndpointNames {
     ids: BTreeMap<String, EndpointId>,
     names: BTreeMap<EndpointId, String>,
@@ -77,7 +77,7 @@
 }
 
 /// All names that a gateway knows.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Names {
     /// Request classes.
     pub classes: ClassNames,
--- a/crates/gateway/src/config/gateway.rs
+++ b/crates/gateway/src/config/gateway.rs
@@ -52,6 +52,12 @@
     #[serde(default, rename = "known")]
     pub(crate) cached_list: EndpointListMessage,
     settings: Value,
+    /// The policy's parameters.
+    #[serde(skip)]
+    pub(crate) parameters: Parameters,
+    /// The names that the ids of the parameters stand for.
+    #[serde(skip)]
+    pub(crate) names: Names,
 }
 
 /// The limits of the process.
@@ -130,12 +136,17 @@
             path: path.into(),
             source,
         })?;
-        let config = GatewayConfig {
+        let (parameters, names) =
+            harrierdock_config::read(&parsed.settings).map_err(|source| ConfigError::Settings {
+                path: path.into(),
+                source: Box::new(source),
+            })?;
+        Ok(GatewayConfig {
             path: path.into(),
+            parameters,
+            names,
             ..parsed
-        };
-        config.parameters()?;
-        Ok(config)
+        })
     }
 
     /// This configuration with the fields that variables of the environment give.
@@ -152,18 +163,6 @@
         })
     }
 
-    /// The policy's parameters, and the names that their ids stand for.
-    ///
-    /// # Errors
-    ///
-    /// A setting is refused. Not after `read` has succeeded.
-    pub(crate) fn parameters(&self) -> Result<(Parameters, Names), ConfigError> {
-        harrierdock_config::read(&self.settings).map_err(|source| ConfigError::Settings {
-            path: self.path.clone(),
-            source: Box::new(source),
-        })
-    }
-
     /// The seed as a number. One that is not hexadecimal is hashed.
     pub(crate) fn seed(&self) -> u64 {
         u64::from_str_radix(&self.seed, HEXADECIMAL)
@@ -178,7 +177,7 @@
     pub(crate) fn describe(&self, extension_path: Option<&Path>) -> Result<String, ConfigError> {
         let extension = ExtensionConfig::read(extension_path)?;
         self.check_extension(extension_path, &extension)?;
-        let mut lines = vec![self.summary()?];
+        let mut lines = vec![self.summary()];
         if let Some(sites) = &extension.sites {
             lines.push(format!(
                 "{} links on {} with {} of {}",
@@ -204,9 +203,8 @@
         path: Option<&Path>,
         extension: &ExtensionConfig,
     ) -> Result<(), ConfigError> {
-        let (_, names) = self.parameters()?;
-        let classes: Vec<&str> = names.classes.iter().collect();
-        let fleet = self.fleet_context()?;
+        let classes: Vec<&str> = self.names.classes.iter().collect();
+        let fleet = self.fleet_context();
         let checked = extension
             .check_leases(&fleet)
             .map_err(ExtensionError::from)
@@ -222,42 +220,32 @@
     }
 
     /// What the lease settings have to agree with.
-    ///
-    /// # Errors
-    ///
-    /// A setting is refused. Not after `read` has succeeded.
-    pub(crate) fn fleet_context(&self) -> Result<FleetContext<'_>, ConfigError> {
-        let (parameters, _) = self.parameters()?;
-        Ok(FleetContext {
+    pub(crate) fn fleet_context(&self) -> FleetContext<'_> {
+        FleetContext {
             name: &self.name,
-            ordinal: parameters.local_peer.0,
+            ordinal: self.parameters.local_peer.0,
             peer_count: self.peers.len(),
             has_gossip: self.gossip_listen.is_some(),
-        })
+        }
     }
 
     /// What the configuration holds, in one line.
-    ///
-    /// # Errors
-    ///
-    /// A setting is refused. Not after `read` has succeeded.
-    fn summary(&self) -> Result<String, ConfigError> {
-        let (parameters, names) = self.parameters()?;
+    fn summary(&self) -> String {
         let platform = match &self.rollouts {
             Some(rollouts) => format!("at {}", rollouts.address),
             None => "none".into(),
         };
-        Ok(format!(
+        format!(
             "{} listens on {}, discovery at {}, platform {platform}, {} of {} gateways, products {}, {} MB, {} descriptors",
             self.name,
             self.listen,
             self.discovery,
-            parameters.local_peer,
-            parameters.gateway_count,
-            names.classes.iter().collect::<Vec<_>>().join(" "),
+            self.parameters.local_peer,
+            self.parameters.gateway_count,
+            self.names.classes.iter().collect::<Vec<_>>().join(" "),
             self.limits.memory_mb,
             self.limits.descriptors,
-        ))
+        )
     }
 }
 
--- a/crates/gateway/src/dispatch/leases.rs
+++ b/crates/gateway/src/dispatch/leases.rs
@@ -28,7 +28,7 @@
         let Some(settings) = &extension.leases else {
             return Ok(());
         };
-        let parameters = settings.parameters(&config.fleet_context()?)?;
+        let parameters = settings.parameters(&config.fleet_context())?;
         let now = self.context.now();
         if let Some(controller) = &settings.rollout_controller {
             let controller = Controller {
--- a/crates/gateway/src/multi_site/forwarding.rs
+++ b/crates/gateway/src/multi_site/forwarding.rs
@@ -163,7 +163,7 @@
         let Some(settings) = &extension.sites else {
             return Ok(None);
         };
-        let (parameters, names) = config.parameters()?;
+        let parameters = &config.parameters;
         let local_name = settings.local_name(&config.name);
         let credentials = settings.credentials(&local_name, extension.folder())?;
         let transport = SiteTransport::new(&credentials, &settings.other.site)?;
@@ -179,7 +179,7 @@
             incarnation: incarnation(),
             other_site: settings.other.site.clone(),
             seeds: settings.seeds(),
-            classes: request_classes(settings, &parameters, &names),
+            classes: request_classes(settings, parameters, &config.names),
             slow_start_window: parameters.safety.slow_start_window,
             tick: parameters.tick,
             retry_after: parameters.limits.retry_after,
--- a/crates/gateway/src/runtime/reload.rs
+++ b/crates/gateway/src/runtime/reload.rs
@@ -71,7 +71,7 @@
 
 /// Checks what may change while the gateway runs: collectors and the electorate.
 fn check_reloaded(config: &GatewayConfig, extension: &ExtensionConfig) -> Result<(), ConfigError> {
-    let fleet = config.fleet_context()?;
+    let fleet = config.fleet_context();
     extension.check_flows()?;
     extension
         .check_leases(&fleet)
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -50,7 +50,7 @@
     ) -> Result<Gateway, StartError> {
         let extension = ExtensionConfig::read(extension_path.as_deref())?;
         config.check_extension(extension_path.as_deref(), &extension)?;
-        let (parameters, names) = config.parameters()?;
+        let (parameters, names) = (config.parameters.clone(), config.names.clone());
         let mut context = new_context(config, &extension, event_loop);
         let limits = &parameters.limits;
         let maintenance_interval = limits
