--- a/crates/gateway/tests/extension_file.rs
+++ b/crates/gateway/tests/extension_file.rs
@@ -2,9 +2,10 @@
 //! that has it does with its control socket, its keys and a reload.
 
 use std::fs;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Lines};
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, ChildStderr, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
 use expect_test::expect;
@@ -282,6 +283,65 @@
     );
 }
 
+/// A gateway with a control socket, which ends with its test.
+struct Running {
+    child: Child,
+    socket: String,
+    _log: Lines<BufReader<ChildStderr>>,
+}
+
+impl Running {
+    fn new(files: &Files) -> Running {
+        files.write("sites.json", &Files::good());
+        let (told, with) = (files.path("told.json"), files.path("sites.json"));
+        let mut child = serve_with_json_log(&told, &with);
+        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+        let is_serving = log.any(|line| line.unwrap().contains("serves on"));
+        assert!(is_serving, "it ended instead");
+        let socket = files.path("h0.sock");
+        Running {
+            child,
+            socket,
+            _log: log,
+        }
+    }
+
+    /// What `harrierdock site status` says.
+    fn status(&self) -> String {
+        let mut command = harrierdock(&["site", "--control", &self.socket, "status"]);
+        said(&command.output().unwrap())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+// Guards against connections that still count once they are answered: the next command is dropped.
+#[test]
+fn commands_in_quick_succession_are_each_answered() {
+    let files = Files::new("succession");
+    let running = Running::new(&files);
+    for number in 1..=10 {
+        let status = running.status();
+        assert!(status.contains("serving"), "command {number}: {status}");
+    }
+}
+
+// Guards against a command that is dropped where it could wait for others to be answered or to run out of time.
+#[test]
+fn a_command_beside_silent_connections_waits_and_is_answered() {
+    let files = Files::new("silent");
+    let running = Running::new(&files);
+    let connect = || UnixStream::connect(&running.socket).unwrap();
+    let _silent: Vec<UnixStream> = (0..4).map(|_| connect()).collect();
+    let status = running.status();
+    assert!(status.contains("serving"), "{status}");
+}
+
 #[test]
 fn a_flow_file_is_closed_at_shutdown_and_continued_after_a_torn_message() {
     let files = Files::new("flows");
