--- a/crates/gateway/tests/sockets/rollout_platform.rs
+++ b/crates/gateway/tests/sockets/rollout_platform.rs
@@ -1,7 +1,7 @@
 //! What the rollout platform sends, and the votes cast there.
 
+use std::fs;
 use std::io::Write;
-
 use std::net::SocketAddr;
 
 use expect_test::expect;
@@ -166,3 +166,32 @@
     "#]],
     );
 }
+
+// Guards against a reload that closes a stream with lines on it: what was told while it stood is not told again.
+#[test]
+fn a_report_that_comes_with_a_reload_is_read_before_the_stream_moves() {
+    let trace = Trace::default();
+    let one = endpoint("one", &trace, &[EndpointBehavior::Succeed]);
+    let (before, say) = platform(&trace, &[], Some("{}"));
+    let (after, _say_after) = platform(&trace, &[], Some("{}"));
+    let record = endpoint_record("s-1", one, "ready", 41);
+    let mut config = configuration(unresponsive_server(), &[record]);
+    config["rollouts"] = json!({"address": before, "news": rollout_update(42, 0, "trial")});
+    let path = write_config(&config);
+    let mut program = program(&config, &["serve", "--log", "debug"]);
+    program.env("LB_CONFIG", &path);
+    let gateway = started(&config, program);
+    trace.wait("platform: events", 1);
+    config["rollouts"] = json!({"address": after});
+    fs::write(&path, config.to_string()).unwrap();
+    // The signal is there first, the report has arrived before it is handled.
+    gateway.stop();
+    gateway.signal(Signal::HUP);
+    let report = json!({"host": "s-1", "type": "lodge", "lag_ms": 100});
+    say.send(json!({"type": "report", "object": report}).to_string())
+        .unwrap();
+    rest();
+    gateway.signal(Signal::CONT);
+    trace.wait("platform: events", 2);
+    assert_eq!(gateway.end(&["complaints"]), "complaints=1");
+}
