--- a/crates/gateway/tests/sockets/early_clients.rs
+++ b/crates/gateway/tests/sockets/early_clients.rs
@@ -18,6 +18,8 @@
 const DELAY: Duration = Duration::from_millis(400);
 /// How much more time than is left an endpoint may be told.
 const SLACK: Duration = Duration::from_millis(150);
+/// The earliest kill after a signal, as the longest class here counts for 3 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 /// How many clients come while the configuration is not there.
 const CROWD: usize = 200;
 /// Enough endpoints that hardly any of the crowd's requests is rejected for want of capacity.
@@ -243,6 +245,23 @@
     assert_eq!(gateway.exit_code(), Some(0));
 }
 
+// Guards against a shutdown whose time is counted from the start's end: answers would come with the kill or after it.
+#[test]
+fn sigterm_before_the_configuration_is_there_leaves_answers_before_the_earliest_kill() {
+    let one = endpoint("one", &Trace::default(), &[EndpointBehavior::Unresponsive]);
+    let starting = StartingGateway::new(unused_address());
+    let mut client = starting.client();
+    client.say(client_request("lodge", "a1", 60_000));
+    let signalled_at = Instant::now();
+    starting.gateway.signal(Signal::TERM);
+    thread::sleep(DELAY);
+    let config = configuration_at(starting.address, one);
+    let _gateway = starting.configure(&config);
+    assert_eq!(client.receive(), "502 Connection: close");
+    let answered_after = signalled_at.elapsed();
+    assert!(answered_after < EARLIEST_KILL, "{answered_after:?}");
+}
+
 // Guards against a reload that ends the process, or is handled before there is anything to reload.
 #[test]
 fn sighup_before_the_configuration_is_there_leaves_no_client_without_an_answer() {
