--- a/crates/event-loop/src/line_stream.rs
+++ b/crates/event-loop/src/line_stream.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// The address that it is opened at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Changes the address. Returns whether it is another one; the stream is then closed and has to be opened.
     pub fn set_address<D>(&mut self, context: &mut IoContext<D>, address: SocketAddr) -> bool {
         if self.address == address {
--- a/crates/gateway/src/control_plane/discovery.rs
+++ b/crates/gateway/src/control_plane/discovery.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// The address in use.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.stream.address()
+    }
+
     /// Switches to another address at once. The list stays.
     pub(crate) fn set_address(&mut self, context: &mut Context, address: SocketAddr) {
         if self.stream.set_address(context, address) {
--- a/crates/gateway/src/control_plane/rollout_platform.rs
+++ b/crates/gateway/src/control_plane/rollout_platform.rs
@@ -159,6 +159,11 @@
         StreamState::Continues
     }
 
+    /// The address in use.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.stream.address()
+    }
+
     /// Switches to another address. Votes under way stay where they were sent.
     pub(crate) fn set_address(&mut self, context: &mut Context, address: SocketAddr) {
         self.votes.set_address(address);
--- a/crates/gateway/src/runtime/reload.rs
+++ b/crates/gateway/src/runtime/reload.rs
@@ -1,10 +1,21 @@
 //! Reloading: addresses, keys, the electorate and collectors may change while the gateway runs.
 
+use std::net::SocketAddr;
+
+use calloop::Readiness;
+
 use crate::config::error::{ConfigError, ExtensionError};
 use crate::config::extension::ExtensionConfig;
 use crate::config::gateway::{GatewayConfig, RolloutPlatformConfig};
 use crate::control_plane::rollout_platform::RolloutPlatform;
 use crate::runtime::gateway::Gateway;
+use crate::runtime::socket_handlers::{handle_discovery, handle_rollout_platform};
+
+const READABLE: Readiness = Readiness {
+    readable: true,
+    writable: false,
+    error: false,
+};
 
 impl Gateway {
     /// Reads the configuration again and switches to the addresses it names. Connections, requests under way and the endpoint
@@ -23,15 +34,34 @@
         if self.extension_path.is_some() {
             self.reload_extension(config);
         }
-        self.discovery
-            .set_address(&mut self.context, config.discovery);
+        self.move_discovery(config.discovery);
         if let Some(RolloutPlatformConfig { address, .. }) = config.rollouts {
-            let new_client =
-                || RolloutPlatform::new(address, self.vote_timeout, self.maintenance_interval);
-            self.rollout_platform
-                .get_or_insert_with(new_client)
-                .set_address(&mut self.context, address);
+            self.move_rollout_platform(address);
+        }
+    }
+
+    /// Switches to another address of discovery, once what has arrived from the former one is read.
+    fn move_discovery(&mut self, address: SocketAddr) {
+        if self.discovery.address() == address {
+            return;
+        }
+        handle_discovery(self, READABLE);
+        self.discovery.set_address(&mut self.context, address);
+    }
+
+    /// Switches to another address of the rollout platform, once what has arrived from the former one is read: it is not
+    /// sent again.
+    fn move_rollout_platform(&mut self, address: SocketAddr) {
+        match &self.rollout_platform {
+            Some(platform) if platform.address() == address => return,
+            Some(_) => handle_rollout_platform(self, READABLE),
+            None => {}
         }
+        let new_client =
+            || RolloutPlatform::new(address, self.vote_timeout, self.maintenance_interval);
+        self.rollout_platform
+            .get_or_insert_with(new_client)
+            .set_address(&mut self.context, address);
     }
 
     fn reload_extension(&mut self, config: &GatewayConfig) {
--- a/crates/gateway/src/runtime/socket_handlers.rs
+++ b/crates/gateway/src/runtime/socket_handlers.rs
@@ -76,7 +76,7 @@
     gateway.process_events();
 }
 
-fn handle_discovery(gateway: &mut Gateway, readiness: Readiness) {
+pub(super) fn handle_discovery(gateway: &mut Gateway, readiness: Readiness) {
     let names = &mut gateway.dispatcher.names;
     gateway.discovery.handle_readiness(
         &mut gateway.context,
@@ -88,7 +88,7 @@
     gateway.process_events();
 }
 
-fn handle_rollout_platform(gateway: &mut Gateway, readiness: Readiness) {
+pub(super) fn handle_rollout_platform(gateway: &mut Gateway, readiness: Readiness) {
     if let Some(platform) = &mut gateway.rollout_platform {
         platform.handle_readiness(&mut gateway.context, &gateway.dispatcher.names, readiness);
     }
