--- a/crates/attempt-guard/src/shutdown_schedule.rs
+++ b/crates/attempt-guard/src/shutdown_schedule.rs
@@ -1,4 +1,5 @@
-//! The times of a graceful shutdown, all counted from the moment at which the gateway handled its first signal.
+//! The times of a graceful shutdown, counted from the moment at which the gateway handled its first signal; those of answers from
+//! the earliest moment at which that may have been sent.
 
 use harrierdock_types::{TimeDelta, Timestamp};
 
@@ -14,27 +15,43 @@
 /// When a gateway that shuts down does what, until the platform kills it at the earliest.
 #[derive(Clone, Copy, Debug)]
 pub struct ShutdownSchedule {
-    started_at: Timestamp,
+    handled_at: Timestamp,
+    earliest_signal_at: Timestamp,
     max_request_time: TimeDelta,
 }
 
 impl ShutdownSchedule {
     /// The schedule of a shutdown that starts now, where requests may take as long as the longest of their classes.
-    pub fn new(started_at: Timestamp, longest_timeout: TimeDelta) -> ShutdownSchedule {
+    pub fn new(handled_at: Timestamp, longest_timeout: TimeDelta) -> ShutdownSchedule {
         ShutdownSchedule {
-            started_at,
+            handled_at,
+            earliest_signal_at: handled_at,
             max_request_time: longest_timeout.min(MAX_REQUEST_TIME),
         }
     }
 
+    /// The schedule where the signal may have been sent at any time since then. Answers are due as if it had been, and
+    /// connections are kept as if it had just been.
+    pub fn with_signal_since(self, earliest_signal_at: Timestamp) -> ShutdownSchedule {
+        ShutdownSchedule {
+            earliest_signal_at: earliest_signal_at.min(self.handled_at),
+            ..self
+        }
+    }
+
     /// Until when new requests are expected and connections stay open between requests.
     pub fn grace_ends_at(&self) -> Timestamp {
-        self.started_at + GRACE
+        self.handled_at + GRACE
     }
 
-    /// When the process may be killed, if the signal was handled as soon as it was sent.
+    /// When the process may be killed at the earliest.
     pub fn earliest_kill_at(&self) -> Timestamp {
-        self.grace_ends_at() + self.max_request_time
+        self.earliest_signal_at + GRACE + self.max_request_time
+    }
+
+    /// When the process is killed if the signal was handled as soon as it was sent. There is nothing to wait for after that.
+    pub fn ends_at(&self) -> Timestamp {
+        self.handled_at + GRACE + self.max_request_time
     }
 
     /// When every request must have its answer. Before the earliest kill there is time for one stall between the signal and
--- a/crates/attempt-guard/tests/shutdown_schedule.rs
+++ b/crates/attempt-guard/tests/shutdown_schedule.rs
@@ -66,3 +66,19 @@
         TimeDelta::ZERO
     );
 }
+
+#[test]
+fn answers_are_due_by_the_earliest_signal_and_connections_are_kept_by_the_latest() {
+    let earliest = SIGNAL - TimeDelta::from_millis(400);
+    let schedule = schedule(3_251).with_signal_since(earliest);
+    assert_eq!(schedule.grace_ends_at(), after_signal(700));
+    assert_eq!(schedule.answers_due_at(), after_signal(2_950));
+    assert_eq!(schedule.earliest_kill_at(), after_signal(3_300));
+    assert_eq!(schedule.ends_at(), after_signal(3_700));
+}
+
+#[test]
+fn a_signal_is_not_sent_after_it_was_handled() {
+    let schedule = schedule(3_251).with_signal_since(after_signal(100));
+    assert_eq!(schedule.earliest_kill_at(), after_signal(3_700));
+}
--- a/crates/event-loop/src/clock.rs
+++ b/crates/event-loop/src/clock.rs
@@ -29,7 +29,14 @@
 
     /// The current time.
     pub fn now(&self) -> Timestamp {
-        self.started_at + TimeDelta(self.started.elapsed().as_micros() as i64)
+        self.at(Instant::now())
+    }
+
+    /// The timestamp of an instant, which may lie before the clock's start.
+    pub fn at(&self, instant: Instant) -> Timestamp {
+        let after_start = instant.saturating_duration_since(self.started);
+        let before_start = self.started.saturating_duration_since(instant);
+        self.started_at + time_delta(after_start) - time_delta(before_start)
     }
 
     /// The timestamp of a point in Unix time, in milliseconds.
@@ -42,3 +49,7 @@
         Duration::from_micros((deadline - self.now()).0.max(0) as u64)
     }
 }
+
+fn time_delta(duration: Duration) -> TimeDelta {
+    TimeDelta(duration.as_micros() as i64)
+}
--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -124,8 +124,7 @@
             })
             .map_err(|e| WatchError(e.error))?;
         self.listener.token = Some(token);
-        let waiting_time = TimeDelta(self.listener.bound_at.elapsed().as_micros() as i64);
-        self.listener.backlog_since = Some(context.now() - waiting_time);
+        self.listener.backlog_since = Some(context.clock.at(self.listener.bound_at));
         Ok(())
     }
 
--- a/crates/gateway/src/runtime/event_loop.rs
+++ b/crates/gateway/src/runtime/event_loop.rs
@@ -1,6 +1,7 @@
 //! Serving: the event loop's turns, and what each timer does.
 
 use std::path::PathBuf;
+use std::time::Instant;
 
 use calloop::EventLoop;
 
@@ -23,6 +24,7 @@
 ) -> Result<(), StartError> {
     // Before the listener is bound, so that no signal ends the process under a client that has connected.
     let signals = block_signals()?;
+    let signals_blocked_at = Instant::now();
     let early_address = environment::listen_address()?;
     let early_listener = early_address.map(listen_on).transpose()?;
     let config = GatewayConfig::read_at_start(config_path, early_address)?;
@@ -40,6 +42,9 @@
     tracing::info!("{} serves on {address}", config.name);
     // Those that connected during the start. Later ones have not waited.
     gateway.accept_connections();
+    gateway.shutdown.signals_wait_since = Some(gateway.context.clock.at(signals_blocked_at));
+    gateway.turn(&mut event_loop);
+    gateway.shutdown.signals_wait_since = None;
     while !gateway.shutdown.is_complete {
         gateway.turn(&mut event_loop);
     }
--- a/crates/gateway/src/runtime/shutdown.rs
+++ b/crates/gateway/src/runtime/shutdown.rs
@@ -12,6 +12,8 @@
 pub(crate) struct ShutdownState {
     /// The times of the shutdown, once the first signal has come.
     pub(crate) schedule: Option<ShutdownSchedule>,
+    /// Since when a signal may wait to be handled, before the first turn of the loop.
+    pub(crate) signals_wait_since: Option<Timestamp>,
     /// Whether the event loop is to end.
     pub(crate) is_complete: bool,
     /// The longest time that a request may take.
@@ -45,13 +47,14 @@
         tracing::info!("told to end");
         // Before connections are closed, so that another gateway holds the leases while they still are.
         self.handle_lease_event(harrierdock_lease::Event::ShutdownStarted);
-        let schedule = ShutdownSchedule::new(self.context.now(), self.shutdown.longest_timeout);
+        let now = self.context.now();
+        let schedule = ShutdownSchedule::new(now, self.shutdown.longest_timeout)
+            .with_signal_since(self.shutdown.signals_wait_since.unwrap_or(now));
         self.shutdown.schedule = Some(schedule);
         self.context
             .timers
             .set(schedule.grace_ends_at(), Timer::Shutdown);
         self.downstream.start_shutdown();
-        let now = self.context.now();
         self.handle_multi_site_event(now, harrierdock_multi_site::Event::ShutdownStarted);
     }
 
@@ -71,7 +74,7 @@
         let is_done = accepted == AcceptResult::NoneWaiting
             && all_closed
             && self.dispatcher.requests.unanswered_count() == 0;
-        self.shutdown.is_complete = is_done || now >= schedule.earliest_kill_at();
+        self.shutdown.is_complete = is_done || now >= schedule.ends_at();
         self.context
             .set_timer_after(self.shutdown.check_interval, Timer::Shutdown);
     }
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -265,6 +265,7 @@
     let longest_timeout = parameters.classes.iter().map(|class| class.timeout).max();
     ShutdownState {
         schedule: None,
+        signals_wait_since: None,
         is_complete: false,
         longest_timeout: longest_timeout.unwrap_or(TimeDelta(i64::MAX)),
         check_interval: parameters.tick.max(MIN_INTERVAL),
