--- a/crates/gateway/src/multi_site/control_socket.rs
+++ b/crates/gateway/src/multi_site/control_socket.rs
@@ -10,7 +10,7 @@
 use harrierdock_types::{TimeDelta, Timestamp};
 use thiserror::Error;
 
-/// Connections at once.
+/// Connections at once. Others wait in the socket's queue.
 const MAX_CONNECTIONS: usize = 4;
 /// How long a connection may stay without a command.
 const COMMAND_TIMEOUT: TimeDelta = TimeDelta(2_000_000);
@@ -37,15 +37,31 @@
     NoResponse,
 }
 
+/// The number of a connection, counted from the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ControlConnectionId(u64);
+
 struct ControlConnection {
+    id: ControlConnectionId,
     opened_at: Timestamp,
     token: RegistrationToken,
 }
 
+/// What a connection calls.
+pub(crate) struct ControlHandlers<D> {
+    /// Runs a command and returns the response.
+    pub(crate) run_command: fn(&mut D, &str) -> String,
+    /// The response is written, and the connection is closed.
+    pub(crate) answered: fn(&mut D, ControlConnectionId),
+}
+
 /// The control socket. Its file is removed when it is dropped.
 pub(crate) struct ControlSocket {
     path: PathBuf,
+    listener: RegistrationToken,
+    is_paused: bool,
     connections: Vec<ControlConnection>,
+    last_id: u64,
 }
 
 impl ControlSocket {
@@ -72,26 +88,31 @@
             }
             Ok(PostAction::Continue)
         };
-        handle
+        let listener = handle
             .insert_source(Generic::new(listener, Interest::READ, Mode::Level), accept)
             .map_err(|e| error(io::Error::other(e.error)))?;
         Ok(ControlSocket {
             path,
+            listener,
+            is_paused: false,
             connections: Vec::new(),
+            last_id: 0,
         })
     }
 
-    /// Waits for the command of a connection. One beyond `MAX_CONNECTIONS` is closed at once.
+    /// Waits for the command of a connection. Accepting stops at `MAX_CONNECTIONS`.
     pub(crate) fn add_connection<D: 'static>(
         &mut self,
         handle: &LoopHandle<'static, D>,
         stream: UnixStream,
         now: Timestamp,
-        run_command: fn(&mut D, &str) -> String,
+        handlers: ControlHandlers<D>,
     ) {
-        if self.connections.len() >= MAX_CONNECTIONS || stream.set_nonblocking(true).is_err() {
+        if stream.set_nonblocking(true).is_err() {
             return;
         }
+        self.last_id += 1;
+        let id = ControlConnectionId(self.last_id);
         let respond = move |_, stream: &mut NoIoDrop<UnixStream>, data: &mut D| {
             let mut buffer = [0; MAX_COMMAND_BYTES];
             let read = (&**stream).read(&mut buffer);
@@ -99,18 +120,31 @@
                 return Ok(PostAction::Continue);
             }
             let command = String::from_utf8_lossy(&buffer[..read.unwrap_or(0)]);
-            let response = run_command(data, command.trim());
+            let response = (handlers.run_command)(data, command.trim());
             // The response fits the socket's buffer. An error means that the caller has gone.
             let _ = (&**stream).write_all(response.as_bytes());
+            (handlers.answered)(data, id);
             Ok(PostAction::Remove)
         };
         let source = Generic::new(stream, Interest::READ, Mode::Level);
         if let Ok(token) = handle.insert_source(source, respond) {
             self.connections.push(ControlConnection {
+                id,
                 opened_at: now,
                 token,
             });
         }
+        self.update_accepting(handle);
+    }
+
+    /// A connection has its response and is closed by its own event.
+    pub(crate) fn forget_connection<D>(
+        &mut self,
+        handle: &LoopHandle<'static, D>,
+        id: ControlConnectionId,
+    ) {
+        self.connections.retain(|connection| connection.id != id);
+        self.update_accepting(handle);
     }
 
     /// Closes connections that have sent no command in time.
@@ -122,6 +156,24 @@
             }
             stays
         });
+        self.update_accepting(handle);
+    }
+
+    /// Accepts while there is room for another connection.
+    fn update_accepting<D>(&mut self, handle: &LoopHandle<'static, D>) {
+        let is_full = self.connections.len() >= MAX_CONNECTIONS;
+        if is_full == self.is_paused {
+            return;
+        }
+        let changed = if is_full {
+            handle.disable(&self.listener)
+        } else {
+            handle.enable(&self.listener)
+        };
+        match changed {
+            Ok(()) => self.is_paused = is_full,
+            Err(e) => tracing::warn!("the control socket cannot be paused or resumed: {e}"),
+        }
     }
 }
 
--- a/crates/gateway/src/runtime/socket_handlers.rs
+++ b/crates/gateway/src/runtime/socket_handlers.rs
@@ -7,6 +7,7 @@
 use calloop::Readiness;
 use harrierdock_event_loop::ConnectionId;
 
+use crate::multi_site::control_socket::{ControlConnectionId, ControlHandlers};
 use crate::runtime::gateway::Gateway;
 
 /// Handles the readiness of one of many connections.
@@ -129,12 +130,17 @@
 /// Handles a connection that the control socket has accepted.
 pub(super) fn handle_control_connection(gateway: &mut Gateway, stream: UnixStream) {
     let now = gateway.context.now();
+    let handlers = ControlHandlers {
+        run_command: Gateway::handle_control_command,
+        answered: handle_control_answered,
+    };
     if let Some(control_socket) = &mut gateway.control_socket {
-        control_socket.add_connection(
-            &gateway.context.handle,
-            stream,
-            now,
-            Gateway::handle_control_command,
-        );
+        control_socket.add_connection(&gateway.context.handle, stream, now, handlers);
+    }
+}
+
+fn handle_control_answered(gateway: &mut Gateway, id: ControlConnectionId) {
+    if let Some(control_socket) = &mut gateway.control_socket {
+        control_socket.forget_connection(&gateway.context.handle, id);
     }
 }
