--- a/crates/fault-injection/src/cli/arguments.rs
+++ b/crates/fault-injection/src/cli/arguments.rs
@@ -1,6 +1,7 @@
 //! The sub-commands and their switches.
 
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
@@ -39,6 +40,9 @@
     /// Duties of one fleet without sockets, in simulated time: kills, stalls, cuts, skewed clocks, by the seed.
     #[bpaf(command)]
     Duties(#[bpaf(external(duties_arguments))] DutiesArguments),
+    /// Rollouts without sockets: how often a good build is eliminated and how soon a bad one is, by rule.
+    #[bpaf(command)]
+    Elimination(#[bpaf(external(elimination_arguments))] EliminationArguments),
     /// Restarts of built gateways under clients that use open connections until the kill, by the seed.
     #[bpaf(command)]
     Soak(#[bpaf(external(soak_arguments))] SoakArguments),
@@ -230,6 +234,18 @@
     pub(super) gateways: usize,
 }
 
+/// Draws of good and of bad builds in each row, where the command line names none.
+const DEFAULT_ELIMINATION_DRAWS: NonZeroUsize = NonZeroUsize::new(100).unwrap();
+
+#[derive(Bpaf, Clone, Debug)]
+pub(super) struct EliminationArguments {
+    #[bpaf(long("seed"), argument("S"), fallback(1))]
+    pub(super) seed: u64,
+    /// Draws of good builds, and as many of bad ones, for each size of fleet and number of bad endpoints
+    #[bpaf(long("draws"), argument("N"), fallback(DEFAULT_ELIMINATION_DRAWS))]
+    pub(super) draws: NonZeroUsize,
+}
+
 #[derive(Bpaf, Clone, Debug)]
 pub(super) struct MembershipArguments {
     #[bpaf(long("seed"), argument("N"), fallback(1))]
--- a/crates/fault-injection/src/cli/mod.rs
+++ b/crates/fault-injection/src/cli/mod.rs
@@ -11,11 +11,11 @@
 use thiserror::Error;
 
 use crate::collector::{CollectorTransport, UnknownTransport};
-use crate::{admission, core, duties, fleet, flows, membership, sites, soak};
+use crate::{admission, core, duties, elimination, fleet, flows, membership, sites, soak};
 use arguments::{
     command_line, AdmissionArguments, CollectorArguments, Command, CoreArguments, CostArguments,
-    DutiesArguments, FleetArguments, FlowsArguments, MembershipArguments, SitesArguments,
-    SoakArguments,
+    DutiesArguments, EliminationArguments, FleetArguments, FlowsArguments, MembershipArguments,
+    SitesArguments, SoakArguments,
 };
 
 const EXIT_VIOLATED_PROPERTY: u8 = 1;
@@ -96,6 +96,7 @@
         Command::Collector(arguments) => run_collector(&arguments),
         Command::Fleet(arguments) => run_fleet(arguments),
         Command::Duties(arguments) => run_duties(&arguments),
+        Command::Elimination(arguments) => run_elimination(&arguments),
         Command::Soak(arguments) => run_soak(&arguments),
         Command::Membership(arguments) => run_membership(&arguments),
     }
@@ -241,6 +242,17 @@
     print_report(&report, report.ok)
 }
 
+/// Prints the tables for people; a share of wrong verdicts is a finding and no broken property.
+fn run_elimination(arguments: &EliminationArguments) -> Verdict {
+    let settings = elimination::ModelSettings::all_rows(arguments.seed, arguments.draws);
+    let bar = progress_bar(settings.steps() as u64);
+    let rules = elimination::rules::compared_rules();
+    let report = elimination::play(&settings, &rules, || bar.inc(1));
+    bar.finish_and_clear();
+    eprint!("{}", report.table());
+    print_report(&report, true)
+}
+
 fn run_soak(arguments: &SoakArguments) -> Verdict {
     if arguments.seeds == 0 {
         return Err(CliError::SoakSeeds);
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -2,7 +2,7 @@
 //! by a seed, and checks the rules that hold whatever happens. Everything stays on loopback.
 //!
 //! - without sockets, in simulated time: [`core`] (two sites), [`duties`] (leases), [`membership`] (members of a site),
-//!   [`admission`] (admission policies compared);
+//!   [`admission`] (admission policies compared), [`elimination`] (rules that eliminate a canary compared);
 //! - with built gateways: [`sites`] (two sites), [`fleet`] (leases and rollouts), [`flows`] (flow export), [`soak`]
 //!   (restarts under load);
 //! - what these share: [`gateway_process`], [`collector`], [`record_tables`], [`stand_ins`], [`schedule`], [`simulation`];
@@ -13,6 +13,7 @@
 pub mod collector;
 pub mod core;
 pub mod duties;
+pub mod elimination;
 pub mod fleet;
 pub mod flows;
 pub mod gateway_process;
--- a/crates/policy/src/elimination_votes.rs
+++ b/crates/policy/src/elimination_votes.rs
@@ -15,14 +15,14 @@
 
 /// The elimination votes of one stage, by arm and gossip group.
 #[derive(Debug, Default)]
-pub(crate) struct EliminationVotes {
+pub struct EliminationVotes {
     weights: PerArm<BTreeMap<PeerId, usize>>,
     last_sent: Option<Timestamp>,
 }
 
 impl EliminationVotes {
     /// Counts a vote of this many factors of η. Only aggregators vote, and each holds the highest weight it has voted with.
-    pub(crate) fn record(&mut self, context: &Context, arm: Arm, from: PeerId, weight: usize) {
+    pub fn record(&mut self, context: &Context, arm: Arm, from: PeerId, weight: usize) {
         let is_aggregator =
             from.0 < context.parameters.gateway_count && context.gossip_group_of(from) == from;
         if weight > 0 && is_aggregator {
@@ -35,7 +35,7 @@
     ///
     /// Where four groups or more vote, one makes up half of the weight at the most, however sure it is: its trouble may be its
     /// own. A gateway without gossip is the only voter (departure L).
-    pub(crate) fn eliminate(&self, context: &Context, arm: Arm, ratio: f64) -> bool {
+    pub fn eliminate(&self, context: &Context, arm: Arm, ratio: f64) -> bool {
         let weights = self.weights.get(arm);
         let needed = (DELTA.ln() / ETA.ln()).floor();
         let voters = (context.voting_group_count() / 2).max(1);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,7 +12,7 @@
 mod control_plane;
 pub mod discovery_watch;
 pub mod elimination_test;
-mod elimination_votes;
+pub mod elimination_votes;
 mod emission;
 mod endpoint_selection;
 mod endpoint_table;
