--- a/crates/fault-injection/src/elimination/mod.rs
+++ b/crates/fault-injection/src/elimination/mod.rs
@@ -2,7 +2,8 @@
 //! count of votes, and by candidates for them. Without sockets, in simulated time. docs/design/elimination-model.md has the
 //! assumptions and the figures.
 //!
-//! - [`scenario`]: what is drawn; [`attempts`]: how an attempt ends; [`group`]: what a gossip group sends, counts and ejects;
+//! - [`scenario`]: what is drawn; [`attempts`]: how an attempt ends; [`group`]: what a gossip group sends and ejects;
+//!   [`outcomes`]: what an aggregator counts;
 //! - [`rules`]: the policy's and the candidates;
 //! - [`trial`]: one draw to its verdicts; [`report`]: the figures of all.
 
@@ -10,6 +11,7 @@
 
 pub mod attempts;
 pub mod group;
+pub mod outcomes;
 pub mod report;
 pub mod rules;
 pub mod scenario;
