--- a/crates/fault-injection/src/cli/mod.rs
+++ b/crates/fault-injection/src/cli/mod.rs
@@ -138,30 +138,30 @@
     {
         return Err(CliError::SitesRange);
     }
-    let day = sites::Day {
+    let scenario = sites::Scenario {
         seed: arguments.seed,
-        seconds: arguments.seconds,
+        duration_seconds: arguments.seconds,
         kill: arguments.kill,
-        servers_only: arguments.endpoints_only,
-        back_after: arguments.restart_after_seconds,
-        loss: arguments.loss_ratio,
-        one_way: arguments.one_way,
+        endpoints_only: arguments.endpoints_only,
+        restore_after_seconds: arguments.restart_after_seconds,
+        loss_ratio: arguments.loss_ratio,
+        is_one_way: arguments.one_way,
         cut: arguments.cut,
         drain: arguments.drain,
-        rolling: arguments.rolling_restart_second,
-        gateways: arguments.gateways,
-        servers: arguments.endpoints,
-        rate: arguments.requests_per_second,
-        skew: arguments.skew,
-        spans: !arguments.separate_idempotency_groups,
-        ..sites::Day::default()
+        rolling_restart_second: arguments.rolling_restart_second,
+        gateways_per_site: arguments.gateways,
+        endpoints_per_site: arguments.endpoints,
+        requests_per_second: arguments.requests_per_second,
+        first_site_load_ratio: arguments.skew,
+        shares_idempotency_group: !arguments.separate_idempotency_groups,
+        ..sites::Scenario::default()
     };
-    let report = sites::play(&day, ratio_progress()).map_err(CliError::Run)?;
+    let report = sites::play(&scenario, ratio_progress()).map_err(CliError::Run)?;
     print_report(&report, report.ok)
 }
 
 fn run_cost(arguments: &CostArguments) -> Verdict {
-    let report = sites::cost(
+    let report = sites::measure_forwarding_cost(
         arguments.seed,
         arguments.periods.max(1),
         arguments.requests_per_second.max(1.0),
--- a/crates/fault-injection/src/flows.rs
+++ b/crates/fault-injection/src/flows.rs
@@ -218,20 +218,20 @@
             },
         ));
     }
-    let on_sites = sites::Day {
+    let on_sites = sites::Scenario {
         seed: day.seed,
-        seconds: day.seconds,
-        gateways: 2,
-        servers: 4,
-        rate: day.rate,
-        skew: 1.0,
-        spans: true,
-        more,
-        export: Some(collector.clone()),
-        told_flows,
-        ..sites::Day::default()
+        duration_seconds: day.seconds,
+        gateways_per_site: 2,
+        endpoints_per_site: 4,
+        requests_per_second: day.rate,
+        first_site_load_ratio: 1.0,
+        shares_idempotency_group: true,
+        extra_steps: more,
+        collector: Some(collector.clone()),
+        flow_export_configuration: told_flows,
+        ..sites::Scenario::default()
     };
-    let played = sites::once(&on_sites, false, &mut progress)?;
+    let played = sites::run_scenario(&on_sites, false, &mut progress)?;
     // What is on its way to the collector still comes.
     std::thread::sleep(Duration::from_millis(500));
     collector.stop();
@@ -249,7 +249,7 @@
     let counts = collector.counts().map_err(|e| e.to_string())?;
     let mut report = Report::default();
     let (mut recorded, mut dropped) = (BTreeMap::<RecordKey, u64>::new(), [0_u64; 2]);
-    for line in &played.last_lines {
+    for line in &played.flow_export_log {
         if let Some(tally) = line.strip_prefix("tally ") {
             let rows: Vec<(String, u64, String, u64)> =
                 serde_json::from_str(tally).map_err(|e| e.to_string())?;
@@ -331,7 +331,7 @@
     let with = |g: usize| g < 2;
     let mean = |of: &dyn Fn(&(f64, f64, f64)) -> f64, exports: bool| {
         let some: Vec<f64> = played
-            .of_gateways
+            .gateway_summaries
             .iter()
             .enumerate()
             .filter(|(g, _)| with(*g) == exports)
@@ -344,7 +344,7 @@
     (report.p99_ms_with, report.p99_ms_without) = (mean(&|g| g.1, true), mean(&|g| g.1, false));
     (report.memory_mb_with, report.memory_mb_without) =
         (mean(&|g| g.2, true), mean(&|g| g.2, false));
-    let ratios = played.by_gateway.iter().filter_map(|span| {
+    let ratios = played.usage_by_span.iter().filter_map(|span| {
         let of = |exports: bool| {
             let some = span
                 .iter()
@@ -370,8 +370,9 @@
         };
         report.surge_octets_ratio = Some(rate(&|s| s > half) / rate(&|s| s < half).max(1.0));
     }
-    report.rules_kept = played.answered_twice + played.unanswered + played.once_only_run_twice == 0
-        && played.broken_lines + played.crashes + played.repeats_outside_memory == 0;
+    report.rules_kept = played.answered_twice + played.unanswered + played.non_idempotent_run_twice
+        == 0
+        && played.logged_violations + played.crashes + played.repeats_outside_window == 0;
     // One that never takes anything in is only to cost nothing.
     let heard = day.slow || report.agree;
     report.ok = report.rules_kept && heard && report.client_data_found == 0 && !recorded.is_empty();
--- a/crates/fault-injection/src/sites/cost.rs
+++ b/crates/fault-injection/src/sites/cost.rs
@@ -3,24 +3,29 @@
 use serde::Serialize;
 
 use super::report::Report;
-use super::run::once;
-use super::scenario::Day;
+use super::run::run_scenario;
+use super::scenario::Scenario;
 use crate::simulation::{ScenarioStep, SLOW_START_DURATION};
 
 /// What a crossing costs beside a request served at home, in one run.
 #[derive(Debug, Default, Serialize)]
-pub struct Cost {
+pub struct ForwardingCost {
     /// Median time of crossed requests over that of those served at home, and the link's own round trip.
     pub added_ms: f64,
     pub round_trip_ms: f64,
-    pub added_over_round_trip_ms: f64,
+    #[serde(rename = "added_over_round_trip_ms")]
+    pub added_beyond_round_trip_ms: f64,
     /// Processor time of all gateways a request while the first site's requests cross, over that while they stay.
-    pub cpu_half_across_over_home: f64,
+    #[serde(rename = "cpu_half_across_over_home")]
+    pub processor_time_ratio_half_forwarded: f64,
     /// The same for one request that crosses, over one that stays: half of all requests are the first site's.
-    pub cpu_across_over_home: f64,
+    #[serde(rename = "cpu_across_over_home")]
+    pub processor_time_ratio_forwarded: f64,
     /// Processor time a request with an idle link, over that without the file.
-    pub cpu_idle_link_over_without: f64,
-    pub crossed: u64,
+    #[serde(rename = "cpu_idle_link_over_without")]
+    pub processor_time_ratio_idle_link: f64,
+    #[serde(rename = "crossed")]
+    pub forwarded: u64,
     pub rules_kept: bool,
     pub ok: bool,
 }
@@ -31,12 +36,12 @@
 }
 
 /// Drains the first site by hand and lets it come home, again and again; then plays as long without the file.
-pub fn cost(
+pub fn measure_forwarding_cost(
     seed: u64,
     periods: usize,
     rate: f64,
     mut progress: impl FnMut(f64),
-) -> Result<Cost, String> {
+) -> Result<ForwardingCost, String> {
     let home = SLOW_START_DURATION.as_seconds() + 1.0;
     let (spell, period) = (5.0, 2.0 * 5.0 + home + 1.0);
     let mut more = Vec::new();
@@ -67,23 +72,23 @@
         ));
     }
     let seconds = 1.0 + periods as f64 * period;
-    let day = Day {
+    let scenario = Scenario {
         seed,
-        seconds,
-        gateways: 2,
-        servers: 4,
-        rate,
-        skew: 1.0,
-        spans: true,
-        more,
-        ..Day::default()
+        duration_seconds: seconds,
+        gateways_per_site: 2,
+        endpoints_per_site: 4,
+        requests_per_second: rate,
+        first_site_load_ratio: 1.0,
+        shares_idempotency_group: true,
+        extra_steps: more,
+        ..Scenario::default()
     };
-    let with = once(&day, true, &mut |part| progress(part / 2.0))?;
-    let without = once(&day, false, &mut |part| progress(0.5 + part / 2.0))?;
+    let with = run_scenario(&scenario, true, &mut |part| progress(part / 2.0))?;
+    let without = run_scenario(&scenario, false, &mut |part| progress(0.5 + part / 2.0))?;
     // Spans in turn: home, settling, across, coming home.
     let every = |report: &Report, first: usize| {
         report
-            .marked
+            .processor_time_per_request_by_span
             .iter()
             .skip(first)
             .step_by(4)
@@ -91,19 +96,22 @@
             .collect()
     };
     let (at_home, across) = (median(every(&with, 0)), median(every(&with, 2)));
-    let added = with.crossing_ms.p50 - with.home_ms.p50;
+    let added = with.forwarded_latency.p50_ms - with.local_latency.p50_ms;
     let ratio = across / at_home;
-    let kept =
-        with.unanswered + with.answered_twice + with.once_only_run_twice + with.broken_lines == 0;
-    Ok(Cost {
+    let kept = with.unanswered
+        + with.answered_twice
+        + with.non_idempotent_run_twice
+        + with.logged_violations
+        == 0;
+    Ok(ForwardingCost {
         added_ms: added,
         round_trip_ms: with.round_trip_ms,
-        added_over_round_trip_ms: added - with.round_trip_ms,
-        cpu_half_across_over_home: ratio,
-        cpu_across_over_home: 2.0 * ratio - 1.0,
-        cpu_idle_link_over_without: at_home / median(every(&without, 0)),
-        crossed: with.crossed,
+        added_beyond_round_trip_ms: added - with.round_trip_ms,
+        processor_time_ratio_half_forwarded: ratio,
+        processor_time_ratio_forwarded: 2.0 * ratio - 1.0,
+        processor_time_ratio_idle_link: at_home / median(every(&without, 0)),
+        forwarded: with.forwarded,
         rules_kept: kept,
-        ok: kept && with.crossed > 0,
+        ok: kept && with.forwarded > 0,
     })
 }
--- a/crates/fault-injection/src/sites/keys.rs
+++ b/crates/fault-injection/src/sites/keys.rs
@@ -6,7 +6,11 @@
 use super::harness::Gateway;
 use crate::simulation::SITE_NAMES;
 
-pub(super) fn make_keys(program: &Path, folder: &Path, gateways: &[Gateway]) -> Result<(), String> {
+pub(super) fn issue_keys(
+    program: &Path,
+    folder: &Path,
+    gateways: &[Gateway],
+) -> Result<(), String> {
     let run = |arguments: &[String]| {
         let output = Command::new(program)
             .arg("keys")
--- a/crates/fault-injection/src/sites/run.rs
+++ b/crates/fault-injection/src/sites/run.rs
@@ -8,22 +8,22 @@
 use harrierdock_event_loop::{BufferPool, DescriptorBudget, IoContext};
 use harrierdock_types::{TimeDelta, Timestamp};
 
-use super::harness::{say, Gateway, Stage};
-use super::keys::make_keys;
+use super::harness::{send_command, Gateway, TestHarness};
+use super::keys::issue_keys;
 use super::report::Report;
-use super::rules::judge;
-use super::scenario::Day;
+use super::rules::check_rules;
+use super::scenario::Scenario;
 use crate::gateway_process::gateway_program;
 use crate::simulation::{
     Answer, GatewayTarget, ScenarioStep, Simulation, TimerEvent, LATENCY_OBJECTIVE,
 };
 use crate::stand_ins::{discovery_server, Trace};
 
-fn folder(day: &Day, linked: bool) -> Result<PathBuf, String> {
+fn folder(scenario: &Scenario, linked: bool) -> Result<PathBuf, String> {
     let name = format!(
         "harrierdock-fault-injection-{}-{}-{}",
         std::process::id(),
-        day.seed,
+        scenario.seed,
         u8::from(linked)
     );
     let folder = std::env::temp_dir().join(name);
@@ -31,18 +31,22 @@
     Ok(folder)
 }
 
-/// Plays a day once, with the link or without.
-pub fn once(day: &Day, linked: bool, progress: &mut dyn FnMut(f64)) -> Result<Report, String> {
-    let folder = folder(day, linked)?;
-    let played = on_stage(day, linked, &folder, progress);
+/// Plays a scenario once, with the link or without.
+pub fn run_scenario(
+    scenario: &Scenario,
+    linked: bool,
+    progress: &mut dyn FnMut(f64),
+) -> Result<Report, String> {
+    let folder = folder(scenario, linked)?;
+    let played = run_in_folder(scenario, linked, &folder, progress);
     if played.is_ok() {
         let _ = std::fs::remove_dir_all(&folder);
     }
     played
 }
 
-fn on_stage(
-    day: &Day,
+fn run_in_folder(
+    scenario: &Scenario,
     linked: bool,
     folder: &Path,
     progress: &mut dyn FnMut(f64),
@@ -53,29 +57,32 @@
         BufferPool::new(2048),
         DescriptorBudget::new(4096, 0),
     );
-    let mut simulation = Simulation::new(net, day.seed, day.spans);
-    simulation.requests_per_second = [day.rate * day.skew, day.rate];
-    let mut stage = Stage {
+    let mut simulation = Simulation::new(net, scenario.seed, scenario.shares_idempotency_group);
+    simulation.requests_per_second = [
+        scenario.requests_per_second * scenario.first_site_load_ratio,
+        scenario.requests_per_second,
+    ];
+    let mut harness = TestHarness {
         folder: folder.into(),
         program: gateway_program().map_err(|error| error.to_string())?,
         gateways: Vec::new(),
-        fronts: Vec::new(),
+        relay_addresses: Vec::new(),
         linked,
-        revision: 1,
-        churned: 0,
-        day: day.clone(),
-        marks: Vec::new(),
+        list_version: 1,
+        rename_count: 0,
+        scenario: scenario.clone(),
+        usage_samples: Vec::new(),
     };
-    for ix in 0..2 * day.servers {
+    for ix in 0..2 * scenario.endpoints_per_site {
         simulation
             .add_endpoint(ix % 2)
             .map_err(|error| error.to_string())?;
     }
-    for ix in 0..2 * day.gateways {
+    for ix in 0..2 * scenario.gateways_per_site {
         let (discovery, say) = discovery_server(&Trace::default());
         let name = format!("{}{}", ["h", "l"][ix % 2], ix / 2);
         let (relay, front) = (world_relay(&mut simulation, ix)?, ix % 2);
-        stage.fronts.push(relay.1);
+        harness.relay_addresses.push(relay.1);
         simulation.gateways.push(GatewayTarget {
             site: front,
             address: None,
@@ -85,46 +92,46 @@
             weight: 1.0,
         });
         let (process, spent) = (None, BTreeMap::new());
-        stage.gateways.push(Gateway {
+        harness.gateways.push(Gateway {
             name,
             site: ix % 2,
             process,
             relay: Some(relay.0),
             discovery,
-            say,
-            spent,
+            list_sender: say,
+            counters: spent,
         });
     }
     if linked {
-        make_keys(&stage.program, folder, &stage.gateways)?;
+        issue_keys(&harness.program, folder, &harness.gateways)?;
     }
-    for ix in 0..stage.gateways.len() {
-        stage.start(&mut simulation, ix)?;
+    for ix in 0..harness.gateways.len() {
+        harness.start(&mut simulation, ix)?;
         simulation.gateways[ix].accepts_clients = true;
     }
     // The links come up before clients do.
     let from = simulation.now() + TimeDelta::from_seconds(1.5);
     let at = |second: f64| from + TimeDelta::from_seconds(second);
     let mut steps = vec![
-        (at(day.seconds), ScenarioStep::StopRequests),
-        (at(day.seconds + 2.5), ScenarioStep::End),
+        (at(scenario.duration_seconds), ScenarioStep::StopRequests),
+        (at(scenario.duration_seconds + 2.5), ScenarioStep::End),
     ];
-    if let Some(kill) = day.kill {
+    if let Some(kill) = scenario.kill {
         steps.push((
             at(kill.second),
             ScenarioStep::KillSite {
                 site: kill.site,
-                with_gateways: !day.servers_only,
+                with_gateways: !scenario.endpoints_only,
             },
         ));
-        if let Some(after) = day.back_after {
+        if let Some(after) = scenario.restore_after_seconds {
             steps.push((
                 at(kill.second + after),
                 ScenarioStep::RestoreSite { site: kill.site },
             ));
         }
     }
-    if let Some(cut) = day.cut {
+    if let Some(cut) = scenario.cut {
         steps.push((
             at(cut.start_second),
             ScenarioStep::SetPathCut { is_cut: true },
@@ -134,14 +141,14 @@
             ScenarioStep::SetPathCut { is_cut: false },
         ));
     }
-    if let Some(drain) = day.drain {
+    if let Some(drain) = scenario.drain {
         steps.push((
             at(drain.second),
             ScenarioStep::DrainSite { site: drain.site },
         ));
     }
-    if let Some(second) = day.rolling {
-        for gateway in 0..stage.gateways.len() {
+    if let Some(second) = scenario.rolling_restart_second {
+        for gateway in 0..harness.gateways.len() {
             steps.push((
                 at(second + 1.5 * gateway as f64),
                 ScenarioStep::RestartGateway { gateway },
@@ -149,7 +156,8 @@
         }
     }
     steps.extend(
-        day.more
+        scenario
+            .extra_steps
             .iter()
             .map(|(second, step)| (at(*second), step.clone())),
     );
@@ -161,7 +169,7 @@
     (
         simulation.path_faults.loss_ratio,
         simulation.path_faults.is_one_way,
-    ) = (day.loss, day.one_way);
+    ) = (scenario.loss_ratio, scenario.is_one_way);
     simulation.sends_requests = true;
     for site in 0..2 {
         simulation.timers.set(from, TimerEvent::Arrival(site));
@@ -177,36 +185,38 @@
             .dispatch(wait, &mut simulation)
             .map_err(|e| e.to_string())?;
         for step in simulation.run_due_events() {
-            over |= stage.step(&mut simulation, step)?;
+            over |= harness.execute_step(&mut simulation, step)?;
         }
-        progress((simulation.now() - from).as_seconds() / (day.seconds + 2.5));
+        progress((simulation.now() - from).as_seconds() / (scenario.duration_seconds + 2.5));
     }
-    let mut report = judge(day, &simulation, from);
-    for ix in 0..stage.gateways.len() {
-        stage.count(ix);
-        let gateway = &mut stage.gateways[ix];
+    let mut report = check_rules(scenario, &simulation, from);
+    for ix in 0..harness.gateways.len() {
+        harness.collect_counters(ix);
+        let gateway = &mut harness.gateways[ix];
         if let Some(process) = &mut gateway.process {
             let usage = process.resource_usage();
             memory = memory.max(usage.memory_mb);
-            report.cpu_a_txn += usage.processor_time_us;
+            report.processor_time_per_request_us += usage.processor_time_us;
             process.read_log();
-            report.broken_lines += process.violations.len() as u64;
+            report.logged_violations += process.violations.len() as u64;
             report.crashes += u64::from(simulation.gateways[ix].is_alive && !process.is_running());
             process
                 .violations
                 .iter()
                 .for_each(|line| eprintln!("{}: {line}", gateway.name));
         }
-        let spent = |name: &str| gateway.spent.get(name).copied().unwrap_or(0);
-        report.crossed += spent("handed_over");
-        report.crossed_refused += spent("refused");
-        report.crossed_settled += spent("settled_there");
-        report.moves += spent("moves");
+        let spent = |name: &str| gateway.counters.get(name).copied().unwrap_or(0);
+        report.forwarded += spent("handed_over");
+        report.forwards_refused += spent("refused");
+        report.forwards_succeeded += spent("settled_there");
+        report.traffic_moves += spent("moves");
     }
     let of = |w: &[(Timestamp, Vec<f64>, usize)], g: usize| w[1].1[g] - w[0].1[g];
-    for w in stage.marks.windows(2) {
-        let ticks: f64 = (0..stage.gateways.len()).map(|g| of(w, g)).sum();
-        report.marked.push(ticks / (w[1].2 - w[0].2).max(1) as f64);
+    for w in harness.usage_samples.windows(2) {
+        let ticks: f64 = (0..harness.gateways.len()).map(|g| of(w, g)).sum();
+        report
+            .processor_time_per_request_by_span
+            .push(ticks / (w[1].2 - w[0].2).max(1) as f64);
         let of_gateway = |g: usize| {
             let txns = simulation.requests[w[0].2..w[1].2]
                 .iter()
@@ -214,10 +224,10 @@
             (of(w, g), txns.count())
         };
         report
-            .by_gateway
-            .push((0..stage.gateways.len()).map(of_gateway).collect());
+            .usage_by_span
+            .push((0..harness.gateways.len()).map(of_gateway).collect());
     }
-    for (g, gateway) in stage.gateways.iter().enumerate() {
+    for (g, gateway) in harness.gateways.iter().enumerate() {
         let of_it = simulation
             .requests
             .iter()
@@ -236,23 +246,23 @@
             .as_ref()
             .map_or(0.0, |p| p.resource_usage().memory_mb);
         report
-            .of_gateways
+            .gateway_summaries
             .push((late as f64 / all.max(1) as f64, p99, used));
     }
-    if day.export.is_some() {
-        for gateway in &mut stage.gateways {
+    if scenario.collector.is_some() {
+        for gateway in &mut harness.gateways {
             if let Some(process) = &mut gateway.process {
                 report
-                    .last_lines
+                    .flow_export_log
                     .extend(process.shut_down().map_err(|error| error.to_string())?);
             }
         }
     }
-    let trip =
-        say(&stage.control(0), "status").and_then(|s| s["members"][0]["round_trip_ms"].as_f64());
+    let trip = send_command(&harness.control_socket(0), "status")
+        .and_then(|s| s["members"][0]["round_trip_ms"].as_f64());
     report.round_trip_ms = trip.unwrap_or(0.0);
     report.memory_mb = memory;
-    report.cpu_a_txn /= report.taken.max(1) as f64;
+    report.processor_time_per_request_us /= report.accepted.max(1) as f64;
     Ok(report)
 }
 
--- a/crates/fault-injection/src/sites/scenario.rs
+++ b/crates/fault-injection/src/sites/scenario.rs
@@ -10,28 +10,28 @@
 
 /// What is played.
 #[derive(Clone, Default)]
-pub struct Day {
+pub struct Scenario {
     pub seed: u64,
-    pub seconds: f64,
+    pub duration_seconds: f64,
     pub kill: Option<SiteTime>,
-    pub servers_only: bool,
-    pub back_after: Option<f64>,
-    pub loss: f64,
-    pub one_way: bool,
+    pub endpoints_only: bool,
+    pub restore_after_seconds: Option<f64>,
+    pub loss_ratio: f64,
+    pub is_one_way: bool,
     pub cut: Option<Outage>,
     pub drain: Option<SiteTime>,
     /// Gateways restarted one after another, from this second on.
-    pub rolling: Option<f64>,
-    pub gateways: usize,
-    pub servers: usize,
+    pub rolling_restart_second: Option<f64>,
+    pub gateways_per_site: usize,
+    pub endpoints_per_site: usize,
     /// Requests a second that come to each site.
-    pub rate: f64,
+    pub requests_per_second: f64,
     /// How much more comes to the first site.
-    pub skew: f64,
-    pub spans: bool,
+    pub first_site_load_ratio: f64,
+    pub shares_idempotency_group: bool,
     /// Further steps, by their seconds.
-    pub more: Vec<(f64, ScenarioStep)>,
+    pub extra_steps: Vec<(f64, ScenarioStep)>,
     /// Flow export, for every other gateway.
-    pub export: Option<Arc<Collector>>,
-    pub told_flows: Value,
+    pub collector: Option<Arc<Collector>>,
+    pub flow_export_configuration: Value,
 }
