--- a/crates/fault-injection/src/core/actions.rs
+++ b/crates/fault-injection/src/core/actions.rs
@@ -3,22 +3,22 @@
 use harrierdock_multi_site::{Action, Change, Event, InboundId, MultiSite, TrafficLocation};
 use harrierdock_site_messages::{ForwardingOutcome, SiteMessage};
 
-use super::classes::classes;
-use super::happening::{Happening, Job};
-use super::world::{World, SECOND};
+use super::event::{RequestSource, SimulatedEvent};
+use super::request_classes::request_classes;
+use super::simulation::{NetworkSimulation, SECOND};
 
-impl World {
-    pub(super) fn obey(&mut self, ix: usize, action: Action) {
-        let (now, life) = (self.now, self.gateways[ix].life);
+impl NetworkSimulation {
+    pub(super) fn execute(&mut self, ix: usize, action: Action) {
+        let (now, incarnation) = (self.now, self.gateways[ix].incarnation);
         match action {
             Action::ServeLocally {
                 id,
                 remaining: left,
             } => {
-                let txn = &mut self.txns[id.0 as usize];
-                txn.spent |= txn.across;
-                let class = txn.class;
-                self.serve(ix, Job::Client(id), id.0, class, left);
+                let request = &mut self.requests[id.0 as usize];
+                request.stays_local |= request.is_forwarded;
+                let class = request.class;
+                self.serve(ix, RequestSource::Client(id), id.0, class, left);
             }
             Action::Forward {
                 id,
@@ -28,57 +28,57 @@
                 heartbeat_sequence,
                 remaining: left,
             } => {
-                let txn = &mut self.txns[id.0 as usize];
+                let request = &mut self.requests[id.0 as usize];
                 assert!(
-                    !txn.across,
-                    "seed {}: a txn went across twice",
-                    self.found.seeds
+                    !request.is_forwarded,
+                    "seed {}: a request was forwarded twice",
+                    self.findings.seeds
                 );
-                txn.across = true;
-                self.found.crossed += 1;
-                let handover = harrierdock_site_messages::ForwardedRequest {
+                request.is_forwarded = true;
+                self.findings.forwarded += 1;
+                let forwarded_request = harrierdock_site_messages::ForwardedRequest {
                     forwarding_id,
                     sender_incarnation: self.gateways[ix]
-                        .sites
+                        .multi_site
                         .as_ref()
                         .map_or(0, MultiSite::incarnation),
                     receiver_incarnation,
                     heartbeat_sequence,
-                    class: classes()[txn.class].name.clone(),
+                    class: request_classes()[request.class].name.clone(),
                     remaining_ms: (left.0 / 1000) as u32,
                     request_id: id.0.to_string(),
                     ..Default::default()
                 };
-                self.send(ix, path.0, SiteMessage::Request(handover));
+                self.send_message(ix, path.0, SiteMessage::Request(forwarded_request));
             }
             Action::Succeed { id, .. } => {
-                self.found.crossed_settled += 1;
-                self.answer(id, ForwardingOutcome::Succeeded);
+                self.findings.forwards_succeeded += 1;
+                self.record_answer(id, ForwardingOutcome::Succeeded);
             }
-            Action::Reject { id, .. } => self.answer(id, ForwardingOutcome::NotAccepted),
-            Action::Fail { id } => self.answer(id, ForwardingOutcome::Failed),
+            Action::Reject { id, .. } => self.record_answer(id, ForwardingOutcome::NotAccepted),
+            Action::Fail { id } => self.record_answer(id, ForwardingOutcome::Failed),
             Action::ServeInbound {
-                inbound: InboundId(inward),
+                inbound: InboundId(inbound),
                 class,
                 remaining: left,
-                request: handover,
+                request: forwarded_request,
                 ..
             } => {
-                let txn = handover.request_id.parse().unwrap_or(0);
-                self.found.taken_while_drained += u64::from(self.gateways[ix].drained);
-                self.gateways[ix].inward.insert(inward, txn);
-                self.serve(ix, Job::Inward(inward), txn, class.0, left);
+                let request = forwarded_request.request_id.parse().unwrap_or(0);
+                self.findings.accepted_while_drained += u64::from(self.gateways[ix].is_drained);
+                self.gateways[ix].inbound.insert(inbound, request);
+                self.serve(ix, RequestSource::Inbound(inbound), request, class.0, left);
             }
             Action::AbandonInbound {
-                inbound: InboundId(inward),
+                inbound: InboundId(inbound),
             } => {
-                if self.gateways[ix].inward.remove(&inward).is_some() {
-                    let (verdict, body) = (ForwardingOutcome::Failed, Vec::new());
-                    self.tell(
+                if self.gateways[ix].inbound.remove(&inbound).is_some() {
+                    let (outcome, body) = (ForwardingOutcome::Failed, Vec::new());
+                    self.deliver(
                         ix,
                         Event::InboundCompleted {
-                            inbound: InboundId(inward),
-                            outcome: verdict,
+                            inbound: InboundId(inbound),
+                            outcome,
                             build: None,
                             body,
                         },
@@ -89,32 +89,44 @@
                 let to = self
                     .gateways
                     .iter()
-                    .position(|g| g.address == address && g.party == peer);
-                let reached =
-                    to.filter(|to| self.gateways[*to].sites.is_some() && !self.cut.contains(&true));
-                let took = self.span(1_000, 50_000);
+                    .position(|g| g.address == address && g.name == peer);
+                let reached = to.filter(|to| {
+                    self.gateways[*to].multi_site.is_some() && !self.is_cut.contains(&true)
+                });
+                let took = self.draw_span(1_000, 50_000);
                 match reached {
                     Some(to) => {
-                        self.numbered += 1;
-                        let link = self.numbered;
-                        self.after(took, Happening::Up { from: ix, to, link });
+                        self.last_number += 1;
+                        let path = self.last_number;
+                        self.schedule(took, SimulatedEvent::PathOpened { from: ix, to, path });
+                    }
+                    None => {
+                        self.schedule(SECOND, SimulatedEvent::ConnectFailed { gateway: ix, peer })
                     }
-                    None => self.after(SECOND, Happening::Unreachable { gateway: ix, peer }),
                 }
             }
-            Action::ClosePath { path } => self.hang_up(path.0, ix, true),
-            Action::Send { path, message } => self.send(ix, path.0, message),
+            Action::ClosePath { path } => self.close_path(path.0, ix, true),
+            Action::Send { path, message } => self.send_message(ix, path.0, message),
             Action::StatusChanged(Change::TrafficMoved { location: home, .. }) => {
                 if home != TrafficLocation::Local {
-                    self.moves.entry(ix).or_default().push(now);
+                    self.traffic_moves.entry(ix).or_default().push(now);
                 }
             }
             Action::StatusChanged(_) => {}
             Action::SetTimer { after } => {
                 let at = now + after;
-                if self.gateways[ix].wake.is_none_or(|w| at < w || w <= now) {
-                    self.gateways[ix].wake = Some(at);
-                    self.after(after, Happening::Wake { gateway: ix, life });
+                if self.gateways[ix]
+                    .timer_deadline
+                    .is_none_or(|w| at < w || w <= now)
+                {
+                    self.gateways[ix].timer_deadline = Some(at);
+                    self.schedule(
+                        after,
+                        SimulatedEvent::TimerFired {
+                            gateway: ix,
+                            incarnation,
+                        },
+                    );
                 }
             }
         }
--- a/crates/fault-injection/src/core/happening.rs
+++ b/crates/fault-injection/src/core/event.rs
@@ -4,55 +4,55 @@
 use harrierdock_types::{RequestId, TimeDelta};
 
 #[derive(Clone, Copy, PartialEq)]
-pub(super) enum Job {
+pub(super) enum RequestSource {
     Client(RequestId),
-    Inward(u64),
+    Inbound(u64),
 }
 
-pub(super) enum Happening {
-    Arrive {
+pub(super) enum SimulatedEvent {
+    RequestArrived {
         gateway: usize,
     },
-    SiteMessage {
+    MessageArrived {
         to: usize,
-        link: u64,
-        letter: Box<SiteMessage>,
+        path: u64,
+        message: Box<SiteMessage>,
     },
-    Up {
+    PathOpened {
         from: usize,
         to: usize,
-        link: u64,
+        path: u64,
     },
-    Unreachable {
+    ConnectFailed {
         gateway: usize,
         peer: GatewayName,
     },
-    Down {
+    PathClosed {
         gateway: usize,
-        link: u64,
+        path: u64,
         orderly: bool,
     },
-    Sent {
+    AttemptStarted {
         gateway: usize,
-        life: u32,
-        job: Job,
-        txn: u64,
+        incarnation: u32,
+        source: RequestSource,
+        request: u64,
         class: usize,
         left: TimeDelta,
     },
-    Ended {
+    AttemptFinished {
         gateway: usize,
-        life: u32,
-        job: Job,
+        incarnation: u32,
+        source: RequestSource,
         class: usize,
-        settled: bool,
+        has_succeeded: bool,
     },
-    Wake {
+    TimerFired {
         gateway: usize,
-        life: u32,
+        incarnation: u32,
     },
-    Start {
+    GatewayStarted {
         gateway: usize,
     },
-    Trouble,
+    InjectFault,
 }
--- a/crates/fault-injection/src/core/mod.rs
+++ b/crates/fault-injection/src/core/mod.rs
@@ -3,43 +3,47 @@
 //! start anew, sites vanish and are drained; then the rules are checked on all that happened.
 
 mod actions;
-mod classes;
+mod endpoints;
+mod event;
+mod faults;
 mod findings;
-mod happening;
 mod network;
+mod request_classes;
 mod rules;
-mod servers;
-mod trouble;
-mod world;
+mod simulation;
 
 pub use findings::Findings;
-use world::World;
+use simulation::NetworkSimulation;
 
 /// Plays seeds, one after another, and adds up what was found.
 pub fn play(first: u64, seeds: u64, gateways: usize, mut progress: impl FnMut(u64)) -> Findings {
     let mut all = Findings::default();
     for seed in first..first + seeds {
-        let found = World::new(seed, gateways).play();
-        if found.broken() > 0 && all.first_bad_seed.is_none() {
-            all.first_bad_seed = Some(seed);
+        let findings = NetworkSimulation::new(seed, gateways).play();
+        if findings.violations() > 0 && all.first_violating_seed.is_none() {
+            all.first_violating_seed = Some(seed);
         }
         all.seeds += 1;
-        all.taken += found.taken;
-        all.answered_once += found.answered_once;
-        all.answered_twice += found.answered_twice;
-        all.unanswered += found.unanswered;
-        all.late += found.late;
-        all.once_only_run_twice += found.once_only_run_twice;
-        all.repeats_outside_memory += found.repeats_outside_memory;
-        all.settled_without_run += found.settled_without_run;
-        all.declined_but_ran += found.declined_but_ran;
-        all.taken_while_drained += found.taken_while_drained;
-        all.crossed += found.crossed;
-        all.crossed_settled += found.crossed_settled;
-        all.most_moves_a_minute = all.most_moves_a_minute.max(found.most_moves_a_minute);
-        all.left_owed += found.left_owed;
+        all.accepted += findings.accepted;
+        all.answered_once += findings.answered_once;
+        all.answered_twice += findings.answered_twice;
+        all.unanswered += findings.unanswered;
+        all.late += findings.late;
+        all.non_idempotent_run_twice += findings.non_idempotent_run_twice;
+        all.repeats_outside_window += findings.repeats_outside_window;
+        all.succeeded_without_run += findings.succeeded_without_run;
+        all.rejected_but_ran += findings.rejected_but_ran;
+        all.accepted_while_drained += findings.accepted_while_drained;
+        all.forwarded += findings.forwarded;
+        all.forwards_succeeded += findings.forwards_succeeded;
+        all.max_traffic_moves_per_minute = all
+            .max_traffic_moves_per_minute
+            .max(findings.max_traffic_moves_per_minute);
+        all.left_open += findings.left_open;
         progress(seed);
     }
-    all.ok = all.broken() == 0 && all.most_moves_a_minute <= 10 && all.crossed_settled > 0;
+    all.ok = all.violations() == 0
+        && all.max_traffic_moves_per_minute <= 10
+        && all.forwards_succeeded > 0;
     all
 }
