--- a/crates/fault-injection/src/core/actions.rs
+++ b/crates/fault-injection/src/core/actions.rs
@@ -1,55 +1,45 @@
-//! What the deciding part asks for.
+//! Executes the actions that a gateway's decisions ask for.
 
-use harrierdock_multi_site::{Action, Change, Event, InboundId, MultiSite, TrafficLocation};
-use harrierdock_site_messages::{ForwardingOutcome, SiteMessage};
+use std::net::SocketAddr;
+
+use harrierdock_multi_site::{
+    Action, Change, Event, InboundId, MultiSite, PathId, TrafficLocation,
+};
+use harrierdock_site_messages::{ForwardedRequest, ForwardingOutcome, GatewayName, SiteMessage};
+use harrierdock_types::{ClassId, RequestId, TimeDelta};
 
 use super::event::{RequestSource, SimulatedEvent};
 use super::request_classes::request_classes;
 use super::simulation::{NetworkSimulation, SECOND};
 
+const MICROSECONDS_PER_MILLISECOND: i64 = 1000;
+/// How long a path takes to open, in microseconds.
+const SHORTEST_CONNECT_US: i64 = 1_000;
+const LONGEST_CONNECT_US: i64 = 50_000;
+/// How long a gateway takes to learn that its peer is not reached.
+const CONNECT_TIMEOUT: TimeDelta = SECOND;
+
 impl NetworkSimulation {
-    pub(super) fn execute(&mut self, ix: usize, action: Action) {
-        let (now, incarnation) = (self.now, self.gateways[ix].incarnation);
+    /// Executes an action of this gateway.
+    pub(super) fn execute(&mut self, gateway: usize, action: Action) {
         match action {
-            Action::ServeLocally {
-                id,
-                remaining: left,
-            } => {
-                let request = &mut self.requests[id.0 as usize];
-                request.stays_local |= request.is_forwarded;
-                let class = request.class;
-                self.serve(ix, RequestSource::Client(id), id.0, class, left);
-            }
+            Action::ServeLocally { id, remaining } => self.serve_client(gateway, id, remaining),
             Action::Forward {
                 id,
                 path,
                 forwarding_id,
                 receiver_incarnation,
                 heartbeat_sequence,
-                remaining: left,
+                remaining,
             } => {
-                let request = &mut self.requests[id.0 as usize];
-                assert!(
-                    !request.is_forwarded,
-                    "seed {}: a request was forwarded twice",
-                    self.findings.seeds
-                );
-                request.is_forwarded = true;
-                self.findings.forwarded += 1;
-                let forwarded_request = harrierdock_site_messages::ForwardedRequest {
+                let request = ForwardedRequest {
                     forwarding_id,
-                    sender_incarnation: self.gateways[ix]
-                        .multi_site
-                        .as_ref()
-                        .map_or(0, MultiSite::incarnation),
                     receiver_incarnation,
                     heartbeat_sequence,
-                    class: request_classes()[request.class].name.clone(),
-                    remaining_ms: (left.0 / 1000) as u32,
-                    request_id: id.0.to_string(),
-                    ..Default::default()
+                    remaining_ms: (remaining.0 / MICROSECONDS_PER_MILLISECOND) as u32,
+                    ..ForwardedRequest::default()
                 };
-                self.send_message(ix, path.0, SiteMessage::Request(forwarded_request));
+                self.forward(gateway, id, path, request);
             }
             Action::Succeed { id, .. } => {
                 self.findings.forwards_succeeded += 1;
@@ -58,77 +48,130 @@
             Action::Reject { id, .. } => self.record_answer(id, ForwardingOutcome::NotAccepted),
             Action::Fail { id } => self.record_answer(id, ForwardingOutcome::Failed),
             Action::ServeInbound {
-                inbound: InboundId(inbound),
+                inbound,
                 class,
-                remaining: left,
-                request: forwarded_request,
+                remaining,
+                request,
                 ..
-            } => {
-                let request = forwarded_request.request_id.parse().unwrap_or(0);
-                self.findings.accepted_while_drained += u64::from(self.gateways[ix].is_drained);
-                self.gateways[ix].inbound.insert(inbound, request);
-                self.serve(ix, RequestSource::Inbound(inbound), request, class.0, left);
-            }
-            Action::AbandonInbound {
-                inbound: InboundId(inbound),
-            } => {
-                if self.gateways[ix].inbound.remove(&inbound).is_some() {
-                    let (outcome, body) = (ForwardingOutcome::Failed, Vec::new());
-                    self.deliver(
-                        ix,
-                        Event::InboundCompleted {
-                            inbound: InboundId(inbound),
-                            outcome,
-                            build: None,
-                            body,
-                        },
-                    );
-                }
-            }
-            Action::Connect { peer, address } => {
-                let to = self
-                    .gateways
-                    .iter()
-                    .position(|g| g.address == address && g.name == peer);
-                let reached = to.filter(|to| {
-                    self.gateways[*to].multi_site.is_some() && !self.is_cut.contains(&true)
-                });
-                let took = self.draw_span(1_000, 50_000);
-                match reached {
-                    Some(to) => {
-                        self.last_number += 1;
-                        let path = self.last_number;
-                        self.schedule(took, SimulatedEvent::PathOpened { from: ix, to, path });
-                    }
-                    None => {
-                        self.schedule(SECOND, SimulatedEvent::ConnectFailed { gateway: ix, peer })
-                    }
-                }
-            }
-            Action::ClosePath { path } => self.close_path(path.0, ix, true),
-            Action::Send { path, message } => self.send_message(ix, path.0, message),
-            Action::StatusChanged(Change::TrafficMoved { location: home, .. }) => {
-                if home != TrafficLocation::Local {
-                    self.traffic_moves.entry(ix).or_default().push(now);
-                }
+            } => self.serve_inbound(gateway, inbound, class, remaining, &request),
+            Action::AbandonInbound { inbound } => self.abandon_inbound(gateway, inbound),
+            Action::Connect { peer, address } => self.connect(gateway, peer, address),
+            Action::ClosePath { path } => self.close_path(path, gateway, true),
+            Action::Send { path, message } => self.send_message(gateway, path, &message),
+            Action::StatusChanged(change) => self.record_change(gateway, &change),
+            Action::SetTimer { after } => self.set_timer(gateway, after),
+        }
+    }
+
+    fn serve_client(&mut self, gateway: usize, id: RequestId, remaining: TimeDelta) {
+        let request = self.request_mut(id);
+        request.stays_local |= request.is_forwarded;
+        let class = request.class;
+        self.serve(gateway, RequestSource::Client, id, class, remaining);
+    }
+
+    /// Sends a request to the other site, completed with what only the simulation knows.
+    fn forward(
+        &mut self,
+        gateway: usize,
+        id: RequestId,
+        path: PathId,
+        forwarded_request: ForwardedRequest,
+    ) {
+        let seed = self.seed;
+        let request = self.request_mut(id);
+        assert!(
+            !request.is_forwarded,
+            "seed {seed}: a request was forwarded twice"
+        );
+        request.is_forwarded = true;
+        let class = request.class;
+        self.findings.forwarded += 1;
+        let multi_site = self.gateways[gateway].multi_site.as_ref();
+        let message = SiteMessage::Request(ForwardedRequest {
+            sender_incarnation: multi_site.map_or(0, MultiSite::incarnation),
+            class: request_classes()[class.0].name.clone(),
+            request_id: id.0.to_string(),
+            ..forwarded_request
+        });
+        self.send_message(gateway, path, &message);
+    }
+
+    fn serve_inbound(
+        &mut self,
+        gateway: usize,
+        inbound: InboundId,
+        class: ClassId,
+        remaining: TimeDelta,
+        request: &ForwardedRequest,
+    ) {
+        let id = RequestId(request.request_id.parse().unwrap_or(0));
+        self.findings.accepted_while_drained += u64::from(self.gateways[gateway].is_drained);
+        self.gateways[gateway].inbound.insert(inbound, id);
+        let source = RequestSource::OtherSite(inbound);
+        self.serve(gateway, source, id, class, remaining);
+    }
+
+    fn abandon_inbound(&mut self, gateway: usize, inbound: InboundId) {
+        if self.gateways[gateway].inbound.remove(&inbound).is_some() {
+            let completed = Event::InboundCompleted {
+                inbound,
+                outcome: ForwardingOutcome::Failed,
+                build: None,
+                body: Vec::new(),
+            };
+            self.deliver(gateway, completed);
+        }
+    }
+
+    fn connect(&mut self, from: usize, peer: GatewayName, address: SocketAddr) {
+        let to = self
+            .gateways
+            .iter()
+            .position(|gateway| gateway.address == address && gateway.name == peer);
+        let is_cut = self.is_cut.contains(&true);
+        let reached = to.filter(|to| self.is_running(*to) && !is_cut);
+        let delay = self.draw_span(SHORTEST_CONNECT_US, LONGEST_CONNECT_US);
+        match reached {
+            Some(to) => {
+                let path = PathId(self.next_number());
+                self.schedule(delay, SimulatedEvent::PathOpened { from, to, path });
             }
-            Action::StatusChanged(_) => {}
-            Action::SetTimer { after } => {
-                let at = now + after;
-                if self.gateways[ix]
-                    .timer_deadline
-                    .is_none_or(|w| at < w || w <= now)
-                {
-                    self.gateways[ix].timer_deadline = Some(at);
-                    self.schedule(
-                        after,
-                        SimulatedEvent::TimerFired {
-                            gateway: ix,
-                            incarnation,
-                        },
-                    );
-                }
+            None => {
+                let gateway = from;
+                let failed = SimulatedEvent::ConnectFailed { gateway, peer };
+                self.schedule(CONNECT_TIMEOUT, failed);
             }
         }
     }
+
+    fn record_change(&mut self, gateway: usize, change: &Change) {
+        let Change::TrafficMoved { location, .. } = change else {
+            return;
+        };
+        if *location != TrafficLocation::Local {
+            let moves = self.traffic_moves.entry(gateway).or_default();
+            moves.push(self.now);
+        }
+    }
+
+    /// Sets a gateway's timer, unless it fires earlier anyway.
+    fn set_timer(&mut self, gateway: usize, after: TimeDelta) {
+        let now = self.now;
+        let deadline = now + after;
+        let state = &mut self.gateways[gateway];
+        let fires_earlier = state
+            .timer_deadline
+            .is_some_and(|set| deadline >= set && set > now);
+        if fires_earlier {
+            return;
+        }
+        state.timer_deadline = Some(deadline);
+        let incarnation = state.incarnation;
+        let fired = SimulatedEvent::TimerFired {
+            gateway,
+            incarnation,
+        };
+        self.schedule(after, fired);
+    }
 }
--- a/crates/fault-injection/src/core/endpoints.rs
+++ b/crates/fault-injection/src/core/endpoints.rs
@@ -1,168 +1,164 @@
-//! What stands for the servers.
+//! Stands for the local policy and its endpoints: a request is served after a while, or rejected at once before it ran.
 
 use harrierdock_multi_site::{Event, InboundId, RequestEnd};
 use harrierdock_site_messages::ForwardingOutcome;
-use harrierdock_types::{BuildId, ClassId, TimeDelta};
+use harrierdock_types::{BuildId, ClassId, RequestId, TimeDelta};
 
-use super::event::{RequestSource, SimulatedEvent};
-use super::simulation::{site, NetworkSimulation};
+use super::event::{Attempt, RequestSource, SimulatedEvent};
+use super::simulation::{site, NetworkSimulation, Run};
+
+const REJECTION_PROBABILITY: f64 = 0.05;
+const FAILURE_PROBABILITY: f64 = 0.05;
+/// How many requests wait before they are sent, and how long at the most, in microseconds.
+const WAIT_PROBABILITY: f64 = 0.2;
+const LONGEST_WAIT_US: i64 = 1_000_000;
+/// How long an endpoint works, in microseconds.
+const SHORTEST_WORK_US: i64 = 5_000;
+const LONGEST_WORK_US: i64 = 300_000;
+/// The latency that the decisions are notified of.
+const REPORTED_LATENCY: TimeDelta = TimeDelta(100_000);
+const BUILD: BuildId = BuildId(1);
+const RESPONSE_BODY: [u8; 50] = [7; 50];
+
+fn outcome(has_succeeded: bool) -> ForwardingOutcome {
+    if has_succeeded {
+        ForwardingOutcome::Succeeded
+    } else {
+        ForwardingOutcome::Failed
+    }
+}
 
 impl NetworkSimulation {
-    /// The module stands for its servers: it serves after a while, or declines at once what has not run.
+    /// Rejects a request, or starts an attempt within the time that remains.
     pub(super) fn serve(
         &mut self,
-        ix: usize,
+        gateway: usize,
         source: RequestSource,
-        request: u64,
-        class: usize,
-        left: TimeDelta,
+        request: RequestId,
+        class: ClassId,
+        remaining: TimeDelta,
     ) {
-        let full = self.draw_bool(0.05) || self.lacks_endpoints[site(ix)];
-        let incarnation = self.gateways[ix].incarnation;
-        if full {
-            return match source {
-                RequestSource::Inbound(inbound) => {
-                    self.gateways[ix].inbound.remove(&inbound);
-                    let outcome = ForwardingOutcome::NotAccepted;
-                    self.deliver(
-                        ix,
-                        Event::InboundCompleted {
-                            inbound: InboundId(inbound),
-                            outcome,
-                            build: None,
-                            body: Vec::new(),
-                        },
-                    );
-                    let (ending, took) = (RequestEnd::Rejected, TimeDelta::ZERO);
-                    self.deliver(
-                        ix,
-                        Event::RequestEnded {
-                            class: ClassId(class),
-                            end: ending,
-                            elapsed: took,
-                        },
-                    );
-                }
-                RequestSource::Client(id) => {
-                    let stays_local =
-                        std::mem::replace(&mut self.requests[id.0 as usize].stays_local, true);
-                    if stays_local {
-                        self.record_answer(id, ForwardingOutcome::NotAccepted);
-                    } else {
-                        self.deliver(
-                            ix,
-                            Event::LocallyRejected {
-                                id,
-                                class: ClassId(class),
-                                remaining: left,
-                            },
-                        );
-                    }
-                }
-            };
+        let attempt = Attempt {
+            gateway,
+            incarnation: self.gateways[gateway].incarnation,
+            source,
+            request,
+            class,
+            remaining,
+        };
+        if self.draw_bool(REJECTION_PROBABILITY) || self.lacks_endpoints[site(gateway)] {
+            return self.reject(attempt);
         }
-        // Some wait for room; none is sent after its time.
-        let waits = if self.draw_bool(0.2) {
-            self.draw_span(0, 1_000_000).min(left)
+        let wait = if self.draw_bool(WAIT_PROBABILITY) {
+            self.draw_span(0, LONGEST_WAIT_US).min(remaining)
         } else {
             TimeDelta::ZERO
         };
-        self.schedule(
-            waits,
-            SimulatedEvent::AttemptStarted {
-                gateway: ix,
-                incarnation,
-                source,
-                request,
-                class,
-                left: left - waits,
-            },
-        );
+        let attempt = Attempt {
+            remaining: remaining - wait,
+            ..attempt
+        };
+        self.schedule(wait, SimulatedEvent::AttemptStarted(attempt));
     }
 
-    /// It runs whatever becomes of its answer, which is waited for until its time is up.
-    pub(super) fn start_attempt(
-        &mut self,
-        ix: usize,
-        source: RequestSource,
-        request: u64,
-        class: usize,
-        left: TimeDelta,
-    ) {
-        let open = match source {
-            RequestSource::Client(id) => self.requests[id.0 as usize].answers.is_empty(),
-            RequestSource::Inbound(inbound) => self.gateways[ix].inbound.contains_key(&inbound),
+    fn reject(&mut self, attempt: Attempt) {
+        match attempt.source {
+            RequestSource::OtherSite(inbound) => self.reject_inbound(attempt, inbound),
+            RequestSource::Client => self.reject_client(attempt),
+        }
+    }
+
+    fn reject_inbound(&mut self, attempt: Attempt, inbound: InboundId) {
+        self.gateways[attempt.gateway].inbound.remove(&inbound);
+        let completed = Event::InboundCompleted {
+            inbound,
+            outcome: ForwardingOutcome::NotAccepted,
+            build: None,
+            body: Vec::new(),
+        };
+        self.deliver(attempt.gateway, completed);
+        let ended = Event::RequestEnded {
+            class: attempt.class,
+            end: RequestEnd::Rejected,
+            elapsed: TimeDelta::ZERO,
+        };
+        self.deliver(attempt.gateway, ended);
+    }
+
+    /// The other site may serve a client's request that was rejected here, but not twice.
+    fn reject_client(&mut self, attempt: Attempt) {
+        let request = self.request_mut(attempt.request);
+        let stays_local = std::mem::replace(&mut request.stays_local, true);
+        if stays_local {
+            return self.record_answer(attempt.request, ForwardingOutcome::NotAccepted);
+        }
+        let rejected = Event::LocallyRejected {
+            id: attempt.request,
+            class: attempt.class,
+            remaining: attempt.remaining,
+        };
+        self.deliver(attempt.gateway, rejected);
+    }
+
+    /// An endpoint runs a request that is still open, whatever becomes of its answer.
+    pub(super) fn start_attempt(&mut self, attempt: Attempt) {
+        let gateway = &self.gateways[attempt.gateway];
+        let is_open = match attempt.source {
+            RequestSource::Client => {
+                let request = &self.requests[attempt.request.0 as usize];
+                request.answers.is_empty()
+            }
+            RequestSource::OtherSite(inbound) => gateway.inbound.contains_key(&inbound),
         };
-        if !open {
+        if !is_open {
             return;
         }
-        let (at, incarnation, took) = (
-            self.now,
-            self.gateways[ix].incarnation,
-            self.draw_span(5_000, 300_000),
-        );
-        self.requests[request as usize].runs.push((site(ix), at));
-        let has_succeeded = took <= left && !self.draw_bool(0.05);
-        self.schedule(
-            took.min(left),
-            SimulatedEvent::AttemptFinished {
-                gateway: ix,
-                incarnation,
-                source,
-                class,
-                has_succeeded,
-            },
-        );
+        let work = self.draw_span(SHORTEST_WORK_US, LONGEST_WORK_US);
+        let run = Run {
+            site: site(attempt.gateway),
+            at: self.now,
+        };
+        self.request_mut(attempt.request).runs.push(run);
+        let is_in_time = work <= attempt.remaining;
+        let has_succeeded = is_in_time && !self.draw_bool(FAILURE_PROBABILITY);
+        let finished = SimulatedEvent::AttemptFinished {
+            attempt,
+            has_succeeded,
+        };
+        self.schedule(work.min(attempt.remaining), finished);
     }
 
-    pub(super) fn finish_attempt(
-        &mut self,
-        ix: usize,
-        source: RequestSource,
-        class: usize,
-        has_succeeded: bool,
-    ) {
-        match source {
-            RequestSource::Inbound(inbound) => {
-                if self.gateways[ix].inbound.remove(&inbound).is_some() {
-                    let outcome = if has_succeeded {
-                        ForwardingOutcome::Succeeded
-                    } else {
-                        ForwardingOutcome::Failed
-                    };
-                    let body = vec![7; 50];
-                    self.deliver(
-                        ix,
-                        Event::InboundCompleted {
-                            inbound: InboundId(inbound),
-                            outcome,
-                            build: Some(BuildId(1)),
-                            body,
-                        },
-                    );
-                }
+    /// The endpoint has answered, or the time is over.
+    pub(super) fn finish_attempt(&mut self, attempt: Attempt, has_succeeded: bool) {
+        match attempt.source {
+            RequestSource::OtherSite(inbound) => {
+                self.complete_inbound(attempt.gateway, inbound, has_succeeded);
             }
-            RequestSource::Client(id) => self.record_answer(
-                id,
-                if has_succeeded {
-                    ForwardingOutcome::Succeeded
-                } else {
-                    ForwardingOutcome::Failed
-                },
-            ),
+            RequestSource::Client => self.record_answer(attempt.request, outcome(has_succeeded)),
         }
-        let ending = if has_succeeded {
+        let end = if has_succeeded {
             RequestEnd::Succeeded
         } else {
             RequestEnd::Failed
         };
-        self.deliver(
-            ix,
-            Event::RequestEnded {
-                class: ClassId(class),
-                end: ending,
-                elapsed: TimeDelta(100_000),
-            },
-        );
+        let ended = Event::RequestEnded {
+            class: attempt.class,
+            end,
+            elapsed: REPORTED_LATENCY,
+        };
+        self.deliver(attempt.gateway, ended);
+    }
+
+    fn complete_inbound(&mut self, gateway: usize, inbound: InboundId, has_succeeded: bool) {
+        if self.gateways[gateway].inbound.remove(&inbound).is_none() {
+            return;
+        }
+        let completed = Event::InboundCompleted {
+            inbound,
+            outcome: outcome(has_succeeded),
+            build: Some(BUILD),
+            body: RESPONSE_BODY.to_vec(),
+        };
+        self.deliver(gateway, completed);
     }
 }
--- a/crates/fault-injection/src/core/event.rs
+++ b/crates/fault-injection/src/core/event.rs
@@ -1,27 +1,44 @@
-//! What happens next.
+//! What happens in simulated time.
 
+use harrierdock_multi_site::{InboundId, PathId};
 use harrierdock_site_messages::{GatewayName, SiteMessage};
-use harrierdock_types::{RequestId, TimeDelta};
+use harrierdock_types::{ClassId, RequestId, TimeDelta};
 
+/// Who sent a request to a gateway.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum RequestSource {
-    Client(RequestId),
-    Inbound(u64),
+    /// A client of its site.
+    Client,
+    /// A gateway of the other site.
+    OtherSite(InboundId),
 }
 
+/// An attempt at an endpoint, for a gateway that may have started anew meanwhile.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) struct Attempt {
+    pub(super) gateway: usize,
+    pub(super) incarnation: u32,
+    pub(super) source: RequestSource,
+    pub(super) request: RequestId,
+    pub(super) class: ClassId,
+    /// The time until the deadline.
+    pub(super) remaining: TimeDelta,
+}
+
+/// What happens in simulated time. Gateways are given by their numbers.
 pub(super) enum SimulatedEvent {
     RequestArrived {
         gateway: usize,
     },
     MessageArrived {
         to: usize,
-        path: u64,
+        path: PathId,
         message: Box<SiteMessage>,
     },
     PathOpened {
         from: usize,
         to: usize,
-        path: u64,
+        path: PathId,
     },
     ConnectFailed {
         gateway: usize,
@@ -29,22 +46,12 @@
     },
     PathClosed {
         gateway: usize,
-        path: u64,
+        path: PathId,
         orderly: bool,
     },
-    AttemptStarted {
-        gateway: usize,
-        incarnation: u32,
-        source: RequestSource,
-        request: u64,
-        class: usize,
-        left: TimeDelta,
-    },
+    AttemptStarted(Attempt),
     AttemptFinished {
-        gateway: usize,
-        incarnation: u32,
-        source: RequestSource,
-        class: usize,
+        attempt: Attempt,
         has_succeeded: bool,
     },
     TimerFired {
@@ -54,5 +61,5 @@
     GatewayStarted {
         gateway: usize,
     },
-    InjectFault,
+    FaultDue,
 }
--- a/crates/fault-injection/src/core/faults.rs
+++ b/crates/fault-injection/src/core/faults.rs
@@ -1,86 +1,104 @@
-//! What goes wrong, by the seed.
+//! Faults drawn by the seed, and the end of all of them.
 
-use harrierdock_multi_site::{Event, OperatorCommand};
+use harrierdock_multi_site::{Event, OperatorCommand, PathId};
 use nanorand::Rng;
 
 use super::event::SimulatedEvent;
-use super::simulation::{site, NetworkSimulation};
+use super::simulation::{NetworkSimulation, READY_ENDPOINTS};
 
-impl NetworkSimulation {
-    pub(super) fn kill(&mut self, ix: usize) {
-        self.gateways[ix].multi_site = None;
-        let ends: Vec<u64> = self
-            .paths
-            .iter()
-            .filter(|(_, e)| e.0 == ix || e.1 == ix)
-            .map(|(no, _)| *no)
-            .collect();
-        for path in ends {
-            self.close_path(path, ix, false);
-        }
-        let back = self.draw_span(100_000, 3_000_000);
-        self.schedule(back, SimulatedEvent::GatewayStarted { gateway: ix });
-    }
+const LOSS_RATIOS: [f64; 3] = [0.0, 0.1, 0.3];
+/// What is drawn: seven faults, and as often nothing as two of them.
+const FAULT_DRAWS: u32 = 9;
+/// Between two faults, in microseconds.
+const SHORTEST_FAULT_INTERVAL_US: i64 = 200_000;
+const LONGEST_FAULT_INTERVAL_US: i64 = 1_500_000;
+/// How long a killed gateway is down, in microseconds.
+const SHORTEST_DOWNTIME_US: i64 = 100_000;
+const LONGEST_DOWNTIME_US: i64 = 3_000_000;
 
+impl NetworkSimulation {
+    /// Injects a fault and schedules the next; ends all once their time is over.
     pub(super) fn inject_fault(&mut self) {
         if self.now >= self.faults_end {
-            (self.loss_ratio, self.is_cut, self.lacks_endpoints) = (0.0, [false; 2], [false; 2]);
-            for ix in 0..self.gateways.len() {
-                if std::mem::take(&mut self.gateways[ix].is_drained) {
-                    self.deliver(ix, Event::OperatorCommand(OperatorCommand::Resume));
-                }
-                self.deliver(ix, Event::EndpointsUpdated { ready: 4 });
-            }
-            return;
+            return self.end_faults();
         }
-        let which = self.rng.generate_range(0..2_usize);
-        let some = self.rng.generate_range(0..self.gateways.len());
-        match self.rng.generate_range(0..9_u32) {
-            0 => self.loss_ratio = [0.0, 0.1, 0.3][self.rng.generate_range(0..3_usize)],
-            1 => self.is_cut[which] = !self.is_cut[which],
-            2 => {
-                self.is_cut = if self.is_cut[0] {
-                    [false; 2]
-                } else {
-                    [true; 2]
-                }
-            }
-            3 if self.gateways[some].multi_site.is_some() => self.kill(some),
+        let site = self.rng.generate_range(0..2_usize);
+        let gateway = self.rng.generate_range(0..self.gateways.len());
+        match self.rng.generate_range(0..FAULT_DRAWS) {
+            0 => self.loss_ratio = LOSS_RATIOS[self.rng.generate_range(0..LOSS_RATIOS.len())],
+            1 => self.is_cut[site] = !self.is_cut[site],
+            2 => self.is_cut = [!self.is_cut[0]; 2],
+            3 => self.kill(gateway),
             4 => {
-                for ix in (0..self.gateways.len())
-                    .filter(|ix| site(*ix) == which)
-                    .collect::<Vec<_>>()
-                {
-                    if self.gateways[ix].multi_site.is_some() {
-                        self.kill(ix);
-                    }
-                }
-            }
-            5 => {
-                self.lacks_endpoints[which] = !self.lacks_endpoints[which];
-                let ready = if self.lacks_endpoints[which] { 0 } else { 4 };
-                for ix in (0..self.gateways.len())
-                    .filter(|ix| site(*ix) == which)
-                    .collect::<Vec<_>>()
-                {
-                    self.deliver(ix, Event::EndpointsUpdated { ready });
+                for gateway in self.gateways_of_site(site) {
+                    self.kill(gateway);
                 }
             }
-            6 if self.gateways[some].multi_site.is_some() => {
-                let is_drained = !self.gateways[some].is_drained;
-                self.gateways[some].is_drained = is_drained;
-                self.deliver(
-                    some,
-                    Event::OperatorCommand(if is_drained {
-                        OperatorCommand::Drain
-                    } else {
-                        OperatorCommand::Resume
-                    }),
-                );
-            }
+            5 => self.toggle_endpoints(site),
+            6 => self.toggle_drain(gateway),
             _ => {}
         }
-        let next = self.draw_span(200_000, 1_500_000);
-        self.schedule(next, SimulatedEvent::InjectFault);
+        let interval = self.draw_span(SHORTEST_FAULT_INTERVAL_US, LONGEST_FAULT_INTERVAL_US);
+        self.schedule(interval, SimulatedEvent::FaultDue);
+    }
+
+    fn end_faults(&mut self) {
+        self.loss_ratio = 0.0;
+        self.is_cut = [false; 2];
+        self.lacks_endpoints = [false; 2];
+        for gateway in 0..self.gateways.len() {
+            if std::mem::take(&mut self.gateways[gateway].is_drained) {
+                self.deliver(gateway, Event::OperatorCommand(OperatorCommand::Resume));
+            }
+            let ready = READY_ENDPOINTS;
+            self.deliver(gateway, Event::EndpointsUpdated { ready });
+        }
+    }
+
+    /// Kills a gateway that runs, and closes its paths; it starts again later.
+    fn kill(&mut self, gateway: usize) {
+        if !self.is_running(gateway) {
+            return;
+        }
+        self.gateways[gateway].multi_site = None;
+        let paths: Vec<PathId> = self
+            .paths
+            .iter()
+            .filter(|(_, (opener, peer))| *opener == gateway || *peer == gateway)
+            .map(|(path, _)| *path)
+            .collect();
+        for path in paths {
+            self.close_path(path, gateway, false);
+        }
+        let downtime = self.draw_span(SHORTEST_DOWNTIME_US, LONGEST_DOWNTIME_US);
+        self.schedule(downtime, SimulatedEvent::GatewayStarted { gateway });
+    }
+
+    /// A site loses all its endpoints, or has them again.
+    fn toggle_endpoints(&mut self, site: usize) {
+        self.lacks_endpoints[site] = !self.lacks_endpoints[site];
+        let ready = if self.lacks_endpoints[site] {
+            0
+        } else {
+            READY_ENDPOINTS
+        };
+        for gateway in self.gateways_of_site(site) {
+            self.deliver(gateway, Event::EndpointsUpdated { ready });
+        }
+    }
+
+    /// Drains a gateway that runs by hand, or resumes it.
+    fn toggle_drain(&mut self, gateway: usize) {
+        if !self.is_running(gateway) {
+            return;
+        }
+        let is_drained = !self.gateways[gateway].is_drained;
+        self.gateways[gateway].is_drained = is_drained;
+        let command = if is_drained {
+            OperatorCommand::Drain
+        } else {
+            OperatorCommand::Resume
+        };
+        self.deliver(gateway, Event::OperatorCommand(command));
     }
 }
--- a/crates/fault-injection/src/core/request_classes.rs
+++ b/crates/fault-injection/src/core/request_classes.rs
@@ -3,29 +3,41 @@
 use harrierdock_multi_site::RequestClass;
 use harrierdock_types::{IdempotencyScope, RetrySafety, TimeDelta};
 
+/// How long an idempotency group remembers a request.
 pub(super) const DEDUPLICATION_WINDOW: TimeDelta = TimeDelta(1_000_000);
+/// The longest time that a client waits.
 pub(super) const REQUEST_TIMEOUT: TimeDelta = TimeDelta(1_500_000);
+const LATENCY_OBJECTIVE: TimeDelta = TimeDelta(400_000);
+const LOW_PRIORITY_WEIGHT: f64 = 1.0;
+const HIGH_PRIORITY_WEIGHT: f64 = 5.0;
 
+/// One class for each kind of retry safety; those with an idempotency key, with and without a group that spans both sites.
 pub(super) fn request_classes() -> Vec<RequestClass> {
-    let class = |name: &str, repeat, priority_weight, spans| {
-        let (name, latency_objective) = (name.to_string(), TimeDelta(400_000));
-        RequestClass {
-            name,
-            retry_safety: repeat,
-            latency_objective,
-            timeout: REQUEST_TIMEOUT,
-            priority_weight,
-            deduplicates_across_sites: spans,
-        }
-    };
     let keyed = RetrySafety::IdempotencyKey {
         scope: IdempotencyScope::All,
         deduplication_window: DEDUPLICATION_WINDOW,
     };
     vec![
-        class("draft", RetrySafety::Idempotent, 1.0, false),
-        class("payment", keyed, 5.0, true),
-        class("ledger", keyed, 5.0, false),
-        class("lodge", RetrySafety::NonIdempotent, 5.0, false),
+        RequestClass {
+            priority_weight: LOW_PRIORITY_WEIGHT,
+            ..request_class("draft", RetrySafety::Idempotent)
+        },
+        RequestClass {
+            deduplicates_across_sites: true,
+            ..request_class("payment", keyed)
+        },
+        request_class("ledger", keyed),
+        request_class("lodge", RetrySafety::NonIdempotent),
     ]
 }
+
+fn request_class(name: &str, retry_safety: RetrySafety) -> RequestClass {
+    RequestClass {
+        name: name.to_string(),
+        retry_safety,
+        latency_objective: LATENCY_OBJECTIVE,
+        timeout: REQUEST_TIMEOUT,
+        priority_weight: HIGH_PRIORITY_WEIGHT,
+        deduplicates_across_sites: false,
+    }
+}
--- a/crates/fault-injection/src/core/rules.rs
+++ b/crates/fault-injection/src/core/rules.rs
@@ -1,78 +1,106 @@
-//! What happened, against the rules.
+//! Checks all that happened against the rules.
 
 use std::collections::BTreeSet;
 
-use harrierdock_multi_site::MultiSite;
+use harrierdock_multi_site::{MultiSite, RequestClass};
 use harrierdock_site_messages::ForwardingOutcome;
 use harrierdock_types::{RetrySafety, Timestamp};
 
 use super::findings::Findings;
 use super::request_classes::{request_classes, DEDUPLICATION_WINDOW};
-use super::simulation::{NetworkSimulation, SECOND, TICK};
+use super::simulation::{NetworkSimulation, SimulatedRequest, SECOND, TICK};
+
+const MINUTE_SECONDS: f64 = 60.0;
 
 impl NetworkSimulation {
+    /// What was found.
     pub(super) fn check_rules(mut self) -> Findings {
-        let request_classes = request_classes();
+        let classes = request_classes();
         let findings = &mut self.findings;
         for request in &self.requests {
-            let is_alive = self.gateways[request.gateway].incarnation == request.incarnation;
-            let repeat = request_classes[request.class].retry_safety;
-            if is_alive {
-                findings.accepted += 1;
-                findings.answered_once += u64::from(request.answers.len() == 1);
-                findings.unanswered += u64::from(request.answers.is_empty());
-                findings.late += u64::from(
-                    request
-                        .answers
-                        .iter()
-                        .any(|a| a.1 > request.deadline + TICK),
-                );
-            }
-            findings.answered_twice += u64::from(request.answers.len() > 1);
-            if repeat == RetrySafety::NonIdempotent {
-                findings.non_idempotent_run_twice += u64::from(request.runs.len() > 1);
-            }
-            if let RetrySafety::IdempotencyKey { .. } = repeat {
-                let first = request.runs.first().map(|r| r.1);
-                let apart =
-                    |r: &(usize, Timestamp)| first.is_some_and(|f| r.1 - f > DEDUPLICATION_WINDOW);
-                let sites: BTreeSet<usize> = request.runs.iter().map(|r| r.0).collect();
-                let strays =
-                    sites.len() > 1 && !request_classes[request.class].deduplicates_across_sites;
-                findings.repeats_outside_window +=
-                    u64::from(strays || request.runs.iter().any(apart));
+            if self.gateways[request.gateway].incarnation == request.incarnation {
+                check_accepted(findings, request);
             }
-            let first = request.answers.first().map(|a| a.0);
-            findings.succeeded_without_run +=
-                u64::from(first == Some(ForwardingOutcome::Succeeded) && request.runs.is_empty());
-            // A client may try again what was declined: that must not have run, once-only or outside a group.
-            let harmless = match repeat {
-                RetrySafety::Idempotent => true,
-                RetrySafety::IdempotencyKey { .. } => {
-                    request_classes[request.class].deduplicates_across_sites
-                }
-                RetrySafety::NonIdempotent => false,
-            };
-            let rejected = first == Some(ForwardingOutcome::NotAccepted);
-            findings.rejected_but_ran +=
-                u64::from(rejected && !harmless && !request.runs.is_empty());
+            let class = &classes[request.class.0];
+            check_runs(findings, request, class);
+            check_answers(findings, request, class);
         }
-        for points in self.traffic_moves.values() {
-            let within = |from: &Timestamp| {
-                points
-                    .iter()
-                    .filter(|p| **p >= *from && **p - *from < SECOND * 60.0)
-                    .count()
-            };
-            findings.max_traffic_moves_per_minute = findings
-                .max_traffic_moves_per_minute
-                .max(points.iter().map(within).max().unwrap_or(0) as u64);
-        }
-        for gateway in &self.gateways {
-            let open = gateway.multi_site.as_ref().map(MultiSite::open_requests);
-            let open = open.unwrap_or_default();
+        findings.max_traffic_moves_per_minute = self
+            .traffic_moves
+            .values()
+            .map(|moves| max_within_a_minute(moves))
+            .max()
+            .unwrap_or(0);
+        for multi_site in self.gateways.iter().flat_map(|g| &g.multi_site) {
+            let open = MultiSite::open_requests(multi_site);
             findings.left_open += (open.outbound + open.inbound) as u64;
         }
         self.findings
     }
 }
+
+/// A gateway that lives on owes each request one answer before its deadline.
+fn check_accepted(findings: &mut Findings, request: &SimulatedRequest) {
+    let latest = request.deadline + TICK;
+    let is_late = request.answers.iter().any(|answer| answer.at > latest);
+    findings.accepted += 1;
+    findings.answered_once += u64::from(request.answers.len() == 1);
+    findings.unanswered += u64::from(request.answers.is_empty());
+    findings.late += u64::from(is_late);
+}
+
+/// How often a request may run depends on its class.
+fn check_runs(findings: &mut Findings, request: &SimulatedRequest, class: &RequestClass) {
+    match class.retry_safety {
+        RetrySafety::Idempotent => {}
+        RetrySafety::IdempotencyKey { .. } => {
+            let is_outside = runs_outside_window(request, class);
+            findings.repeats_outside_window += u64::from(is_outside);
+        }
+        RetrySafety::NonIdempotent => {
+            findings.non_idempotent_run_twice += u64::from(request.runs.len() > 1);
+        }
+    }
+}
+
+/// Whether a request ran where, or when, its key was not remembered.
+fn runs_outside_window(request: &SimulatedRequest, class: &RequestClass) -> bool {
+    let Some(first) = request.runs.first() else {
+        return false;
+    };
+    let sites: BTreeSet<usize> = request.runs.iter().map(|run| run.site).collect();
+    let is_at_both_sites = sites.len() > 1 && !class.deduplicates_across_sites;
+    let mut runs = request.runs.iter();
+    is_at_both_sites || runs.any(|run| run.at - first.at > DEDUPLICATION_WINDOW)
+}
+
+/// An answer has to be the only one, and true.
+fn check_answers(findings: &mut Findings, request: &SimulatedRequest, class: &RequestClass) {
+    findings.answered_twice += u64::from(request.answers.len() > 1);
+    let Some(answer) = request.answers.first() else {
+        return;
+    };
+    let has_run = !request.runs.is_empty();
+    let is_succeeded = answer.outcome == ForwardingOutcome::Succeeded;
+    findings.succeeded_without_run += u64::from(is_succeeded && !has_run);
+    // Its client may send a rejected request again: unless a repeat is harmless, it must not have run.
+    let is_repeat_harmless = match class.retry_safety {
+        RetrySafety::Idempotent => true,
+        RetrySafety::IdempotencyKey { .. } => class.deduplicates_across_sites,
+        RetrySafety::NonIdempotent => false,
+    };
+    let is_rejected = answer.outcome == ForwardingOutcome::NotAccepted;
+    findings.rejected_but_ran += u64::from(is_rejected && !is_repeat_harmless && has_run);
+}
+
+/// The largest number of these points in time that lie within a minute.
+fn max_within_a_minute(points: &[Timestamp]) -> u64 {
+    let minute = SECOND * MINUTE_SECONDS;
+    let count_from = |first: &Timestamp| {
+        let within = points
+            .iter()
+            .filter(|point| **point >= *first && **point - *first < minute);
+        within.count() as u64
+    };
+    points.iter().map(count_from).max().unwrap_or(0)
+}
