--- a/crates/fault-injection/src/fleet/judge.rs
+++ b/crates/fault-injection/src/fleet/judge.rs
@@ -5,7 +5,7 @@
 use harrierdock_types::TimeDelta;
 use serde::Serialize;
 
-use super::crew::{Crew, Gateway, DUTIES, ELECTORS};
+use super::process_group::{Crew, Gateway, DUTIES, ELECTORS};
 use super::Day;
 use crate::simulation::{Answer, ClientRequest, Simulation, LATENCY_OBJECTIVE, REQUEST_TIMEOUT};
 
--- a/crates/fault-injection/src/fleet/mod.rs
+++ b/crates/fault-injection/src/fleet/mod.rs
@@ -1,10 +1,10 @@
 //! The rehearsal of one fleet: built gateways that share duties, with faults between them by the seed. The rules are
 //! judged by what those saw who were acted on; how fast it went is told and not judged.
 
-pub mod crew;
 pub mod faults;
 pub mod installation;
 mod judge;
+pub mod process_group;
 pub mod relay;
 
 use std::path::{Path, PathBuf};
@@ -16,9 +16,9 @@
 
 use crate::gateway_process::gateway_program;
 use crate::simulation::{GatewayTarget, Simulation, TimerEvent};
-use crew::{Crew, Ending};
 use faults::{Fault, Kind};
 pub use judge::Report;
+use process_group::{Crew, Ending};
 
 /// What is played.
 #[derive(Clone)]
--- a/crates/fault-injection/src/fleet/crew.rs
+++ b/crates/fault-injection/src/fleet/process_group/mod.rs
@@ -1,5 +1,8 @@
 //! The gateways of one fleet as processes, and what befalls them.
 
+mod configuration;
+mod fault_injection;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -7,19 +10,17 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use harrierdock_types::Timestamp;
-use nanorand::{Rng, WyRand};
+use nanorand::WyRand;
 use rustix::process::Signal;
 use serde_json::{json, Value};
 
-use super::faults::Kind;
-use super::installation::{Installation, STAGES};
+use configuration::settings;
+
+use super::installation::Installation;
 use super::relay::Relay;
 use super::Day;
 use crate::gateway_process::GatewayProcess;
-use crate::simulation::{
-    Simulation, DEDUPLICATION_WINDOW, FIRST_BUILD, INITIAL_CAPACITY_RATIO, LATENCY_OBJECTIVE,
-    OVERLOAD_RATIO, OVERLOAD_WINDOW, REQUEST_TIMEOUT, SLOW_START_DURATION,
-};
+use crate::simulation::{Simulation, FIRST_BUILD};
 use crate::stand_ins::{discovery_server, endpoint_list, Trace};
 
 const ZONE: &str = "hobart";
@@ -86,22 +87,6 @@
         .as_secs_f64()
 }
 
-fn settings(gateways: usize, ordinal: usize) -> Value {
-    let class = |name: &str, kind: &str, worth: f64| {
-        json!({"name": name, "aim": LATENCY_OBJECTIVE.0, "give_up": REQUEST_TIMEOUT.0, "idempotency": kind, "group": "all",
-            "memory_span": DEDUPLICATION_WINDOW.0, "worth": worth})
-    };
-    json!({
-        "az": ZONE, "azs": [ZONE], "balancers": gateways, "ordinal": ordinal, "tick": 5000,
-        "classes": [class("draft", "safe", 1.0), class("payment", "keyed", 5.0), class("lodge", "unsafe", 5.0)],
-        "family_info": {"exposure_caps": vec![1.0; STAGES], "steps": vec![1.0; STAGES], "counted_over": 2_000_000,
-            "spare_tries": 1.0, "vote_life": 4_000_000, "vote_wait": 400_000, "api_rate": 600.0,
-            "decided_by": "majority"},
-        "limits": {"max_attempts": 3, "cancel": true, "may_tell": true, "retry_after": true,
-            "max_retry_after": 1_000_000, "connect_timeout": 250_000, "conn_idle": 30_000_000},
-        "safety": {"cold_from": INITIAL_CAPACITY_RATIO, "ramp_time": SLOW_START_DURATION.0, "fall": OVERLOAD_WINDOW.0, "fall_multiple": OVERLOAD_RATIO}})
-}
-
 impl Crew {
     pub fn new(program: PathBuf, folder: PathBuf, day: &Day) -> std::io::Result<Crew> {
         let gateway = |ix: usize| {
@@ -136,21 +121,6 @@
         })
     }
 
-    /// The file of our own of one gateway.
-    pub fn with(&self, ix: usize) -> Value {
-        let names: Vec<&str> = self.gateways.iter().map(|g| g.name.as_str()).collect();
-        let electors = &names[..names.len().min(ELECTORS)];
-        let mut fleet = json!({"gateways": names, "electorate": electors, "lease_ms": self.day.lease_ms,
-            "heartbeat_ms": self.day.heartbeat_ms, "drift": SKEW, "duties": DUTIES,
-            "steward": {"installation": self.called_at, "bound_ms": 10_000}});
-        let Odd { rate, other_form } = self.gateways[ix].odd;
-        if rate.is_some() || other_form {
-            let form = if other_form { OTHER_FORM } else { 1 };
-            fleet["rehearsal"] = json!({"form": form, "clock_rate": rate.unwrap_or(1.0)});
-        }
-        json!({ "fleet": fleet })
-    }
-
     pub fn start(&mut self, simulation: &mut Simulation, ix: usize) -> Result<(), String> {
         let members: Vec<Value> = simulation
             .endpoints
@@ -332,117 +302,6 @@
         Ok(())
     }
 
-    /// The gateway that the installation last saw act, seven times in ten; else any.
-    fn target(&mut self) -> usize {
-        let any = self.chance.generate_range(0..self.gateways.len());
-        let last = self.installation.calls().last().map(|c| c.gateway.clone());
-        let holder = self
-            .gateways
-            .iter()
-            .position(|g| Some(&g.name) == last.as_ref());
-        holder
-            .filter(|_| self.chance.generate::<f64>() < 0.7)
-            .unwrap_or(any)
-    }
-
-    /// Nothing passes any more into these from all others, or out of them.
-    pub fn cut(&self, inside: &[usize], inward: bool, outward: bool) {
-        let all = self.gateways.len();
-        self.relay.change(|now| {
-            let pairs = inside.iter().flat_map(|a| (0..all).map(move |b| (*a, b)));
-            for (a, b) in pairs.filter(|(_, b)| !inside.contains(b)) {
-                now.cut.extend(inward.then_some((b, a)));
-                now.cut.extend(outward.then_some((a, b)));
-            }
-        });
-    }
-
-    /// A fault begins. Gives back whom it befalls.
-    pub fn befall(&mut self, simulation: &mut Simulation, kind: Kind) -> Vec<usize> {
-        let all = self.gateways.len();
-        let first = self.target();
-        let others =
-            |from: usize, many: usize| (0..many).map(|n| (from + n) % all).collect::<Vec<usize>>();
-        match kind {
-            Kind::Stall => {
-                self.stall(simulation, first);
-                vec![first]
-            }
-            Kind::Kill => {
-                self.kill(simulation, first);
-                vec![first]
-            }
-            Kind::KillMost => {
-                let most = others(first, all / 2 + 1);
-                most.iter().for_each(|ix| self.kill(simulation, *ix));
-                most
-            }
-            Kind::Cut | Kind::CutHalf | Kind::CutOneWay => {
-                let inside = others(first, if kind == Kind::CutHalf { all / 2 } else { 1 });
-                let (both, heard) = (kind != Kind::CutOneWay, self.chance.generate::<bool>());
-                self.cut(&inside, both || heard, both || !heard);
-                inside
-            }
-            Kind::Slow => {
-                self.relay.change(|now| {
-                    now.slow.insert(first, Duration::from_millis(250));
-                    (now.lost, now.doubled, now.overtaken, now.garbled) = (0.1, 0.1, 0.1, 0.05);
-                });
-                vec![first]
-            }
-            Kind::Skew => {
-                let fast = self.chance.generate::<bool>();
-                self.gateways[first].odd.rate = Some(if fast { 1.0 + SKEW } else { 1.0 - SKEW });
-                self.end(simulation, first, Ending::Restarts);
-                vec![first]
-            }
-            Kind::Mixed => {
-                let half: Vec<usize> = (0..all).step_by(2).collect();
-                half.iter()
-                    .for_each(|ix| self.gateways[*ix].odd.other_form = true);
-                half
-            }
-            Kind::Restart => (0..all).collect(),
-        }
-    }
-
-    /// A fault ends.
-    pub fn relent(
-        &mut self,
-        simulation: &mut Simulation,
-        kind: Kind,
-        whom: &[usize],
-    ) -> Result<(), String> {
-        match kind {
-            Kind::Stall => whom.iter().for_each(|ix| self.go_on(simulation, *ix)),
-            Kind::Kill | Kind::KillMost => {
-                for ix in whom {
-                    if self.gateways[*ix].process.is_none() {
-                        self.start(simulation, *ix)?;
-                    }
-                }
-            }
-            // Whatever else is cut between these is over as well.
-            Kind::Cut | Kind::CutHalf | Kind::CutOneWay => self.relay.change(|now| {
-                now.cut
-                    .retain(|(a, b)| whom.contains(a) == whom.contains(b));
-            }),
-            Kind::Slow => self.relay.change(|now| {
-                now.slow.clear();
-                (now.lost, now.doubled, now.overtaken, now.garbled) = (0.0, 0.0, 0.0, 0.0);
-            }),
-            Kind::Skew => whom.iter().for_each(|ix| {
-                self.gateways[*ix].odd.rate = None;
-                self.end(simulation, *ix, Ending::Restarts);
-            }),
-            Kind::Mixed => whom
-                .iter()
-                .for_each(|ix| self.gateways[*ix].odd.other_form = false),
-            Kind::Restart => {}
-        }
-        Ok(())
-    }
-
     /// The end of the run: nobody is stalled any more, and what was used is counted.
     pub fn close(&mut self, simulation: &mut Simulation) -> Result<(), String> {
         self.over_at = unix();
--- a/crates/gateway/tests/leases.rs
+++ b/crates/gateway/tests/leases.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use harrierdock_fault_injection::fleet::crew::{Ending, Odd};
 use harrierdock_fault_injection::fleet::installation::Seen;
+use harrierdock_fault_injection::fleet::process_group::{Ending, Odd};
 use harrierdock_fault_injection::fleet::{Day, Stage};
 use harrierdock_fault_injection::stand_ins::BOUND;
 use harrierdock_types::TimeDelta;
