--- a/crates/fault-injection/src/fleet/mod.rs
+++ b/crates/fault-injection/src/fleet/mod.rs
@@ -18,7 +18,7 @@
 use crate::simulation::{GatewayTarget, Simulation, TimerEvent};
 use faults::{Fault, Kind};
 pub use judge::Report;
-use process_group::{Crew, Ending};
+use process_group::{ProcessGroup, ShutdownPurpose};
 
 /// What is played.
 #[derive(Clone)]
@@ -84,7 +84,7 @@
 pub struct Stage {
     event_loop: EventLoop<'static, Simulation>,
     pub simulation: Simulation,
-    pub crew: Crew,
+    pub group: ProcessGroup,
 }
 
 /// How often gateways are looked after at the least.
@@ -108,11 +108,11 @@
             .try_for_each(|_| simulation.add_endpoint(0))
             .map_err(|error| error.to_string())?;
         simulation.gateways = vec![GatewayTarget::not_started(0); day.gateways];
-        let crew = Crew::new(program, folder.into(), day).map_err(|e| e.to_string())?;
+        let group = ProcessGroup::new(program, folder.into(), day).map_err(|e| e.to_string())?;
         Ok(Stage {
             event_loop,
             simulation,
-            crew,
+            group,
         })
     }
 
@@ -121,9 +121,9 @@
     /// # Errors
     /// A gateway does not start.
     pub fn start(&mut self) -> Result<Timestamp, String> {
-        (0..self.crew.gateways.len())
-            .try_for_each(|ix| self.crew.start(&mut self.simulation, ix))?;
-        let from = self.simulation.now() + TimeDelta(i64::from(self.crew.day.lease_ms) * 1000);
+        (0..self.group.gateways.len())
+            .try_for_each(|ix| self.group.start(&mut self.simulation, ix))?;
+        let from = self.simulation.now() + TimeDelta(i64::from(self.group.day.lease_ms) * 1000);
         self.simulation.sends_requests = true;
         self.simulation.timers.set(from, TimerEvent::Arrival(0));
         Ok(from)
@@ -145,12 +145,12 @@
             .dispatch(wait, &mut self.simulation)
             .map_err(|e| e.to_string())?;
         self.simulation.run_due_events();
-        self.crew.look(&mut self.simulation)
+        self.group.observe(&mut self.simulation)
     }
 }
 
 /// How many tenths there are, each of one gateway at the least.
-fn groups(day: &Day) -> usize {
+fn batches(day: &Day) -> usize {
     day.gateways.div_ceil(day.gateways.div_ceil(10))
 }
 
@@ -174,10 +174,10 @@
             _ => vec![],
         };
         for roll in rolls {
-            let groups = groups(day);
-            for group in 0..groups {
-                let second = roll + 0.01 + fault.seconds * group as f64 / groups as f64;
-                steps.push((at(second.min(day.seconds)), Step::Restart(ix, group)));
+            let batches = batches(day);
+            for batch in 0..batches {
+                let second = roll + 0.01 + fault.seconds * batch as f64 / batches as f64;
+                steps.push((at(second.min(day.seconds)), Step::Restart(ix, batch)));
             }
         }
     }
@@ -201,11 +201,11 @@
     let from = stage.start()?;
     let mut steps = script(day, &faults, from).into_iter().peekable();
     let mut whom = vec![Vec::new(); faults.len()];
-    let groups = groups(day);
+    let batches = batches(day);
     loop {
         stage.turn(steps.peek().map_or(from, |s| s.0))?;
         let Stage {
-            simulation, crew, ..
+            simulation, group, ..
         } = &mut stage;
         let now = simulation.now();
         progress((now - from).as_seconds() / (day.seconds + 2.2));
@@ -213,12 +213,12 @@
             continue;
         };
         match step {
-            Step::Begin(ix) => whom[ix] = crew.befall(simulation, faults[ix].kind),
-            Step::End(ix) => crew.relent(simulation, faults[ix].kind, &whom[ix])?,
-            Step::Restart(ix, group) => {
-                let some = (group..day.gateways).step_by(groups);
+            Step::Begin(ix) => whom[ix] = group.inject_fault(simulation, faults[ix].kind),
+            Step::End(ix) => group.end_fault(simulation, faults[ix].kind, &whom[ix])?,
+            Step::Restart(ix, batch) => {
+                let some = (batch..day.gateways).step_by(batches);
                 some.filter(|g| whom[ix].contains(g))
-                    .for_each(|g| crew.end(simulation, g, Ending::Restarts));
+                    .for_each(|g| group.shut_down(simulation, g, ShutdownPurpose::Restart));
             }
             Step::StopArrivals => simulation.sends_requests = false,
             Step::Over => break,
@@ -226,11 +226,11 @@
     }
     let Stage {
         mut simulation,
-        mut crew,
+        mut group,
         ..
     } = stage;
     let ran = (simulation.now() - from).as_seconds();
-    crew.close(&mut simulation)?;
+    group.shut_down_all(&mut simulation)?;
     let told: Vec<String> = faults.iter().map(Fault::to_string).collect();
-    Ok(judge::judge(day, &crew, &simulation, told, ran))
+    Ok(judge::judge(day, &group, &simulation, told, ran))
 }
--- a/crates/fault-injection/src/fleet/process_group/configuration.rs
+++ b/crates/fault-injection/src/fleet/process_group/configuration.rs
@@ -2,14 +2,14 @@
 
 use serde_json::{json, Value};
 
-use super::{Crew, Odd, DUTIES, ELECTORS, OTHER_FORM, SKEW, ZONE};
+use super::{ProcessGroup, StartOverrides, DUTIES, ELECTORS, OTHER_FORM, SKEW, ZONE};
 use crate::fleet::installation::STAGES;
 use crate::simulation::{
     DEDUPLICATION_WINDOW, INITIAL_CAPACITY_RATIO, LATENCY_OBJECTIVE, OVERLOAD_RATIO,
     OVERLOAD_WINDOW, REQUEST_TIMEOUT, SLOW_START_DURATION,
 };
 
-pub(super) fn settings(gateways: usize, ordinal: usize) -> Value {
+pub(super) fn policy_settings(gateways: usize, ordinal: usize) -> Value {
     let class = |name: &str, kind: &str, worth: f64| {
         json!({"name": name, "aim": LATENCY_OBJECTIVE.0, "give_up": REQUEST_TIMEOUT.0, "idempotency": kind, "group": "all",
             "memory_span": DEDUPLICATION_WINDOW.0, "worth": worth})
@@ -25,18 +25,25 @@
         "safety": {"cold_from": INITIAL_CAPACITY_RATIO, "ramp_time": SLOW_START_DURATION.0, "fall": OVERLOAD_WINDOW.0, "fall_multiple": OVERLOAD_RATIO}})
 }
 
-impl Crew {
+impl ProcessGroup {
     /// The file of our own of one gateway.
-    pub fn with(&self, ix: usize) -> Value {
+    pub fn extension_configuration(&self, ix: usize) -> Value {
         let names: Vec<&str> = self.gateways.iter().map(|g| g.name.as_str()).collect();
         let electors = &names[..names.len().min(ELECTORS)];
         let mut fleet = json!({"gateways": names, "electorate": electors, "lease_ms": self.day.lease_ms,
             "heartbeat_ms": self.day.heartbeat_ms, "drift": SKEW, "duties": DUTIES,
-            "steward": {"installation": self.called_at, "bound_ms": 10_000}});
-        let Odd { rate, other_form } = self.gateways[ix].odd;
-        if rate.is_some() || other_form {
-            let form = if other_form { OTHER_FORM } else { 1 };
-            fleet["rehearsal"] = json!({"form": form, "clock_rate": rate.unwrap_or(1.0)});
+            "steward": {"installation": self.rollout_address, "bound_ms": 10_000}});
+        let StartOverrides {
+            clock_rate,
+            uses_other_wire_format,
+        } = self.gateways[ix].overrides;
+        if clock_rate.is_some() || uses_other_wire_format {
+            let form = if uses_other_wire_format {
+                OTHER_FORM
+            } else {
+                1
+            };
+            fleet["rehearsal"] = json!({"form": form, "clock_rate": clock_rate.unwrap_or(1.0)});
         }
         json!({ "fleet": fleet })
     }
--- a/crates/fault-injection/src/fleet/process_group/fault_injection.rs
+++ b/crates/fault-injection/src/fleet/process_group/fault_injection.rs
@@ -4,26 +4,26 @@
 
 use nanorand::Rng;
 
-use super::{Crew, Ending, SKEW};
+use super::{ProcessGroup, ShutdownPurpose, SKEW};
 use crate::fleet::faults::Kind;
 use crate::simulation::Simulation;
 
-impl Crew {
+impl ProcessGroup {
     /// The gateway that the installation last saw act, seven times in ten; else any.
-    fn target(&mut self) -> usize {
-        let any = self.chance.generate_range(0..self.gateways.len());
+    fn draw_target(&mut self) -> usize {
+        let any = self.rng.generate_range(0..self.gateways.len());
         let last = self.installation.calls().last().map(|c| c.gateway.clone());
         let holder = self
             .gateways
             .iter()
             .position(|g| Some(&g.name) == last.as_ref());
         holder
-            .filter(|_| self.chance.generate::<f64>() < 0.7)
+            .filter(|_| self.rng.generate::<f64>() < 0.7)
             .unwrap_or(any)
     }
 
     /// Nothing passes any more into these from all others, or out of them.
-    pub fn cut(&self, inside: &[usize], inward: bool, outward: bool) {
+    pub fn cut_off(&self, inside: &[usize], inward: bool, outward: bool) {
         let all = self.gateways.len();
         self.relay.change(|now| {
             let pairs = inside.iter().flat_map(|a| (0..all).map(move |b| (*a, b)));
@@ -35,9 +35,9 @@
     }
 
     /// A fault begins. Gives back whom it befalls.
-    pub fn befall(&mut self, simulation: &mut Simulation, kind: Kind) -> Vec<usize> {
+    pub fn inject_fault(&mut self, simulation: &mut Simulation, kind: Kind) -> Vec<usize> {
         let all = self.gateways.len();
-        let first = self.target();
+        let first = self.draw_target();
         let others =
             |from: usize, many: usize| (0..many).map(|n| (from + n) % all).collect::<Vec<usize>>();
         match kind {
@@ -56,8 +56,8 @@
             }
             Kind::Cut | Kind::CutHalf | Kind::CutOneWay => {
                 let inside = others(first, if kind == Kind::CutHalf { all / 2 } else { 1 });
-                let (both, heard) = (kind != Kind::CutOneWay, self.chance.generate::<bool>());
-                self.cut(&inside, both || heard, both || !heard);
+                let (both, heard) = (kind != Kind::CutOneWay, self.rng.generate::<bool>());
+                self.cut_off(&inside, both || heard, both || !heard);
                 inside
             }
             Kind::Slow => {
@@ -68,15 +68,16 @@
                 vec![first]
             }
             Kind::Skew => {
-                let fast = self.chance.generate::<bool>();
-                self.gateways[first].odd.rate = Some(if fast { 1.0 + SKEW } else { 1.0 - SKEW });
-                self.end(simulation, first, Ending::Restarts);
+                let fast = self.rng.generate::<bool>();
+                self.gateways[first].overrides.clock_rate =
+                    Some(if fast { 1.0 + SKEW } else { 1.0 - SKEW });
+                self.shut_down(simulation, first, ShutdownPurpose::Restart);
                 vec![first]
             }
             Kind::Mixed => {
                 let half: Vec<usize> = (0..all).step_by(2).collect();
                 half.iter()
-                    .for_each(|ix| self.gateways[*ix].odd.other_form = true);
+                    .for_each(|ix| self.gateways[*ix].overrides.uses_other_wire_format = true);
                 half
             }
             Kind::Restart => (0..all).collect(),
@@ -84,14 +85,14 @@
     }
 
     /// A fault ends.
-    pub fn relent(
+    pub fn end_fault(
         &mut self,
         simulation: &mut Simulation,
         kind: Kind,
         whom: &[usize],
     ) -> Result<(), String> {
         match kind {
-            Kind::Stall => whom.iter().for_each(|ix| self.go_on(simulation, *ix)),
+            Kind::Stall => whom.iter().for_each(|ix| self.resume(simulation, *ix)),
             Kind::Kill | Kind::KillMost => {
                 for ix in whom {
                     if self.gateways[*ix].process.is_none() {
@@ -109,12 +110,12 @@
                 (now.lost, now.doubled, now.overtaken, now.garbled) = (0.0, 0.0, 0.0, 0.0);
             }),
             Kind::Skew => whom.iter().for_each(|ix| {
-                self.gateways[*ix].odd.rate = None;
-                self.end(simulation, *ix, Ending::Restarts);
+                self.gateways[*ix].overrides.clock_rate = None;
+                self.shut_down(simulation, *ix, ShutdownPurpose::Restart);
             }),
             Kind::Mixed => whom
                 .iter()
-                .for_each(|ix| self.gateways[*ix].odd.other_form = false),
+                .for_each(|ix| self.gateways[*ix].overrides.uses_other_wire_format = false),
             Kind::Restart => {}
         }
         Ok(())
--- a/crates/fault-injection/src/fleet/process_group/mod.rs
+++ b/crates/fault-injection/src/fleet/process_group/mod.rs
@@ -14,7 +14,7 @@
 use rustix::process::Signal;
 use serde_json::{json, Value};
 
-use configuration::settings;
+use configuration::policy_settings;
 
 use super::installation::Installation;
 use super::relay::Relay;
@@ -35,16 +35,16 @@
 
 /// What is odd about a gateway's next life.
 #[derive(Clone, Copy, Default, PartialEq)]
-pub struct Odd {
-    pub rate: Option<f64>,
-    pub other_form: bool,
+pub struct StartOverrides {
+    pub clock_rate: Option<f64>,
+    pub uses_other_wire_format: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
+pub enum ShutdownPurpose {
     /// It was told to end, and is started again once it has.
-    Restarts,
-    Ends,
+    Restart,
+    End,
 }
 
 pub struct Gateway {
@@ -52,77 +52,77 @@
     pub process: Option<GatewayProcess>,
     discovery: SocketAddr,
     // Discovery's stream lasts as long as there is somebody to speak.
-    _say: Sender<String>,
-    pub ending: Option<Ending>,
-    pub odd: Odd,
+    _list_sender: Sender<String>,
+    pub shutdown_purpose: Option<ShutdownPurpose>,
+    pub overrides: StartOverrides,
     /// Log lines on the fleet of all lives, and Unix time in seconds at which one was killed or stalled.
-    pub lines: Vec<String>,
-    pub stops: Vec<f64>,
+    pub lease_log_of_ended: Vec<String>,
+    pub stopped_at_unix: Vec<f64>,
     pub stalls: Vec<(Timestamp, Option<Timestamp>)>,
-    pub cpu: f64,
+    pub processor_time_us: f64,
 }
 
-pub struct Crew {
+pub struct ProcessGroup {
     pub program: PathBuf,
     pub folder: PathBuf,
     pub gateways: Vec<Gateway>,
     pub relay: Relay,
     pub installation: Installation,
     /// Where gateways call it.
-    pub called_at: SocketAddr,
+    pub rollout_address: SocketAddr,
     pub day: Day,
-    pub chance: WyRand,
+    pub rng: WyRand,
     /// Lives that were killed: what they had taken is nobody's.
     pub killed: BTreeSet<(usize, u32)>,
-    pub broken: u64,
+    pub logged_violations: u64,
     pub crashes: u64,
     /// Unix time at which the run was over.
-    pub over_at: f64,
+    pub ended_at_unix: f64,
 }
 
-pub fn unix() -> f64 {
+pub fn unix_time() -> f64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default()
         .as_secs_f64()
 }
 
-impl Crew {
-    pub fn new(program: PathBuf, folder: PathBuf, day: &Day) -> std::io::Result<Crew> {
+impl ProcessGroup {
+    pub fn new(program: PathBuf, folder: PathBuf, day: &Day) -> std::io::Result<ProcessGroup> {
         let gateway = |ix: usize| {
-            let (discovery, say) = discovery_server(&Trace::default());
+            let (discovery, list_sender) = discovery_server(&Trace::default());
             Gateway {
                 name: format!("g{ix}"),
                 process: None,
                 discovery,
-                _say: say,
-                ending: None,
-                odd: Odd::default(),
-                lines: Vec::new(),
-                stops: Vec::new(),
+                _list_sender: list_sender,
+                shutdown_purpose: None,
+                overrides: StartOverrides::default(),
+                lease_log_of_ended: Vec::new(),
+                stopped_at_unix: Vec::new(),
                 stalls: Vec::new(),
-                cpu: 0.0,
+                processor_time_us: 0.0,
             }
         };
         let installation = Installation::start(Duration::from_millis(day.pause_ms));
-        Ok(Crew {
+        Ok(ProcessGroup {
             program,
             folder,
             gateways: (0..day.gateways).map(gateway).collect(),
             relay: Relay::start(day.gateways, day.seed)?,
-            called_at: installation.address,
+            rollout_address: installation.address,
             installation,
             day: day.clone(),
-            chance: WyRand::new_seed(day.seed),
+            rng: WyRand::new_seed(day.seed),
             killed: BTreeSet::new(),
-            broken: 0,
+            logged_violations: 0,
             crashes: 0,
-            over_at: 0.0,
+            ended_at_unix: 0.0,
         })
     }
 
     pub fn start(&mut self, simulation: &mut Simulation, ix: usize) -> Result<(), String> {
-        let members: Vec<Value> = simulation
+        let endpoints: Vec<Value> = simulation
             .endpoints
             .iter()
             .enumerate()
@@ -136,28 +136,33 @@
             "{:016x}",
             self.day.seed.wrapping_mul(31).wrapping_add(ix as u64)
         );
-        let doors = &self.relay.doors[ix];
-        let told = json!({"name": gateway.name, "listen": "127.0.0.1:0", "discovery": gateway.discovery,
+        let peer_addresses = &self.relay.doors[ix];
+        let configuration = json!({"name": gateway.name, "listen": "127.0.0.1:0", "discovery": gateway.discovery,
             "seed": seed, "limits": {"memory_mb": 192, "sockets": 1024}, "peer_listen": "127.0.0.1:0",
-            "peers": doors, "peers_all": doors[ix], "rollouts": {"address": self.installation.address},
-            "known": endpoint_list(1, true, &members), "settings": settings(self.day.gateways, ix)});
-        let with = self.with(ix);
-        let with = Some(&with).filter(|_| !self.day.off);
-        let process =
-            GatewayProcess::start(&self.program, &self.folder, &gateway.name, &told, with)
-                .map_err(|error| error.to_string())?;
+            "peers": peer_addresses, "peers_all": peer_addresses[ix], "rollouts": {"address": self.installation.address},
+            "known": endpoint_list(1, true, &endpoints), "settings": policy_settings(self.day.gateways, ix)});
+        let extension_configuration = self.extension_configuration(ix);
+        let extension_configuration = Some(&extension_configuration).filter(|_| !self.day.off);
+        let process = GatewayProcess::start(
+            &self.program,
+            &self.folder,
+            &gateway.name,
+            &configuration,
+            extension_configuration,
+        )
+        .map_err(|error| error.to_string())?;
         if let Some(peers) = process.gossip_address {
             self.relay.lead(ix, peers);
         }
-        let door = &mut simulation.gateways[ix];
+        let client_target = &mut simulation.gateways[ix];
         (
-            door.address,
-            door.incarnation,
-            door.is_alive,
-            door.accepts_clients,
+            client_target.address,
+            client_target.incarnation,
+            client_target.is_alive,
+            client_target.accepts_clients,
         ) = (
             Some(process.listen_address),
-            door.incarnation + 1,
+            client_target.incarnation + 1,
             true,
             true,
         );
@@ -166,37 +171,37 @@
     }
 
     /// Gathers what a life leaves behind.
-    fn bury(&mut self, ix: usize) {
+    fn collect_ended(&mut self, ix: usize) {
         let gateway = &mut self.gateways[ix];
         let Some(mut process) = gateway.process.take() else {
             return;
         };
         process.read_log();
-        self.broken += process.violations.len() as u64;
+        self.logged_violations += process.violations.len() as u64;
         process
             .violations
             .iter()
             .for_each(|line| eprintln!("{}: {line}", gateway.name));
-        gateway.lines.append(&mut process.lease_log);
+        gateway.lease_log_of_ended.append(&mut process.lease_log);
     }
 
     pub fn kill(&mut self, simulation: &mut Simulation, ix: usize) {
         if self.gateways[ix].process.is_none() {
             return;
         }
-        self.count(ix);
+        self.count_processor_time(ix);
         if let Some(process) = &mut self.gateways[ix].process {
             process.kill();
         }
-        self.gateways[ix].stops.push(unix());
-        self.resume_mark(simulation, ix);
+        self.gateways[ix].stopped_at_unix.push(unix_time());
+        self.end_stall(simulation, ix);
         self.killed
             .insert((ix, simulation.gateways[ix].incarnation));
         (
             simulation.gateways[ix].is_alive,
             simulation.gateways[ix].accepts_clients,
         ) = (false, false);
-        self.bury(ix);
+        self.collect_ended(ix);
     }
 
     pub fn stall(&mut self, simulation: &mut Simulation, ix: usize) {
@@ -205,17 +210,17 @@
         let Some(process) = gateway
             .process
             .as_mut()
-            .filter(|_| gateway.ending.is_none())
+            .filter(|_| gateway.shutdown_purpose.is_none())
         else {
             return;
         };
         process.signal(Signal::STOP);
-        gateway.stops.push(unix());
+        gateway.stopped_at_unix.push(unix_time());
         gateway.stalls.push((now, None));
         simulation.gateways[ix].accepts_clients = false;
     }
 
-    fn resume_mark(&mut self, simulation: &Simulation, ix: usize) {
+    fn end_stall(&mut self, simulation: &Simulation, ix: usize) {
         let open = self.gateways[ix]
             .stalls
             .last_mut()
@@ -223,24 +228,29 @@
         open.into_iter().for_each(|s| s.1 = Some(simulation.now()));
     }
 
-    pub fn go_on(&mut self, simulation: &mut Simulation, ix: usize) {
+    pub fn resume(&mut self, simulation: &mut Simulation, ix: usize) {
         if let Some(process) = &self.gateways[ix].process {
             process.signal(Signal::CONT);
-            simulation.gateways[ix].accepts_clients = self.gateways[ix].ending.is_none();
+            simulation.gateways[ix].accepts_clients = self.gateways[ix].shutdown_purpose.is_none();
         }
-        self.resume_mark(simulation, ix);
+        self.end_stall(simulation, ix);
     }
 
-    /// Tells it to end in order; `look` starts it again where that is wanted.
-    pub fn end(&mut self, simulation: &mut Simulation, ix: usize, ending: Ending) {
+    /// Tells it to end in order; `observe` starts it again where that is wanted.
+    pub fn shut_down(
+        &mut self,
+        simulation: &mut Simulation,
+        ix: usize,
+        shutdown_purpose: ShutdownPurpose,
+    ) {
         let gateway = &mut self.gateways[ix];
         if let Some(process) = gateway
             .process
             .as_ref()
-            .filter(|_| gateway.ending.is_none())
+            .filter(|_| gateway.shutdown_purpose.is_none())
         {
             process.signal(Signal::TERM);
-            gateway.ending = Some(ending);
+            gateway.shutdown_purpose = Some(shutdown_purpose);
             simulation.gateways[ix].accepts_clients = false;
         }
     }
@@ -250,7 +260,7 @@
         let gateway = &self.gateways[ix];
         let now = gateway.process.iter().flat_map(|p| &p.lease_log);
         gateway
-            .lines
+            .lease_log_of_ended
             .iter()
             .chain(now)
             .any(|line| line.contains(part))
@@ -262,26 +272,26 @@
             format!(" fleet: holds {duty},"),
             format!(" fleet: {duty} ended,"),
         );
-        let holding = |gateway: &Gateway| {
-            let lines = gateway.process.as_ref()?.lease_log.iter().rev();
-            let last = lines
+        let is_holder = |gateway: &Gateway| {
+            let lease_log_of_ended = gateway.process.as_ref()?.lease_log.iter().rev();
+            let last = lease_log_of_ended
                 .into_iter()
                 .find(|l| l.contains(&holds) || l.contains(&ended))?;
             Some(last.contains(&holds))
         };
-        (0..self.gateways.len()).find(|ix| holding(&self.gateways[*ix]) == Some(true))
+        (0..self.gateways.len()).find(|ix| is_holder(&self.gateways[*ix]) == Some(true))
     }
 
-    fn count(&mut self, ix: usize) {
+    fn count_processor_time(&mut self, ix: usize) {
         let used = self.gateways[ix]
             .process
             .as_ref()
             .map_or(0.0, |p| p.resource_usage().processor_time_us);
-        self.gateways[ix].cpu += used;
+        self.gateways[ix].processor_time_us += used;
     }
 
     /// Hears all, and starts again those that have ended and are to come back.
-    pub fn look(&mut self, simulation: &mut Simulation) -> Result<(), String> {
+    pub fn observe(&mut self, simulation: &mut Simulation) -> Result<(), String> {
         for ix in 0..self.gateways.len() {
             let gateway = &mut self.gateways[ix];
             let Some(process) = &mut gateway.process else {
@@ -291,11 +301,11 @@
             let Some(status) = process.exit_status() else {
                 continue;
             };
-            self.crashes += u64::from(!status.success() || gateway.ending.is_none());
-            let ending = gateway.ending.take();
-            self.bury(ix);
+            self.crashes += u64::from(!status.success() || gateway.shutdown_purpose.is_none());
+            let shutdown_purpose = gateway.shutdown_purpose.take();
+            self.collect_ended(ix);
             simulation.gateways[ix].is_alive = false;
-            if ending == Some(Ending::Restarts) {
+            if shutdown_purpose == Some(ShutdownPurpose::Restart) {
                 self.start(simulation, ix)?;
             }
         }
@@ -303,16 +313,16 @@
     }
 
     /// The end of the run: nobody is stalled any more, and what was used is counted.
-    pub fn close(&mut self, simulation: &mut Simulation) -> Result<(), String> {
-        self.over_at = unix();
+    pub fn shut_down_all(&mut self, simulation: &mut Simulation) -> Result<(), String> {
+        self.ended_at_unix = unix_time();
         for ix in 0..self.gateways.len() {
-            self.go_on(simulation, ix);
-            self.count(ix);
-            self.end(simulation, ix, Ending::Ends);
+            self.resume(simulation, ix);
+            self.count_processor_time(ix);
+            self.shut_down(simulation, ix, ShutdownPurpose::End);
         }
         let from = simulation.now();
         while self.gateways.iter().any(|g| g.process.is_some()) {
-            self.look(simulation)?;
+            self.observe(simulation)?;
             if (simulation.now() - from).as_seconds() > 20.0 {
                 return Err("a gateway told to end did not: look at its log".into());
             }
