--- a/crates/fault-injection/src/cli/mod.rs
+++ b/crates/fault-injection/src/cli/mod.rs
@@ -231,7 +231,8 @@
         off: arguments.without_leases,
         ..fleet::Day::default()
     };
-    let report = fleet::play(&day, ratio_progress()).map_err(CliError::Run)?;
+    let report =
+        fleet::play(&day, ratio_progress()).map_err(|error| CliError::Run(error.to_string()))?;
     print_report(&report, report.ok)
 }
 
--- a/crates/fault-injection/src/fleet/judge.rs
+++ b/crates/fault-injection/src/fleet/judge.rs
@@ -113,7 +113,7 @@
         group.gateways[g]
             .stalls
             .iter()
-            .any(|(from, to)| *from < until && to.is_none_or(|to| to > txn.sent_at))
+            .any(|stall| stall.start < until && stall.end.is_none_or(|end| end > txn.sent_at))
     };
     let (mut asked, mut earned, mut declined, mut all) = (0.0, 0.0, 0_u64, 0_u64);
     for txn in &simulation.requests {
--- a/crates/fault-injection/src/fleet/mod.rs
+++ b/crates/fault-injection/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The rehearsal of one fleet: built gateways that share duties, with faults between them by the seed. The rules are
 //! judged by what those saw who were acted on; how fast it went is told and not judged.
 
+mod error;
 pub mod faults;
 pub mod installation;
 mod judge;
@@ -15,9 +16,12 @@
 use nanorand::WyRand;
 
 use crate::gateway_process::gateway_program;
+use crate::run_folder::RunFolder;
 use crate::simulation::{GatewayTarget, Simulation, TimerEvent};
-use faults::{Fault, Kind};
+pub use error::FleetError;
 pub use judge::Report;
+
+use faults::{Fault, Kind};
 use process_group::{ProcessGroup, ShutdownPurpose};
 
 /// What is played.
@@ -68,16 +72,9 @@
     Over,
 }
 
-pub fn play(day: &Day, progress: impl FnMut(f64)) -> Result<Report, String> {
-    let folder = std::env::temp_dir().join(format!(
-        "harrierdock-lease-{}-{}",
-        std::process::id(),
-        day.seed
-    ));
-    std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let played = on_stage(day, &folder, progress);
-    let _ = std::fs::remove_dir_all(&folder);
-    played
+pub fn play(day: &Day, progress: impl FnMut(f64)) -> Result<Report, FleetError> {
+    let folder = RunFolder::create("harrierdock-lease", &day.seed.to_string())?;
+    on_stage(day, folder.path(), progress)
 }
 
 /// A fleet with its servers and clients, on one loop.
@@ -95,8 +92,8 @@
     ///
     /// # Errors
     /// No sockets are to be had.
-    pub fn new(day: &Day, program: PathBuf, folder: &Path) -> Result<Stage, String> {
-        let event_loop: EventLoop<Simulation> = EventLoop::try_new().map_err(|e| e.to_string())?;
+    pub fn new(day: &Day, program: PathBuf, folder: &Path) -> Result<Stage, FleetError> {
+        let event_loop: EventLoop<Simulation> = EventLoop::try_new()?;
         let net = IoContext::new(
             event_loop.handle(),
             BufferPool::new(2048),
@@ -104,11 +101,9 @@
         );
         let mut simulation = Simulation::new(net, day.seed, true);
         simulation.requests_per_second = [day.rate, 0.0];
-        (0..day.servers)
-            .try_for_each(|_| simulation.add_endpoint(0))
-            .map_err(|error| error.to_string())?;
+        (0..day.servers).try_for_each(|_| simulation.add_endpoint(0))?;
         simulation.gateways = vec![GatewayTarget::not_started(0); day.gateways];
-        let group = ProcessGroup::new(program, folder.into(), day).map_err(|e| e.to_string())?;
+        let group = ProcessGroup::new(program, folder.into(), day)?;
         Ok(Stage {
             event_loop,
             simulation,
@@ -120,7 +115,7 @@
     ///
     /// # Errors
     /// A gateway does not start.
-    pub fn start(&mut self) -> Result<Timestamp, String> {
+    pub fn start(&mut self) -> Result<Timestamp, FleetError> {
         (0..self.group.gateways.len())
             .try_for_each(|ix| self.group.start(&mut self.simulation, ix))?;
         let from = self.simulation.now() + TimeDelta(i64::from(self.group.day.lease_ms) * 1000);
@@ -133,7 +128,7 @@
     ///
     /// # Errors
     /// The loop fails, or a gateway does not start again.
-    pub fn turn(&mut self, until: Timestamp) -> Result<(), String> {
+    pub fn turn(&mut self, until: Timestamp) -> Result<(), FleetError> {
         let wait = until.min(self.simulation.now() + NAP);
         let wait = self
             .simulation
@@ -141,9 +136,7 @@
             .next_deadline()
             .map_or(wait, |due| due.min(wait));
         let wait = self.simulation.io.clock.duration_until(wait);
-        self.event_loop
-            .dispatch(wait, &mut self.simulation)
-            .map_err(|e| e.to_string())?;
+        self.event_loop.dispatch(wait, &mut self.simulation)?;
         self.simulation.run_due_events();
         self.group.observe(&mut self.simulation)
     }
@@ -185,7 +178,7 @@
     steps
 }
 
-fn on_stage(day: &Day, folder: &Path, mut progress: impl FnMut(f64)) -> Result<Report, String> {
+fn on_stage(day: &Day, folder: &Path, mut progress: impl FnMut(f64)) -> Result<Report, FleetError> {
     let faults = match &day.faults[..] {
         [] => faults::draw(
             &mut WyRand::new_seed(day.seed ^ 0x4641_554c_5453),
@@ -193,11 +186,7 @@
         ),
         told => told.to_vec(),
     };
-    let mut stage = Stage::new(
-        day,
-        gateway_program().map_err(|error| error.to_string())?,
-        folder,
-    )?;
+    let mut stage = Stage::new(day, gateway_program()?, folder)?;
     let from = stage.start()?;
     let mut steps = script(day, &faults, from).into_iter().peekable();
     let mut whom = vec![Vec::new(); faults.len()];
--- a/crates/fault-injection/src/fleet/process_group/configuration.rs
+++ b/crates/fault-injection/src/fleet/process_group/configuration.rs
@@ -1,18 +1,29 @@
-//! What the gateways of a fleet are configured with.
+//! What the gateways of a fleet are configured with. The names on the wire stand in this file alone.
 
 use serde_json::{json, Value};
 
-use super::{ProcessGroup, StartOverrides, DUTIES, ELECTORS, OTHER_FORM, SKEW, ZONE};
+use super::{ProcessGroup, DUTIES, ELECTORS, SKEW};
 use crate::fleet::installation::STAGES;
 use crate::simulation::{
-    DEDUPLICATION_WINDOW, INITIAL_CAPACITY_RATIO, LATENCY_OBJECTIVE, OVERLOAD_RATIO,
-    OVERLOAD_WINDOW, REQUEST_TIMEOUT, SLOW_START_DURATION,
+    Endpoint, DEDUPLICATION_WINDOW, FIRST_BUILD, INITIAL_CAPACITY_RATIO, LATENCY_OBJECTIVE,
+    OVERLOAD_RATIO, OVERLOAD_WINDOW, REQUEST_TIMEOUT, SLOW_START_DURATION,
 };
+use crate::stand_ins::endpoint_list;
 
-pub(super) fn policy_settings(gateways: usize, ordinal: usize) -> Value {
-    let class = |name: &str, kind: &str, worth: f64| {
-        json!({"name": name, "aim": LATENCY_OBJECTIVE.0, "give_up": REQUEST_TIMEOUT.0, "idempotency": kind, "group": "all",
-            "memory_span": DEDUPLICATION_WINDOW.0, "worth": worth})
+const ZONE: &str = "hobart";
+/// The lease messages' usual wire format, and another one.
+const USUAL_WIRE_FORMAT: u8 = 1;
+const OTHER_WIRE_FORMAT: u8 = 2;
+const ENDPOINT_LIST_VERSION: u32 = 1;
+/// Within this time a call to the deployment controller takes effect.
+const ROLLOUT_COMMAND_BOUND_MS: u32 = 10_000;
+
+/// The `settings` of a gateway's configuration.
+fn policy_settings(gateways: usize, ordinal: usize) -> Value {
+    let class = |name: &str, idempotency: &str, priority_weight: f64| {
+        json!({"name": name, "aim": LATENCY_OBJECTIVE.0, "give_up": REQUEST_TIMEOUT.0,
+            "idempotency": idempotency, "group": "all", "memory_span": DEDUPLICATION_WINDOW.0,
+            "worth": priority_weight})
     };
     json!({
         "az": ZONE, "azs": [ZONE], "balancers": gateways, "ordinal": ordinal, "tick": 5000,
@@ -22,28 +33,51 @@
             "decided_by": "majority"},
         "limits": {"max_attempts": 3, "cancel": true, "may_tell": true, "retry_after": true,
             "max_retry_after": 1_000_000, "connect_timeout": 250_000, "conn_idle": 30_000_000},
-        "safety": {"cold_from": INITIAL_CAPACITY_RATIO, "ramp_time": SLOW_START_DURATION.0, "fall": OVERLOAD_WINDOW.0, "fall_multiple": OVERLOAD_RATIO}})
+        "safety": {"cold_from": INITIAL_CAPACITY_RATIO, "ramp_time": SLOW_START_DURATION.0,
+            "fall": OVERLOAD_WINDOW.0, "fall_multiple": OVERLOAD_RATIO}})
+}
+
+fn endpoint_record(index: usize, endpoint: &Endpoint) -> Value {
+    json!({"id": format!("s-{index}"), "host_port": endpoint.address, "locality": ZONE, "flavor": "m",
+        "cell": 0, "phase": "ready", "size": 1.0, "up_since_ms": 0, "revision_no": FIRST_BUILD})
 }
 
 impl ProcessGroup {
-    /// The file of our own of one gateway.
-    pub fn extension_configuration(&self, ix: usize) -> Value {
+    /// The configuration of a gateway that knows these endpoints from its last start.
+    pub(super) fn configuration(&self, index: usize, endpoints: &[Endpoint]) -> Value {
+        let gateway = &self.gateways[index];
+        let seed = self.day.seed.wrapping_mul(31);
+        let seed = seed.wrapping_add(index as u64);
+        let peer_addresses = &self.relay.doors[index];
+        let records: Vec<Value> = endpoints
+            .iter()
+            .enumerate()
+            .map(|(index, endpoint)| endpoint_record(index, endpoint))
+            .collect();
+        json!({"name": gateway.name, "listen": "127.0.0.1:0", "discovery": gateway.discovery,
+            "seed": format!("{seed:016x}"), "limits": {"memory_mb": 192, "sockets": 1024},
+            "peer_listen": "127.0.0.1:0", "peers": peer_addresses, "peers_all": peer_addresses[index],
+            "rollouts": {"address": self.installation.address},
+            "known": endpoint_list(ENDPOINT_LIST_VERSION, true, &records),
+            "settings": policy_settings(self.day.gateways, index)})
+    }
+
+    /// The extension configuration of a gateway that takes part in leases.
+    pub fn extension_configuration(&self, index: usize) -> Value {
         let names: Vec<&str> = self.gateways.iter().map(|g| g.name.as_str()).collect();
         let electors = &names[..names.len().min(ELECTORS)];
         let mut fleet = json!({"gateways": names, "electorate": electors, "lease_ms": self.day.lease_ms,
             "heartbeat_ms": self.day.heartbeat_ms, "drift": SKEW, "duties": DUTIES,
-            "steward": {"installation": self.rollout_address, "bound_ms": 10_000}});
-        let StartOverrides {
-            clock_rate,
-            uses_other_wire_format,
-        } = self.gateways[ix].overrides;
-        if clock_rate.is_some() || uses_other_wire_format {
-            let form = if uses_other_wire_format {
-                OTHER_FORM
+            "steward": {"installation": self.rollout_address, "bound_ms": ROLLOUT_COMMAND_BOUND_MS}});
+        let overrides = self.gateways[index].overrides;
+        if overrides.clock_rate.is_some() || overrides.uses_other_wire_format {
+            let wire_format = if overrides.uses_other_wire_format {
+                OTHER_WIRE_FORMAT
             } else {
-                1
+                USUAL_WIRE_FORMAT
             };
-            fleet["rehearsal"] = json!({"form": form, "clock_rate": clock_rate.unwrap_or(1.0)});
+            let clock_rate = overrides.clock_rate.unwrap_or(1.0);
+            fleet["rehearsal"] = json!({"form": wire_format, "clock_rate": clock_rate});
         }
         json!({ "fleet": fleet })
     }
--- a/crates/fault-injection/src/fleet/process_group/fault_injection.rs
+++ b/crates/fault-injection/src/fleet/process_group/fault_injection.rs
@@ -1,123 +1,181 @@
-//! What befalls the gateways of a fleet.
+//! Faults of the gateways of a fleet, and their ends.
 
 use std::time::Duration;
 
 use nanorand::Rng;
 
 use super::{ProcessGroup, ShutdownPurpose, SKEW};
+use crate::fleet::error::FleetError;
 use crate::fleet::faults::Kind;
+use crate::fleet::relay::Conditions;
 use crate::simulation::Simulation;
 
+/// How often a fault is aimed at the gateway that last acted on a lease.
+const HOLDER_PROBABILITY: f64 = 0.7;
+const SLOW_DATAGRAM_DELAY: Duration = Duration::from_millis(250);
+/// Shares of all datagrams while one gateway's are slow.
+const LOSS_RATIO: f64 = 0.1;
+const REPEAT_RATIO: f64 = 0.1;
+const REORDERING_RATIO: f64 = 0.1;
+const CORRUPTION_RATIO: f64 = 0.05;
+
+/// Which datagrams of a partitioned part of a fleet are dropped.
+#[derive(Clone, Copy)]
+struct DroppedDirections {
+    inward: bool,
+    outward: bool,
+}
+
 impl ProcessGroup {
-    /// The gateway that the installation last saw act, seven times in ten; else any.
+    /// The gateway that the deployment controller saw act last, at its probability; else any.
     fn draw_target(&mut self) -> usize {
         let any = self.rng.generate_range(0..self.gateways.len());
-        let last = self.installation.calls().last().map(|c| c.gateway.clone());
-        let holder = self
-            .gateways
-            .iter()
-            .position(|g| Some(&g.name) == last.as_ref());
-        holder
-            .filter(|_| self.rng.generate::<f64>() < 0.7)
-            .unwrap_or(any)
+        let last_call = self.installation.calls().pop();
+        let holder = last_call.and_then(|call| {
+            let mut names = self.gateways.iter().map(|gateway| &gateway.name);
+            names.position(|name| *name == call.gateway)
+        });
+        match holder {
+            Some(holder) if self.rng.generate::<f64>() < HOLDER_PROBABILITY => holder,
+            _ => any,
+        }
     }
 
-    /// Nothing passes any more into these from all others, or out of them.
+    /// Drops the datagrams that these gateways get from all others (inward), or send to them (outward).
     pub fn cut_off(&self, inside: &[usize], inward: bool, outward: bool) {
-        let all = self.gateways.len();
-        self.relay.change(|now| {
-            let pairs = inside.iter().flat_map(|a| (0..all).map(move |b| (*a, b)));
-            for (a, b) in pairs.filter(|(_, b)| !inside.contains(b)) {
-                now.cut.extend(inward.then_some((b, a)));
-                now.cut.extend(outward.then_some((a, b)));
+        let outside: Vec<usize> = (0..self.gateways.len())
+            .filter(|gateway| !inside.contains(gateway))
+            .collect();
+        self.relay.change(|conditions| {
+            for near in inside {
+                for far in &outside {
+                    conditions.cut.extend(inward.then_some((*far, *near)));
+                    conditions.cut.extend(outward.then_some((*near, *far)));
+                }
             }
         });
     }
 
-    /// A fault begins. Gives back whom it befalls.
+    /// Begins a fault, and returns the gateways that it is about.
     pub fn inject_fault(&mut self, simulation: &mut Simulation, kind: Kind) -> Vec<usize> {
         let all = self.gateways.len();
-        let first = self.draw_target();
-        let others =
-            |from: usize, many: usize| (0..many).map(|n| (from + n) % all).collect::<Vec<usize>>();
+        let target = self.draw_target();
+        let following = |count: usize| -> Vec<usize> {
+            let gateways = (target..).take(count);
+            gateways.map(|gateway| gateway % all).collect()
+        };
         match kind {
-            Kind::Stall => {
-                self.stall(simulation, first);
-                vec![first]
-            }
-            Kind::Kill => {
-                self.kill(simulation, first);
-                vec![first]
-            }
+            Kind::Stall => self.stall(simulation, target),
+            Kind::Kill => self.kill(simulation, target),
             Kind::KillMost => {
-                let most = others(first, all / 2 + 1);
-                most.iter().for_each(|ix| self.kill(simulation, *ix));
-                most
+                let majority = following(all / 2 + 1);
+                for gateway in &majority {
+                    self.kill(simulation, *gateway);
+                }
+                return majority;
             }
             Kind::Cut | Kind::CutHalf | Kind::CutOneWay => {
-                let inside = others(first, if kind == Kind::CutHalf { all / 2 } else { 1 });
-                let (both, heard) = (kind != Kind::CutOneWay, self.rng.generate::<bool>());
-                self.cut_off(&inside, both || heard, both || !heard);
-                inside
-            }
-            Kind::Slow => {
-                self.relay.change(|now| {
-                    now.slow.insert(first, Duration::from_millis(250));
-                    (now.lost, now.doubled, now.overtaken, now.garbled) = (0.1, 0.1, 0.1, 0.05);
-                });
-                vec![first]
-            }
-            Kind::Skew => {
-                let fast = self.rng.generate::<bool>();
-                self.gateways[first].overrides.clock_rate =
-                    Some(if fast { 1.0 + SKEW } else { 1.0 - SKEW });
-                self.shut_down(simulation, first, ShutdownPurpose::Restart);
-                vec![first]
+                let count = if kind == Kind::CutHalf { all / 2 } else { 1 };
+                let inside = following(count);
+                let dropped = self.draw_directions(kind);
+                self.cut_off(&inside, dropped.inward, dropped.outward);
+                return inside;
             }
+            Kind::Slow => self.relay.change(|conditions| {
+                conditions.slow.insert(target, SLOW_DATAGRAM_DELAY);
+                set_datagram_faults(conditions);
+            }),
+            Kind::Skew => self.skew_clock(simulation, target),
             Kind::Mixed => {
                 let half: Vec<usize> = (0..all).step_by(2).collect();
-                half.iter()
-                    .for_each(|ix| self.gateways[*ix].overrides.uses_other_wire_format = true);
-                half
+                self.set_wire_format(&half, true);
+                return half;
             }
-            Kind::Restart => (0..all).collect(),
+            Kind::Restart => return (0..all).collect(),
+        }
+        vec![target]
+    }
+
+    /// Both directions, or one drawn by the seed.
+    fn draw_directions(&mut self, kind: Kind) -> DroppedDirections {
+        let is_inward = self.rng.generate::<bool>();
+        let both = kind != Kind::CutOneWay;
+        DroppedDirections {
+            inward: both || is_inward,
+            outward: both || !is_inward,
         }
     }
 
-    /// A fault ends.
+    /// Restarts a gateway with a clock that runs fast or slow.
+    fn skew_clock(&mut self, simulation: &mut Simulation, gateway: usize) {
+        let is_fast = self.rng.generate::<bool>();
+        let clock_rate = if is_fast { 1.0 + SKEW } else { 1.0 - SKEW };
+        self.gateways[gateway].overrides.clock_rate = Some(clock_rate);
+        self.shut_down(simulation, gateway, ShutdownPurpose::Restart);
+    }
+
+    fn set_wire_format(&mut self, gateways: &[usize], uses_other: bool) {
+        for gateway in gateways {
+            let overrides = &mut self.gateways[*gateway].overrides;
+            overrides.uses_other_wire_format = uses_other;
+        }
+    }
+
+    /// Ends a fault that was about these gateways.
+    ///
+    /// # Errors
+    ///
+    /// A killed gateway does not start again.
     pub fn end_fault(
         &mut self,
         simulation: &mut Simulation,
         kind: Kind,
-        whom: &[usize],
-    ) -> Result<(), String> {
+        gateways: &[usize],
+    ) -> Result<(), FleetError> {
         match kind {
-            Kind::Stall => whom.iter().for_each(|ix| self.resume(simulation, *ix)),
+            Kind::Stall => {
+                for gateway in gateways {
+                    self.resume(simulation, *gateway);
+                }
+            }
             Kind::Kill | Kind::KillMost => {
-                for ix in whom {
-                    if self.gateways[*ix].process.is_none() {
-                        self.start(simulation, *ix)?;
+                for gateway in gateways {
+                    if self.gateways[*gateway].process.is_none() {
+                        self.start(simulation, *gateway)?;
                     }
                 }
             }
-            // Whatever else is cut between these is over as well.
-            Kind::Cut | Kind::CutHalf | Kind::CutOneWay => self.relay.change(|now| {
-                now.cut
-                    .retain(|(a, b)| whom.contains(a) == whom.contains(b));
-            }),
-            Kind::Slow => self.relay.change(|now| {
-                now.slow.clear();
-                (now.lost, now.doubled, now.overtaken, now.garbled) = (0.0, 0.0, 0.0, 0.0);
+            // Whatever else is cut between these parts ends as well.
+            Kind::Cut | Kind::CutHalf | Kind::CutOneWay => self.relay.change(|conditions| {
+                conditions
+                    .cut
+                    .retain(|(from, to)| gateways.contains(from) == gateways.contains(to));
             }),
-            Kind::Skew => whom.iter().for_each(|ix| {
-                self.gateways[*ix].overrides.clock_rate = None;
-                self.shut_down(simulation, *ix, ShutdownPurpose::Restart);
-            }),
-            Kind::Mixed => whom
-                .iter()
-                .for_each(|ix| self.gateways[*ix].overrides.uses_other_wire_format = false),
+            Kind::Slow => self.relay.change(clear_datagram_faults),
+            Kind::Skew => {
+                for gateway in gateways {
+                    self.gateways[*gateway].overrides.clock_rate = None;
+                    self.shut_down(simulation, *gateway, ShutdownPurpose::Restart);
+                }
+            }
+            Kind::Mixed => self.set_wire_format(gateways, false),
             Kind::Restart => {}
         }
         Ok(())
     }
 }
+
+fn set_datagram_faults(conditions: &mut Conditions) {
+    conditions.lost = LOSS_RATIO;
+    conditions.doubled = REPEAT_RATIO;
+    conditions.overtaken = REORDERING_RATIO;
+    conditions.garbled = CORRUPTION_RATIO;
+}
+
+fn clear_datagram_faults(conditions: &mut Conditions) {
+    conditions.slow.clear();
+    conditions.lost = 0.0;
+    conditions.doubled = 0.0;
+    conditions.overtaken = 0.0;
+    conditions.garbled = 0.0;
+}
--- a/crates/fault-injection/src/fleet/process_group/mod.rs
+++ b/crates/fault-injection/src/fleet/process_group/mod.rs
@@ -1,4 +1,4 @@
-//! The gateways of one fleet as processes, and what befalls them.
+//! The gateways of one fleet as processes: started, stalled, killed and shut down, with what each leaves behind.
 
 mod configuration;
 mod fault_injection;
@@ -9,106 +9,161 @@
 use std::sync::mpsc::Sender;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use harrierdock_types::Timestamp;
+use harrierdock_types::{TimeDelta, Timestamp};
 use nanorand::WyRand;
 use rustix::process::Signal;
-use serde_json::{json, Value};
-
-use configuration::policy_settings;
 
+use super::error::FleetError;
 use super::installation::Installation;
 use super::relay::Relay;
 use super::Day;
 use crate::gateway_process::GatewayProcess;
-use crate::simulation::{Simulation, FIRST_BUILD};
-use crate::stand_ins::{discovery_server, endpoint_list, Trace};
+use crate::simulation::Simulation;
+use crate::stand_ins::{discovery_server, Trace};
 
-const ZONE: &str = "hobart";
-/// The error of a skewed clock's rate, which is the drift that gateways are told.
+/// The error of a skewed clock's rate, which is the drift that gateways are configured with.
 const SKEW: f64 = 0.02;
-/// The form that a mixed gateway writes and reads.
-const OTHER_FORM: u8 = 2;
+/// How long all gateways together may take to shut down.
+const SHUTDOWN_TIMEOUT: TimeDelta = TimeDelta(20_000_000);
+const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The leases of a fleet, by their names on the wire.
 pub const DUTIES: [&str; 2] = ["steward", "heir"];
 /// Electors at the most.
 pub const ELECTORS: usize = 5;
 
-/// What is odd about a gateway's next life.
-#[derive(Clone, Copy, Default, PartialEq)]
+/// What differs from the usual at a gateway's next start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct StartOverrides {
+    /// The rate of its clock.
     pub clock_rate: Option<f64>,
+    /// It writes and reads another format of messages.
     pub uses_other_wire_format: bool,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+/// Why a gateway was asked to shut down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShutdownPurpose {
-    /// It was told to end, and is started again once it has.
+    /// To be started again once it has ended.
     Restart,
+    /// For good.
     End,
 }
 
+/// A time in which a gateway was stopped between two instructions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stall {
+    /// When it began.
+    pub start: Timestamp,
+    /// When it ended, if it has.
+    pub end: Option<Timestamp>,
+}
+
+/// A gateway over all its incarnations.
 pub struct Gateway {
+    /// Its name.
     pub name: String,
+    /// The incarnation that runs.
     pub process: Option<GatewayProcess>,
     discovery: SocketAddr,
-    // Discovery's stream lasts as long as there is somebody to speak.
+    // Discovery's stream lasts as long as this.
     _list_sender: Sender<String>,
+    /// Set while it shuts down.
     pub shutdown_purpose: Option<ShutdownPurpose>,
+    /// What differs at its next start.
     pub overrides: StartOverrides,
-    /// Log lines on the fleet of all lives, and Unix time in seconds at which one was killed or stalled.
+    /// What its ended incarnations logged on leases.
     pub lease_log_of_ended: Vec<String>,
+    /// When it was killed or stalled, in seconds of Unix time.
     pub stopped_at_unix: Vec<f64>,
-    pub stalls: Vec<(Timestamp, Option<Timestamp>)>,
+    /// When it was stalled.
+    pub stalls: Vec<Stall>,
+    /// Processor time of its incarnations that were killed, or ran at the end, in microseconds.
     pub processor_time_us: f64,
 }
 
+impl Gateway {
+    fn new(index: usize) -> Gateway {
+        let (discovery, list_sender) = discovery_server(&Trace::default());
+        Gateway {
+            name: format!("g{index}"),
+            process: None,
+            discovery,
+            _list_sender: list_sender,
+            shutdown_purpose: None,
+            overrides: StartOverrides::default(),
+            lease_log_of_ended: Vec::new(),
+            stopped_at_unix: Vec::new(),
+            stalls: Vec::new(),
+            processor_time_us: 0.0,
+        }
+    }
+
+    /// Whether the running incarnation holds a lease by its own log; none if it logged nothing of it.
+    fn is_holder(&self, duty: &str) -> Option<bool> {
+        let acquired = format!(" fleet: holds {duty},");
+        let ended = format!(" fleet: {duty} ended,");
+        let mut newest_first = self.process.as_ref()?.lease_log.iter().rev();
+        let last = newest_first.find(|line| line.contains(&acquired) || line.contains(&ended))?;
+        Some(last.contains(&acquired))
+    }
+
+    fn end_stall(&mut self, now: Timestamp) {
+        if let Some(stall) = self.stalls.last_mut() {
+            stall.end.get_or_insert(now);
+        }
+    }
+
+    fn count_processor_time(&mut self) {
+        if let Some(process) = &self.process {
+            self.processor_time_us += process.resource_usage().processor_time_us;
+        }
+    }
+}
+
+/// The gateways of one fleet, and what they talk to.
 pub struct ProcessGroup {
-    pub program: PathBuf,
-    pub folder: PathBuf,
+    program: PathBuf,
+    folder: PathBuf,
+    /// The gateways, by their numbers.
     pub gateways: Vec<Gateway>,
+    /// Carries the datagrams between them.
     pub relay: Relay,
+    /// The deployment controller and the rollout platform.
     pub installation: Installation,
-    /// Where gateways call it.
+    /// Where gateways call the deployment controller.
     pub rollout_address: SocketAddr,
+    /// What is played.
     pub day: Day,
-    pub rng: WyRand,
-    /// Lives that were killed: what they had taken is nobody's.
+    rng: WyRand,
+    /// Killed incarnations, which owe no answer to what they had accepted.
     pub killed: BTreeSet<(usize, u32)>,
+    /// Logged lines that report a violated invariant or a panic.
     pub logged_violations: u64,
+    /// Gateways that ended by themselves, or failed.
     pub crashes: u64,
-    /// Unix time at which the run was over.
+    /// When the run was over, in seconds of Unix time.
     pub ended_at_unix: f64,
 }
 
-pub fn unix_time() -> f64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_secs_f64()
+/// Seconds of Unix time.
+fn unix_time() -> f64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default().as_secs_f64()
 }
 
 impl ProcessGroup {
-    pub fn new(program: PathBuf, folder: PathBuf, day: &Day) -> std::io::Result<ProcessGroup> {
-        let gateway = |ix: usize| {
-            let (discovery, list_sender) = discovery_server(&Trace::default());
-            Gateway {
-                name: format!("g{ix}"),
-                process: None,
-                discovery,
-                _list_sender: list_sender,
-                shutdown_purpose: None,
-                overrides: StartOverrides::default(),
-                lease_log_of_ended: Vec::new(),
-                stopped_at_unix: Vec::new(),
-                stalls: Vec::new(),
-                processor_time_us: 0.0,
-            }
-        };
+    /// Gateways that do not run yet, with all that they talk to.
+    ///
+    /// # Errors
+    ///
+    /// A socket is not to be had.
+    pub fn new(program: PathBuf, folder: PathBuf, day: &Day) -> Result<ProcessGroup, FleetError> {
         let installation = Installation::start(Duration::from_millis(day.pause_ms));
         Ok(ProcessGroup {
             program,
             folder,
-            gateways: (0..day.gateways).map(gateway).collect(),
+            gateways: (0..day.gateways).map(Gateway::new).collect(),
             relay: Relay::start(day.gateways, day.seed)?,
             rollout_address: installation.address,
             installation,
@@ -121,179 +176,117 @@
         })
     }
 
-    pub fn start(&mut self, simulation: &mut Simulation, ix: usize) -> Result<(), String> {
-        let endpoints: Vec<Value> = simulation
-            .endpoints
-            .iter()
-            .enumerate()
-            .map(|(at, server)| {
-                json!({"id": format!("s-{at}"), "host_port": server.address, "locality": ZONE, "flavor": "m",
-                "cell": 0, "phase": "ready", "size": 1.0, "up_since_ms": 0, "revision_no": FIRST_BUILD})
-            })
-            .collect();
-        let gateway = &self.gateways[ix];
-        let seed = format!(
-            "{:016x}",
-            self.day.seed.wrapping_mul(31).wrapping_add(ix as u64)
-        );
-        let peer_addresses = &self.relay.doors[ix];
-        let configuration = json!({"name": gateway.name, "listen": "127.0.0.1:0", "discovery": gateway.discovery,
-            "seed": seed, "limits": {"memory_mb": 192, "sockets": 1024}, "peer_listen": "127.0.0.1:0",
-            "peers": peer_addresses, "peers_all": peer_addresses[ix], "rollouts": {"address": self.installation.address},
-            "known": endpoint_list(1, true, &endpoints), "settings": policy_settings(self.day.gateways, ix)});
-        let extension_configuration = self.extension_configuration(ix);
-        let extension_configuration = Some(&extension_configuration).filter(|_| !self.day.off);
+    /// Starts a gateway, which gets a new incarnation.
+    ///
+    /// # Errors
+    ///
+    /// It does not start.
+    pub fn start(&mut self, simulation: &mut Simulation, index: usize) -> Result<(), FleetError> {
+        let configuration = self.configuration(index, &simulation.endpoints);
+        let extensions = (!self.day.off).then(|| self.extension_configuration(index));
         let process = GatewayProcess::start(
             &self.program,
             &self.folder,
-            &gateway.name,
+            &self.gateways[index].name,
             &configuration,
-            extension_configuration,
-        )
-        .map_err(|error| error.to_string())?;
-        if let Some(peers) = process.gossip_address {
-            self.relay.lead(ix, peers);
+            extensions.as_ref(),
+        )?;
+        if let Some(address) = process.gossip_address {
+            self.relay.lead(index, address);
         }
-        let client_target = &mut simulation.gateways[ix];
-        (
-            client_target.address,
-            client_target.incarnation,
-            client_target.is_alive,
-            client_target.accepts_clients,
-        ) = (
-            Some(process.listen_address),
-            client_target.incarnation + 1,
-            true,
-            true,
-        );
-        self.gateways[ix].process = Some(process);
+        let target = &mut simulation.gateways[index];
+        target.address = Some(process.listen_address);
+        target.incarnation += 1;
+        target.is_alive = true;
+        target.accepts_clients = true;
+        self.gateways[index].process = Some(process);
         Ok(())
     }
 
-    /// Gathers what a life leaves behind.
-    fn collect_ended(&mut self, ix: usize) {
-        let gateway = &mut self.gateways[ix];
-        let Some(mut process) = gateway.process.take() else {
+    /// Kills a gateway that runs.
+    pub fn kill(&mut self, simulation: &mut Simulation, index: usize) {
+        let gateway = &mut self.gateways[index];
+        gateway.count_processor_time();
+        let Some(process) = &mut gateway.process else {
             return;
         };
-        process.read_log();
-        self.logged_violations += process.violations.len() as u64;
-        process
-            .violations
-            .iter()
-            .for_each(|line| eprintln!("{}: {line}", gateway.name));
-        gateway.lease_log_of_ended.append(&mut process.lease_log);
-    }
-
-    pub fn kill(&mut self, simulation: &mut Simulation, ix: usize) {
-        if self.gateways[ix].process.is_none() {
-            return;
-        }
-        self.count_processor_time(ix);
-        if let Some(process) = &mut self.gateways[ix].process {
-            process.kill();
-        }
-        self.gateways[ix].stopped_at_unix.push(unix_time());
-        self.end_stall(simulation, ix);
-        self.killed
-            .insert((ix, simulation.gateways[ix].incarnation));
-        (
-            simulation.gateways[ix].is_alive,
-            simulation.gateways[ix].accepts_clients,
-        ) = (false, false);
-        self.collect_ended(ix);
+        process.kill();
+        gateway.stopped_at_unix.push(unix_time());
+        gateway.end_stall(simulation.now());
+        let target = &mut simulation.gateways[index];
+        target.is_alive = false;
+        target.accepts_clients = false;
+        self.killed.insert((index, target.incarnation));
+        self.collect_ended(index);
     }
 
-    pub fn stall(&mut self, simulation: &mut Simulation, ix: usize) {
-        let now = simulation.now();
-        let gateway = &mut self.gateways[ix];
-        let Some(process) = gateway
-            .process
-            .as_mut()
-            .filter(|_| gateway.shutdown_purpose.is_none())
-        else {
+    /// Stops a gateway between two instructions, unless it shuts down.
+    pub fn stall(&mut self, simulation: &mut Simulation, index: usize) {
+        let gateway = &mut self.gateways[index];
+        let Some(process) = &gateway.process else {
             return;
         };
+        if gateway.shutdown_purpose.is_some() {
+            return;
+        }
+        let start = simulation.now();
         process.signal(Signal::STOP);
         gateway.stopped_at_unix.push(unix_time());
-        gateway.stalls.push((now, None));
-        simulation.gateways[ix].accepts_clients = false;
+        gateway.stalls.push(Stall { start, end: None });
+        simulation.gateways[index].accepts_clients = false;
     }
 
-    fn end_stall(&mut self, simulation: &Simulation, ix: usize) {
-        let open = self.gateways[ix]
-            .stalls
-            .last_mut()
-            .filter(|s| s.1.is_none());
-        open.into_iter().for_each(|s| s.1 = Some(simulation.now()));
-    }
-
-    pub fn resume(&mut self, simulation: &mut Simulation, ix: usize) {
-        if let Some(process) = &self.gateways[ix].process {
+    /// Lets a stalled gateway go on.
+    pub fn resume(&mut self, simulation: &mut Simulation, index: usize) {
+        let gateway = &mut self.gateways[index];
+        if let Some(process) = &gateway.process {
             process.signal(Signal::CONT);
-            simulation.gateways[ix].accepts_clients = self.gateways[ix].shutdown_purpose.is_none();
+            simulation.gateways[index].accepts_clients = gateway.shutdown_purpose.is_none();
         }
-        self.end_stall(simulation, ix);
+        gateway.end_stall(simulation.now());
     }
 
-    /// Tells it to end in order; `observe` starts it again where that is wanted.
+    /// Asks a gateway to shut down, once; [`ProcessGroup::observe`] starts it again where that is its purpose.
     pub fn shut_down(
         &mut self,
         simulation: &mut Simulation,
-        ix: usize,
-        shutdown_purpose: ShutdownPurpose,
+        index: usize,
+        purpose: ShutdownPurpose,
     ) {
-        let gateway = &mut self.gateways[ix];
-        if let Some(process) = gateway
-            .process
-            .as_ref()
-            .filter(|_| gateway.shutdown_purpose.is_none())
-        {
-            process.signal(Signal::TERM);
-            gateway.shutdown_purpose = Some(shutdown_purpose);
-            simulation.gateways[ix].accepts_clients = false;
+        let gateway = &mut self.gateways[index];
+        let Some(process) = &gateway.process else {
+            return;
+        };
+        if gateway.shutdown_purpose.is_some() {
+            return;
         }
+        process.signal(Signal::TERM);
+        gateway.shutdown_purpose = Some(purpose);
+        simulation.gateways[index].accepts_clients = false;
     }
 
-    /// Whether a gateway has logged this of the fleet, in any of its lives.
-    pub fn logged(&self, ix: usize, part: &str) -> bool {
-        let gateway = &self.gateways[ix];
-        let now = gateway.process.iter().flat_map(|p| &p.lease_log);
-        gateway
-            .lease_log_of_ended
-            .iter()
-            .chain(now)
-            .any(|line| line.contains(part))
+    /// Whether any incarnation of a gateway has logged this on leases.
+    pub fn logged(&self, index: usize, text: &str) -> bool {
+        let gateway = &self.gateways[index];
+        let running = gateway.process.iter().flat_map(|p| &p.lease_log);
+        let mut lines = gateway.lease_log_of_ended.iter().chain(running);
+        lines.any(|line| line.contains(text))
     }
 
-    /// Who holds a duty by its own log, of those that run.
+    /// The gateway that holds a lease by its own log.
     pub fn holder(&self, duty: &str) -> Option<usize> {
-        let (holds, ended) = (
-            format!(" fleet: holds {duty},"),
-            format!(" fleet: {duty} ended,"),
-        );
-        let is_holder = |gateway: &Gateway| {
-            let lease_log_of_ended = gateway.process.as_ref()?.lease_log.iter().rev();
-            let last = lease_log_of_ended
-                .into_iter()
-                .find(|l| l.contains(&holds) || l.contains(&ended))?;
-            Some(last.contains(&holds))
-        };
-        (0..self.gateways.len()).find(|ix| is_holder(&self.gateways[*ix]) == Some(true))
+        let mut gateways = self.gateways.iter();
+        gateways.position(|gateway| gateway.is_holder(duty) == Some(true))
     }
 
-    fn count_processor_time(&mut self, ix: usize) {
-        let used = self.gateways[ix]
-            .process
-            .as_ref()
-            .map_or(0.0, |p| p.resource_usage().processor_time_us);
-        self.gateways[ix].processor_time_us += used;
-    }
-
-    /// Hears all, and starts again those that have ended and are to come back.
-    pub fn observe(&mut self, simulation: &mut Simulation) -> Result<(), String> {
-        for ix in 0..self.gateways.len() {
-            let gateway = &mut self.gateways[ix];
+    /// Reads all logs, and starts again the gateways that have ended in a restart.
+    ///
+    /// # Errors
+    ///
+    /// A gateway does not start.
+    pub fn observe(&mut self, simulation: &mut Simulation) -> Result<(), FleetError> {
+        for index in 0..self.gateways.len() {
+            let gateway = &mut self.gateways[index];
             let Some(process) = &mut gateway.process else {
                 continue;
             };
@@ -301,32 +294,50 @@
             let Some(status) = process.exit_status() else {
                 continue;
             };
-            self.crashes += u64::from(!status.success() || gateway.shutdown_purpose.is_none());
-            let shutdown_purpose = gateway.shutdown_purpose.take();
-            self.collect_ended(ix);
-            simulation.gateways[ix].is_alive = false;
-            if shutdown_purpose == Some(ShutdownPurpose::Restart) {
-                self.start(simulation, ix)?;
+            let purpose = gateway.shutdown_purpose.take();
+            self.crashes += u64::from(!status.success() || purpose.is_none());
+            self.collect_ended(index);
+            simulation.gateways[index].is_alive = false;
+            if purpose == Some(ShutdownPurpose::Restart) {
+                self.start(simulation, index)?;
             }
         }
         Ok(())
     }
 
-    /// The end of the run: nobody is stalled any more, and what was used is counted.
-    pub fn shut_down_all(&mut self, simulation: &mut Simulation) -> Result<(), String> {
+    /// Collects the log of an incarnation that has ended.
+    fn collect_ended(&mut self, index: usize) {
+        let gateway = &mut self.gateways[index];
+        let Some(mut process) = gateway.process.take() else {
+            return;
+        };
+        process.read_log();
+        self.logged_violations += process.violations.len() as u64;
+        for line in &process.violations {
+            eprintln!("{}: {line}", gateway.name);
+        }
+        gateway.lease_log_of_ended.append(&mut process.lease_log);
+    }
+
+    /// Ends the run: resumes and shuts down all gateways, and waits until they have ended.
+    ///
+    /// # Errors
+    ///
+    /// One of them does not end in time.
+    pub fn shut_down_all(&mut self, simulation: &mut Simulation) -> Result<(), FleetError> {
         self.ended_at_unix = unix_time();
-        for ix in 0..self.gateways.len() {
-            self.resume(simulation, ix);
-            self.count_processor_time(ix);
-            self.shut_down(simulation, ix, ShutdownPurpose::End);
+        for index in 0..self.gateways.len() {
+            self.resume(simulation, index);
+            self.gateways[index].count_processor_time();
+            self.shut_down(simulation, index, ShutdownPurpose::End);
         }
-        let from = simulation.now();
+        let deadline = simulation.now() + SHUTDOWN_TIMEOUT;
         while self.gateways.iter().any(|g| g.process.is_some()) {
             self.observe(simulation)?;
-            if (simulation.now() - from).as_seconds() > 20.0 {
-                return Err("a gateway told to end did not: look at its log".into());
+            if simulation.now() > deadline {
+                return Err(FleetError::StillRunning);
             }
-            std::thread::sleep(Duration::from_millis(5));
+            std::thread::sleep(SHUTDOWN_POLL_INTERVAL);
         }
         Ok(())
     }
