--- a/crates/fault-injection/src/duties/mod.rs
+++ b/crates/fault-injection/src/duties/mod.rs
@@ -1,6 +1,6 @@
 //! Duties of one fleet in simulated time: faults that overlap, drawn by the seed, and then what they did.
 
-mod world;
+mod simulation;
 
 use std::collections::BTreeSet;
 
@@ -8,7 +8,7 @@
 use hdrhistogram::Histogram;
 use nanorand::{Rng, WyRand};
 use serde::Serialize;
-use world::{NodeIx, Roads, Turn, World, DUTIES};
+use simulation::{GatewayIndex, HoldingChange, LeaseSimulation, NetworkConditions, LEASES};
 
 /// Seconds of a day of faults: none before, then trouble, then quiet in which all duties must be held again.
 const CALM: f64 = 4.0;
@@ -64,47 +64,55 @@
     [3, 5, 7][seed as usize % 3].min(gateways)
 }
 
-fn some(chance: &mut WyRand, n: usize, part: f64) -> BTreeSet<NodeIx> {
-    (0..n).filter(|_| chance.generate::<f64>() < part).collect()
+fn some(rng: &mut WyRand, n: usize, part: f64) -> BTreeSet<GatewayIndex> {
+    (0..n).filter(|_| rng.generate::<f64>() < part).collect()
 }
 
 /// One fault begins, and lasts so many seconds.
-fn fault(world: &mut World, until: f64) {
-    let n = world.nodes.len();
-    let mut chance = WyRand::new_seed(world.chance.generate());
-    let duty = DUTIES[chance.generate_range(0..DUTIES.len())];
+fn fault(simulation: &mut LeaseSimulation, until: f64) {
+    let n = simulation.gateways.len();
+    let mut rng = WyRand::new_seed(simulation.rng.generate());
+    let duty = LEASES[rng.generate_range(0..LEASES.len())];
     // Those that matter are hit more often than chance would have it.
-    let one = match chance.generate_range(0..3) {
-        0 => chance.generate_range(0..n),
-        1 => world.electors()[chance.generate_range(0..world.electors().len())],
-        _ => world.holder(duty).unwrap_or(0),
+    let one = match rng.generate_range(0..3) {
+        0 => rng.generate_range(0..n),
+        1 => simulation.electors()[rng.generate_range(0..simulation.electors().len())],
+        _ => simulation.holder(duty).unwrap_or(0),
     };
-    let back = TimeDelta::from_seconds(0.05 + 3.0 * chance.generate::<f64>());
-    let lasts = TimeDelta::from_seconds((until - world.now.as_seconds()).max(0.1));
-    match chance.generate_range(0..10) {
-        0 => world.kill(one, Some(back)),
+    let back = TimeDelta::from_seconds(0.05 + 3.0 * rng.generate::<f64>());
+    let lasts = TimeDelta::from_seconds((until - simulation.now.as_seconds()).max(0.1));
+    match rng.generate_range(0..10) {
+        0 => simulation.kill(one, Some(back)),
         1 => {
-            let part = 0.4 + 0.6 * chance.generate::<f64>();
-            for node in some(&mut chance, n, part) {
-                world.kill(
+            let part = 0.4 + 0.6 * rng.generate::<f64>();
+            for node in some(&mut rng, n, part) {
+                simulation.kill(
                     node,
-                    Some(TimeDelta::from_seconds(0.02 + chance.generate::<f64>())),
+                    Some(TimeDelta::from_seconds(0.02 + rng.generate::<f64>())),
                 );
             }
         }
-        2 | 3 => world.nodes[one].still_until = world.now + lasts * chance.generate::<f64>(),
-        4 => world.roads.cut = Some((some(&mut chance, n, 0.5), false)),
-        5 => world.roads.cut = Some((some(&mut chance, n, 0.5), true)),
-        6 => world.roads.cut = Some(([one].into(), chance.generate())),
-        7 => world.roads.delay = 0.6 * chance.generate::<f64>(),
+        2 | 3 => {
+            simulation.gateways[one].stalled_until = simulation.now + lasts * rng.generate::<f64>()
+        }
+        4 => simulation.network.partition = Some((some(&mut rng, n, 0.5), false)),
+        5 => simulation.network.partition = Some((some(&mut rng, n, 0.5), true)),
+        6 => simulation.network.partition = Some(([one].into(), rng.generate())),
+        7 => simulation.network.longest_delay_seconds = 0.6 * rng.generate::<f64>(),
         8 => {
-            let mut part = |most: f64| most * chance.generate::<f64>();
-            (world.roads.loss, world.roads.doubled) = (part(0.3), part(0.3));
-            (world.roads.garbled, world.roads.late) = (part(0.1), part(0.2));
+            let mut part = |most: f64| most * rng.generate::<f64>();
+            (
+                simulation.network.loss_ratio,
+                simulation.network.repeat_ratio,
+            ) = (part(0.3), part(0.3));
+            (
+                simulation.network.corruption_ratio,
+                simulation.network.reordering_ratio,
+            ) = (part(0.1), part(0.2));
         }
         _ => {
-            for node in some(&mut chance, n, 0.1).into_iter().chain([one]) {
-                world.restart(node, Some(back));
+            for node in some(&mut rng, n, 0.1).into_iter().chain([one]) {
+                simulation.restart(node, Some(back));
             }
         }
     }
@@ -121,95 +129,96 @@
 }
 
 fn day(seed: u64, gateways: usize, found: &mut Found) {
-    let mut world = World::new(seed, gateways, electors(seed, gateways));
-    world.run(at(CALM));
-    let mut chance = WyRand::new_seed(!seed);
+    let mut simulation = LeaseSimulation::new(seed, gateways, electors(seed, gateways));
+    simulation.run(at(CALM));
+    let mut rng = WyRand::new_seed(!seed);
     let mut last = CALM;
     // Faults begin at any moment and last into each other; what roads suffer ends now and then.
     while last < CALM + TROUBLE {
-        let until = last + 0.3 + 5.0 * chance.generate::<f64>();
-        for _ in 0..chance.generate_range(1..4) {
-            fault(&mut world, until);
+        let until = last + 0.3 + 5.0 * rng.generate::<f64>();
+        for _ in 0..rng.generate_range(1..4) {
+            fault(&mut simulation, until);
         }
-        last += 0.1 + 2.0 * chance.generate::<f64>();
-        world.run(at(last));
-        if chance.generate::<f64>() < 0.4 {
-            world.roads = Roads {
-                delay: 0.002,
-                ..Roads::default()
+        last += 0.1 + 2.0 * rng.generate::<f64>();
+        simulation.run(at(last));
+        if rng.generate::<f64>() < 0.4 {
+            simulation.network = NetworkConditions {
+                longest_delay_seconds: 0.002,
+                ..NetworkConditions::default()
             };
         }
     }
-    world.roads = Roads {
-        delay: 0.002,
-        ..Roads::default()
+    simulation.network = NetworkConditions {
+        longest_delay_seconds: 0.002,
+        ..NetworkConditions::default()
     };
-    world.run(at(last + QUIET));
-    let unheld = DUTIES
+    simulation.run(at(last + QUIET));
+    let unheld = LEASES
         .iter()
-        .filter(|duty| world.holder(**duty).is_none())
+        .filter(|duty| simulation.holder(**duty).is_none())
         .count() as u64;
-    let bad = world.two_holders + world.epochs_back + world.guard_saw_two + unheld;
+    let bad =
+        simulation.two_holders + simulation.epochs_back + simulation.guard_admitted_two + unheld;
     if bad > 0 && found.first_bad_seed.is_none() {
         found.first_bad_seed = Some(seed);
     }
     found.left_unheld += unheld;
-    collect(&world, found);
+    collect(&simulation, found);
 }
 
-fn collect(world: &World, found: &mut Found) {
-    found.two_holders += world.two_holders;
-    found.guard_saw_two += world.guard_saw_two;
-    found.epochs_back += world.epochs_back;
-    found.acts += world.acts;
-    found.acts_refused += world.refused;
-    found.messages_unread += world.unread;
-    found.longest_message = found.longest_message.max(world.longest);
+fn collect(simulation: &LeaseSimulation, found: &mut Found) {
+    found.two_holders += simulation.two_holders;
+    found.guard_saw_two += simulation.guard_admitted_two;
+    found.epochs_back += simulation.epochs_back;
+    found.acts += simulation.acts;
+    found.acts_refused += simulation.acts_refused;
+    found.messages_unread += simulation.messages_unread;
+    found.longest_message = found.longest_message.max(simulation.longest_message);
 }
 
 /// One holder dies, or ends in order, and nothing else is amiss: how long nobody holds its duty.
 fn handed(seed: u64, gateways: usize, dies: bool, found: &mut Found, gaps: &mut Histogram<u64>) {
-    let mut world = World::new(seed, gateways, electors(seed, gateways));
-    world.run(at(CALM + 8.0 + (seed % 97) as f64 / 50.0));
-    let duty = DUTIES[seed as usize % DUTIES.len()];
-    let Some(holder) = world.holder(duty) else {
+    let mut simulation = LeaseSimulation::new(seed, gateways, electors(seed, gateways));
+    simulation.run(at(CALM + 8.0 + (seed % 97) as f64 / 50.0));
+    let duty = LEASES[seed as usize % LEASES.len()];
+    let Some(holder) = simulation.holder(duty) else {
         found.left_unheld += 1;
         return;
     };
-    let (from, turns) = (world.now, world.turns.len());
+    let (from, turns) = (simulation.now, simulation.holding_changes.len());
     if dies {
-        world.kill(holder, None);
+        simulation.kill(holder, None);
     } else {
-        world.restart(holder, None);
+        simulation.restart(holder, None);
     }
-    world.run(from + TimeDelta::from_seconds(10.0));
-    let next = |t: &&Turn| t.duty == duty && t.held && t.node != holder;
-    let next = world.turns[turns..].iter().find(next);
+    simulation.run(from + TimeDelta::from_seconds(10.0));
+    let next = |t: &&HoldingChange| t.duty == duty && t.held && t.node != holder;
+    let next = simulation.holding_changes[turns..].iter().find(next);
     let gap = next.map_or(TimeDelta::from_seconds(10.0), |t| t.at - from);
     gaps.saturating_record((gap.0 / 1000) as u64);
-    collect(&world, found);
+    collect(&simulation, found);
 }
 
 /// Half the electors are killed one after another, and stay away; how much of the time each duty was held.
 fn halved(seed: u64, gateways: usize, found: &mut Found) {
-    let mut world = World::new(
+    let mut simulation = LeaseSimulation::new(
         seed,
         gateways,
         electors(seed, gateways).max(5).min(gateways),
     );
-    world.run(at(CALM));
-    let from = world.now;
-    let electors = world.electors();
+    simulation.run(at(CALM));
+    let from = simulation.now;
+    let electors = simulation.electors();
     for (i, elector) in electors.iter().take((electors.len() - 1) / 2).enumerate() {
-        world.run(at(CALM + 20.0 * (i + 1) as f64));
-        world.kill(*elector, None);
+        simulation.run(at(CALM + 20.0 * (i + 1) as f64));
+        simulation.kill(*elector, None);
     }
     let to = at(CALM + 80.0);
-    world.run(to);
+    simulation.run(to);
     let mut shares = 0.0;
-    for duty in DUTIES {
+    for duty in LEASES {
         let (mut held, mut since): (TimeDelta, Option<Timestamp>) = (TimeDelta::ZERO, None);
-        for turn in world.turns.iter().filter(|t| t.duty == duty) {
+        for turn in simulation.holding_changes.iter().filter(|t| t.duty == duty) {
             match (turn.held, since.take()) {
                 (true, before) => since = before.or(Some(turn.at.max(from))),
                 (false, Some(before)) => held = held + (turn.at.max(from) - before),
@@ -217,31 +226,34 @@
             }
         }
         held = held + since.map_or(TimeDelta::ZERO, |since| to - since);
-        shares += held.ratio_to(to - from) / DUTIES.len() as f64;
+        shares += held.ratio_to(to - from) / LEASES.len() as f64;
         found.held_share_worst_duty = found.held_share_worst_duty.min(held.ratio_to(to - from));
     }
     found.held_share = found.held_share.min(shares);
-    collect(&world, found);
+    collect(&simulation, found);
 }
 
 /// Nothing is amiss for a minute: bytes, and moves of duties, of which there are to be none.
 fn calm(seed: u64, gateways: usize, found: &mut Found) {
-    let mut world = World::new(seed, gateways, electors(seed, gateways));
-    world.run(at(CALM + 26.0));
-    let turns = world.turns.len();
-    (world.lease_bytes, world.sent_bytes) = (0, vec![0; gateways]);
-    world.run(at(CALM + 86.0));
-    found.moves_while_well += world.turns[turns..].iter().filter(|t| t.held).count() as u64;
-    let parts = (DUTIES.len() * world.electors().len()) as f64;
+    let mut simulation = LeaseSimulation::new(seed, gateways, electors(seed, gateways));
+    simulation.run(at(CALM + 26.0));
+    let turns = simulation.holding_changes.len();
+    (simulation.lease_bytes, simulation.sent_bytes) = (0, vec![0; gateways]);
+    simulation.run(at(CALM + 86.0));
+    found.moves_while_well += simulation.holding_changes[turns..]
+        .iter()
+        .filter(|t| t.held)
+        .count() as u64;
+    let parts = (LEASES.len() * simulation.electors().len()) as f64;
     // The most of three sizes of electorate.
-    let bytes = world.lease_bytes as f64 / 60.0 / parts;
+    let bytes = simulation.lease_bytes as f64 / 60.0 / parts;
     found.bytes_duty_elector_s = found.bytes_duty_elector_s.max(bytes);
     if std::env::var("DBG").is_ok() {
         eprintln!("{} {bytes}", electors(seed, gateways));
     }
-    let bytes = world.sent_bytes.iter().sum::<u64>() as f64 / 60.0 / gateways as f64;
+    let bytes = simulation.sent_bytes.iter().sum::<u64>() as f64 / 60.0 / gateways as f64;
     found.bytes_a_gateway_s = found.bytes_a_gateway_s.max(bytes);
-    collect(&world, found);
+    collect(&simulation, found);
 }
 
 fn gaps(of: &Histogram<u64>) -> Gaps {
