--- a/crates/fault-injection/src/duties/mod.rs
+++ b/crates/fault-injection/src/duties/mod.rs
@@ -8,7 +8,9 @@
 use hdrhistogram::Histogram;
 use nanorand::{Rng, WyRand};
 use serde::Serialize;
-use simulation::{GatewayIndex, HoldingChange, LeaseSimulation, NetworkConditions, LEASES};
+use simulation::{
+    GatewayIndex, HoldingChange, LeaseSimulation, NetworkConditions, Partition, LEASES,
+};
 
 /// Seconds of a day of faults: none before, then trouble, then quiet in which all duties must be held again.
 const CALM: f64 = 4.0;
@@ -81,7 +83,8 @@
     };
     let back = TimeDelta::from_seconds(0.05 + 3.0 * rng.generate::<f64>());
     let lasts = TimeDelta::from_seconds((until - simulation.now.as_seconds()).max(0.1));
-    match rng.generate_range(0..10) {
+    let fault_number = rng.generate_range(0..10);
+    match fault_number {
         0 => simulation.kill(one, Some(back)),
         1 => {
             let part = 0.4 + 0.6 * rng.generate::<f64>();
@@ -95,9 +98,16 @@
         2 | 3 => {
             simulation.gateways[one].stalled_until = simulation.now + lasts * rng.generate::<f64>()
         }
-        4 => simulation.network.partition = Some((some(&mut rng, n, 0.5), false)),
-        5 => simulation.network.partition = Some((some(&mut rng, n, 0.5), true)),
-        6 => simulation.network.partition = Some(([one].into(), rng.generate())),
+        4 | 5 => {
+            let inside = some(&mut rng, n, 0.5);
+            let is_one_way = fault_number == 5;
+            simulation.network.partition = Some(Partition { inside, is_one_way });
+        }
+        6 => {
+            let inside = [one].into();
+            let is_one_way = rng.generate();
+            simulation.network.partition = Some(Partition { inside, is_one_way });
+        }
         7 => simulation.network.longest_delay_seconds = 0.6 * rng.generate::<f64>(),
         8 => {
             let mut part = |most: f64| most * rng.generate::<f64>();
@@ -142,16 +152,10 @@
         last += 0.1 + 2.0 * rng.generate::<f64>();
         simulation.run(at(last));
         if rng.generate::<f64>() < 0.4 {
-            simulation.network = NetworkConditions {
-                longest_delay_seconds: 0.002,
-                ..NetworkConditions::default()
-            };
+            simulation.network = NetworkConditions::default();
         }
     }
-    simulation.network = NetworkConditions {
-        longest_delay_seconds: 0.002,
-        ..NetworkConditions::default()
-    };
+    simulation.network = NetworkConditions::default();
     simulation.run(at(last + QUIET));
     let unheld = LEASES
         .iter()
@@ -192,7 +196,7 @@
         simulation.restart(holder, None);
     }
     simulation.run(from + TimeDelta::from_seconds(10.0));
-    let next = |t: &&HoldingChange| t.duty == duty && t.held && t.node != holder;
+    let next = |t: &&HoldingChange| t.lease == duty && t.is_held && t.gateway != holder;
     let next = simulation.holding_changes[turns..].iter().find(next);
     let gap = next.map_or(TimeDelta::from_seconds(10.0), |t| t.at - from);
     gaps.saturating_record((gap.0 / 1000) as u64);
@@ -218,8 +222,12 @@
     let mut shares = 0.0;
     for duty in LEASES {
         let (mut held, mut since): (TimeDelta, Option<Timestamp>) = (TimeDelta::ZERO, None);
-        for turn in simulation.holding_changes.iter().filter(|t| t.duty == duty) {
-            match (turn.held, since.take()) {
+        for turn in simulation
+            .holding_changes
+            .iter()
+            .filter(|t| t.lease == duty)
+        {
+            match (turn.is_held, since.take()) {
                 (true, before) => since = before.or(Some(turn.at.max(from))),
                 (false, Some(before)) => held = held + (turn.at.max(from) - before),
                 (false, None) => {}
@@ -242,7 +250,7 @@
     simulation.run(at(CALM + 86.0));
     found.moves_while_well += simulation.holding_changes[turns..]
         .iter()
-        .filter(|t| t.held)
+        .filter(|t| t.is_held)
         .count() as u64;
     let parts = (LEASES.len() * simulation.electors().len()) as f64;
     // The most of three sizes of electorate.
