--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -11,6 +11,7 @@
 use harrierdock_event_loop::{respond_and_close, Connection, ResourceClass};
 use harrierdock_http::write;
 use harrierdock_types::{TimeDelta, Timestamp};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::connection::ClientConnection;
@@ -21,6 +22,10 @@
 
 const BACKLOG: i32 = 1024;
 const SERVICE_UNAVAILABLE: u16 = 503;
+const NO_WAIT: Timespec = Timespec {
+    tv_sec: 0,
+    tv_nsec: 0,
+};
 /// Connections accepted in one turn of the loop, so that a flood of them gives way to requests under way.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 
@@ -54,6 +59,12 @@
             backlog_since: None,
         })
     }
+
+    /// Whether a connection waits to be accepted, or the system does not say that none does.
+    fn may_have_backlog(&self) -> bool {
+        let mut watched = [PollFd::new(&*self.socket, PollFlags::IN)];
+        !matches!(poll(&mut watched, Some(&NO_WAIT)), Ok(0))
+    }
 }
 
 /// How a turn of accepting ended.
@@ -131,13 +142,12 @@
     /// Accepts waiting connections while descriptors last, and so many in one turn.
     pub(crate) fn accept(&mut self, context: &mut Context) -> AcceptResult {
         let result = self.accept_up_to_limit(context);
-        self.listener.backlog_since = match result {
-            AcceptResult::NoneWaiting => None,
-            AcceptResult::MoreMayWait | AcceptResult::NoDescriptor => {
-                let now = context.now();
-                Some(self.listener.backlog_since.unwrap_or(now))
-            }
-        };
+        // A turn may end with its last connection. Whoever comes later then has not waited since this one.
+        let has_backlog = result != AcceptResult::NoneWaiting && self.listener.may_have_backlog();
+        self.listener.backlog_since = has_backlog.then(|| {
+            let now = context.now();
+            self.listener.backlog_since.unwrap_or(now)
+        });
         result
     }
 
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 mod preconditions;
 mod resource_limits;
 mod rollout_platform;
+mod start_order;
 mod startup;
 mod sticky_versions;
 mod support;
