--- a/crates/gateway/tests/sockets/start_order.rs
+++ b/crates/gateway/tests/sockets/start_order.rs
@@ -1,5 +1,7 @@
 //! The order of the start, and the time that clients are taken to have waited for it.
 
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
 use std::thread;
 use std::time::Duration;
 
@@ -64,3 +66,109 @@
     let stated = stated_to_a_client_that_does_not_wait(&gateway, &trace);
     assert!(stated >= granted - SLACK, "{stated:?} stated");
 }
+
+/// Starts a gateway with this in `LB_LISTEN`, which ends. Returns its exit code and what it said.
+fn ended_start(config: &Value, listen: &str) -> (Option<i32>, Vec<String>) {
+    let mut command: Command = program(config, &["serve"]);
+    command.env("LB_LISTEN", listen);
+    let mut gateway = spawned(command);
+    let code = gateway.exit_code();
+    (code, gateway.log.iter().collect())
+}
+
+// Guards against a start that takes the address from its predecessor, or ends without saying why.
+#[test]
+fn a_second_gateway_at_the_same_address_ends_and_leaves_the_first_one_its_clients() {
+    let one = endpoint("one", &Trace::default(), &[EndpointBehavior::Succeed]);
+    let address = unused_address();
+    let config = configuration_at(address, one);
+    let mut first = start(&config);
+    let expected =
+        format!("harrierdock: cannot listen on {address}: Address already in use (os error 98)");
+    let refused = (Some(2), vec![expected]);
+    assert_eq!(ended_start(&config, &address.to_string()), refused);
+    let mut client = first.client();
+    assert_eq!(
+        client.request(client_request("lodge", "a1", 9_000)),
+        "200 one settled a1"
+    );
+    first.signal(Signal::TERM);
+    first.line("told to end");
+    assert_eq!(ended_start(&config, &address.to_string()), refused);
+    assert_eq!(
+        client.request(client_request("lodge", "a2", 9_000)),
+        "200 Connection: close one settled a2"
+    );
+    assert_eq!(first.exit_code(), Some(0));
+    // Its connections are closing still, which keeps nobody from listening there.
+    let second = start(&config);
+    assert_eq!(
+        second
+            .client()
+            .request(client_request("lodge", "a3", 9_000)),
+        "200 one settled a3"
+    );
+}
+
+// Guards against a start that falls back on the file where the variable holds no address.
+#[test]
+fn a_variable_that_holds_no_address_ends_the_start_in_one_line() {
+    let address = unused_address();
+    let config = configuration_at(address, unresponsive_server());
+    for text in [
+        "",
+        " ",
+        &format!(" {address}"),
+        &format!("{address} "),
+        "localhost:8443",
+        "127.0.0.1",
+    ] {
+        let expected = format!("harrierdock: LB_LISTEN {text}: invalid socket address syntax");
+        assert_eq!(ended_start(&config, text), (Some(2), vec![expected]));
+        assert!(TcpStream::connect(address).is_err(), "it listens");
+    }
+}
+
+// Guards against two addresses seen where file and variable write one in two ways.
+#[test]
+fn an_address_that_the_file_writes_in_another_way_is_the_same() {
+    let one = endpoint("one", &Trace::default(), &[EndpointBehavior::Succeed]);
+    for (variable, file) in [
+        ("127.0.0.1:0", "127.0.0.1:00"),
+        ("[::1]:0", "[0:0:0:0:0:0:0:1]:0"),
+    ] {
+        let mut config = configuration_at(unused_address(), one);
+        config["listen"] = json!(file);
+        let mut command = program(&config, &["serve", "--log", "debug"]);
+        command.env("LB_LISTEN", variable);
+        let gateway = started(&config, command);
+        let wanted: SocketAddr = variable.parse().unwrap();
+        assert_eq!(gateway.address.ip(), wanted.ip());
+        let answer = gateway
+            .client()
+            .request(client_request("lodge", "a1", 9_000));
+        assert_eq!(answer, "200 one settled a1");
+    }
+}
+
+// Guards against a reload that refuses a file that names another address than the variable, or moves the listener there.
+#[test]
+fn a_reload_changes_nothing_of_where_a_gateway_listens() {
+    let one = endpoint("one", &Trace::default(), &[EndpointBehavior::Succeed]);
+    let address = unused_address();
+    let mut config = configuration_at(address, one);
+    let mut command = program(&config, &["serve", "--log", "debug"]);
+    let path = write_config(&config);
+    command
+        .env("LB_CONFIG", &path)
+        .env("LB_LISTEN", address.to_string());
+    let gateway = started(&config, command);
+    config["listen"] = json!(unused_address());
+    std::fs::rename(write_config(&config), &path).unwrap();
+    gateway.signal(Signal::HUP);
+    gateway.line("told to reload");
+    let answer = gateway
+        .client()
+        .request(client_request("lodge", "a1", 9_000));
+    assert_eq!(answer, "200 one settled a1");
+}
