--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -29,12 +29,22 @@
 /// Connections accepted in one turn of the loop, so that a flood of them gives way to requests under way.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
 
+/// Whether connections are accepted, and until when they are not.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ListenerState {
+    Accepting,
+    /// Paused until a descriptor is free.
+    AwaitsDescriptor,
+    /// Paused until the next maintenance: the system refuses a descriptor that the budget has.
+    AwaitsMaintenance,
+}
+
 /// The listening socket.
 pub(crate) struct Listener {
     socket: Rc<TcpListener>,
     bound_at: Instant,
     token: Option<RegistrationToken>,
-    is_paused: bool,
+    state: ListenerState,
     /// Since when connections may wait that could not be accepted at once.
     backlog_since: Option<Timestamp>,
 }
@@ -55,7 +65,7 @@
             socket: Rc::new(socket.into()),
             bound_at: Instant::now(),
             token: None,
-            is_paused: false,
+            state: ListenerState::Accepting,
             backlog_since: None,
         })
     }
@@ -211,12 +221,15 @@
         }
     }
 
-    /// Stops accepting until `close_expired` finds descriptors, so that the loop does not spin on a listener that stays ready.
+    /// Stops accepting until there are descriptors, so that the loop does not spin on a listener that stays ready.
     pub(crate) fn pause(&mut self, context: &Context) {
-        let Some(token) = self.listener.token.filter(|_| !self.listener.is_paused) else {
+        let Some(token) = self.listener.token.filter(|_| !self.is_paused()) else {
             return;
         };
-        self.listener.is_paused = true;
+        self.listener.state = match context.descriptors.available() {
+            0 => ListenerState::AwaitsDescriptor,
+            _ => ListenerState::AwaitsMaintenance,
+        };
         if let Err(e) = context.handle.disable(&token) {
             tracing::warn!("the listener cannot be paused: {e}");
         }
@@ -224,15 +237,23 @@
 
     /// Whether accepting has stopped for want of descriptors.
     pub(crate) fn is_paused(&self) -> bool {
-        self.listener.is_paused
+        self.listener.state != ListenerState::Accepting
+    }
+
+    /// Accepts connections again if a descriptor has become free.
+    pub(crate) fn resume_with_descriptor(&mut self, context: &Context) {
+        let awaits_descriptor = self.listener.state == ListenerState::AwaitsDescriptor;
+        if awaits_descriptor && context.descriptors.available() > 0 {
+            self.resume(context);
+        }
     }
 
     /// Accepts connections again.
     pub(super) fn resume(&mut self, context: &Context) {
-        let Some(token) = self.listener.token.filter(|_| self.listener.is_paused) else {
+        let Some(token) = self.listener.token.filter(|_| self.is_paused()) else {
             return;
         };
-        self.listener.is_paused = false;
+        self.listener.state = ListenerState::Accepting;
         if let Err(e) = context.handle.enable(&token) {
             tracing::warn!("the listener cannot be resumed: {e}");
         }
--- a/crates/gateway/src/runtime/event_loop.rs
+++ b/crates/gateway/src/runtime/event_loop.rs
@@ -69,6 +69,7 @@
                 .check_invariant(false, &format!("the loop goes through: {e}"));
         }
         self.handle_expired_timers();
+        self.downstream.resume_with_descriptor(&self.context);
     }
 
     fn handle_expired_timers(&mut self) {
--- a/crates/gateway/tests/sockets/start_order.rs
+++ b/crates/gateway/tests/sockets/start_order.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::early_clients::{
     configuration_at, endpoint_that_notes_time, stated_time, StartingGateway, DELAY, SLACK,
@@ -14,6 +14,10 @@
 const FULL_TURN: usize = 64;
 /// The time that a client grants whose stated time is looked at.
 const GRANTED_MS: u32 = 5_000;
+/// How many clients come where there are descriptors for a few, and the time in which all of them have their answers. It is a
+/// fraction of what they take where each four of them wait for the next maintenance (0.5 s).
+const CROWD: usize = 100;
+const CROWD_TIME: Duration = Duration::from_secs(4);
 /// The descriptors that a gateway sets aside, and those that are left for clients and endpoints.
 const RESERVED_DESCRIPTORS: usize = 24;
 const FREE_DESCRIPTORS: usize = 8;
@@ -67,6 +71,31 @@
     assert!(stated >= granted - SLACK, "{stated:?} stated");
 }
 
+// Guards against a listener that rests until the next maintenance although descriptors are free again: of each four clients
+// the next four waited half a second.
+#[test]
+fn early_clients_beyond_the_descriptors_are_accepted_as_soon_as_others_leave() {
+    let one = endpoint("one", &Trace::default(), &[EndpointBehavior::Succeed]);
+    let starting = StartingGateway::new(unused_address());
+    let mut clients: Vec<Client> = (0..CROWD).map(|_| starting.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.say(client_request("lodge", &format!("a{number}"), 9_000));
+    }
+    let mut config = configuration_at(starting.address, one);
+    config["limits"]["sockets"] = json!(RESERVED_DESCRIPTORS + FREE_DESCRIPTORS);
+    let _gateway = starting.configure(&config);
+    let from = Instant::now();
+    for (number, mut client) in clients.into_iter().enumerate() {
+        let answer = client.receive();
+        // The policy may shed some of so many.
+        if answer != "503 Retry-After: 1.5" {
+            assert_eq!(answer, format!("200 one settled a{number}"));
+        }
+    }
+    let took = from.elapsed();
+    assert!(took < CROWD_TIME, "{took:?}");
+}
+
 /// Starts a gateway with this in `LB_LISTEN`, which ends. Returns its exit code and what it said.
 fn ended_start(config: &Value, listen: &str) -> (Option<i32>, Vec<String>) {
     let mut command: Command = program(config, &["serve"]);
