--- a/crates/gateway/tests/sockets/start_order.rs
+++ b/crates/gateway/tests/sockets/start_order.rs
@@ -14,6 +14,8 @@
 const FULL_TURN: usize = 64;
 /// The time that a client grants whose stated time is looked at.
 const GRANTED_MS: u32 = 5_000;
+/// Less than a long start takes.
+const SHORT_MS: u32 = 350;
 /// How many clients come where there are descriptors for a few, and the time in which all of them have their answers. It is a
 /// fraction of what they take where each four of them wait for the next maintenance (0.5 s).
 const CROWD: usize = 100;
@@ -96,6 +98,44 @@
     assert!(took < CROWD_TIME, "{took:?}");
 }
 
+// Guards against a request that is given up because the start took longer than it may, although it came at its end.
+#[test]
+fn a_client_that_comes_at_the_end_of_a_long_start_keeps_its_time() {
+    let trace = Trace::default();
+    let one = endpoint_that_notes_time(&trace);
+    let starting = StartingGateway::new(unused_address());
+    let short = Duration::from_millis(SHORT_MS.into());
+    assert!(short < DELAY, "the start takes less");
+    thread::sleep(DELAY);
+    let mut client = starting.client();
+    let written_at = Instant::now();
+    client.say(client_request("lodge", "a1", SHORT_MS));
+    let config = configuration_at(starting.address, one);
+    let _gateway = starting.configure(&config);
+    let answer = client.receive();
+    assert_eq!(answer, "200 answer", "after {:?}", written_at.elapsed());
+}
+
+// Guards against a request that is rejected because the first list comes after the start, although its client can wait.
+#[test]
+fn a_client_that_comes_before_the_first_list_waits_for_it() {
+    let one = endpoint("one", &Trace::default(), &[EndpointBehavior::Succeed]);
+    let list = endpoint_list(41, true, &[endpoint_record("s-1", one, "ready", 41)]).to_string();
+    let discovery = serve_requests(move |request| {
+        thread::sleep(DELAY);
+        request.respond("200 OK", &list)
+    });
+    let starting = StartingGateway::new(unused_address());
+    let mut client = starting.client();
+    client.say(client_request("lodge", "a1", 9_000));
+    let mut config = configuration(discovery, &[]);
+    config["listen"] = json!(starting.address);
+    let from = Instant::now();
+    let _gateway = starting.configure(&config);
+    let answer = client.receive();
+    assert_eq!(answer, "200 one settled a1", "after {:?}", from.elapsed());
+}
+
 /// Starts a gateway with this in `LB_LISTEN`, which ends. Returns its exit code and what it said.
 fn ended_start(config: &Value, listen: &str) -> (Option<i32>, Vec<String>) {
     let mut command: Command = program(config, &["serve"]);
