--- a/crates/fault-injection/src/gateway_process.rs
+++ b/crates/fault-injection/src/gateway_process.rs
@@ -17,8 +17,11 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// The environment variable that names the gateway's program.
 const PROGRAM_VARIABLE: &str = "HARRIERDOCK";
+/// The environment variable that names where the gateway listens.
+const LISTEN_VARIABLE: &str = "LB_LISTEN";
 /// Environment variables that would change a gateway's configuration.
-const CONFIGURATION_VARIABLES: [&str; 4] = ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"];
+const CONFIGURATION_VARIABLES: [&str; 4] =
+    ["LB_NAME", LISTEN_VARIABLE, "LB_DISCOVERY", "LB_CONFIG"];
 const KIB_PER_MIB: f64 = 1024.0;
 const NANOSECONDS_PER_MICROSECOND: f64 = 1000.0;
 
@@ -74,6 +77,10 @@
 pub struct GatewayProcess {
     child: Child,
     log: Receiver<String>,
+    name: String,
+    folder: PathBuf,
+    /// When it was about to be spawned.
+    pub spawned_at: Instant,
     /// Where it takes clients' requests.
     pub listen_address: SocketAddr,
     /// Where it takes the other site's datagrams, if it serves two sites.
@@ -103,6 +110,59 @@
     Err(GatewayProcessError::ProgramMissing { path })
 }
 
+/// How a gateway is started.
+#[derive(Clone, Copy, Debug)]
+pub struct GatewayCommand<'a> {
+    /// Its program.
+    pub program: &'a Path,
+    /// The folder for its files.
+    pub folder: &'a Path,
+    /// Its name, and that of its files.
+    pub name: &'a str,
+    /// Its configuration.
+    pub configuration: &'a Value,
+    /// Its extension configuration, if it has one.
+    pub extensions: Option<&'a Value>,
+    /// The address that its environment names, if it does.
+    pub listen_variable: Option<SocketAddr>,
+}
+
+impl GatewayCommand<'_> {
+    /// Writes the gateway's files and spawns it, with a call right before the spawn. It does not listen yet.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be written, or the program can't be run.
+    pub fn spawn(
+        &self,
+        on_spawn: impl FnOnce(Instant),
+    ) -> Result<GatewayProcess, GatewayProcessError> {
+        let path = write_json(
+            self.folder,
+            &format!("{}.json", self.name),
+            self.configuration,
+        )?;
+        let mut command = Command::new(self.program);
+        command.arg("serve").arg("--config").arg(path);
+        command.args(["--log", "info"]);
+        if let Some(extensions) = self.extensions {
+            let path = write_json(
+                self.folder,
+                &format!("{}-sites.json", self.name),
+                extensions,
+            )?;
+            command.arg("--with").arg(path);
+        }
+        for variable in CONFIGURATION_VARIABLES {
+            command.env_remove(variable);
+        }
+        if let Some(address) = self.listen_variable {
+            command.env(LISTEN_VARIABLE, address.to_string());
+        }
+        GatewayProcess::spawn(&mut command, self, on_spawn)
+    }
+}
+
 impl GatewayProcess {
     /// Starts a gateway on its configuration and extension configuration, written to this folder, and waits until it
     /// listens.
@@ -117,35 +177,33 @@
         configuration: &Value,
         extensions: Option<&Value>,
     ) -> Result<GatewayProcess, GatewayProcessError> {
-        let path = write_json(folder, &format!("{name}.json"), configuration)?;
-        let mut command = Command::new(program);
-        command.arg("serve").arg("--config").arg(path);
-        command.args(["--log", "info"]);
-        if let Some(extensions) = extensions {
-            let path = write_json(folder, &format!("{name}-sites.json"), extensions)?;
-            command.arg("--with").arg(path);
-        }
-        for variable in CONFIGURATION_VARIABLES {
-            command.env_remove(variable);
-        }
-        let mut process = GatewayProcess::spawn(&mut command, program)?;
-        if process.wait_until_listening() {
-            return Ok(process);
-        }
-        Err(GatewayProcessError::NotStarted {
-            name: name.into(),
-            folder: folder.into(),
-        })
+        let command = GatewayCommand {
+            program,
+            folder,
+            name,
+            configuration,
+            extensions,
+            listen_variable: None,
+        };
+        let mut process = command.spawn(|_| ())?;
+        process.wait_until_listening()?;
+        Ok(process)
     }
 
-    fn spawn(command: &mut Command, program: &Path) -> Result<Self, GatewayProcessError> {
+    fn spawn(
+        command: &mut Command,
+        setup: &GatewayCommand<'_>,
+        on_spawn: impl FnOnce(Instant),
+    ) -> Result<Self, GatewayProcessError> {
+        let spawned_at = Instant::now();
+        on_spawn(spawned_at);
         let mut child = command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
             .map_err(|source| GatewayProcessError::File {
-                path: program.into(),
+                path: setup.program.into(),
                 source,
             })?;
         let (sender, log) = channel();
@@ -156,6 +214,9 @@
         Ok(GatewayProcess {
             child,
             log,
+            name: setup.name.into(),
+            folder: setup.folder.into(),
+            spawned_at,
             listen_address: SocketAddr::from(([127, 0, 0, 1], 0)),
             site_address: None,
             gossip_address: None,
@@ -164,13 +225,20 @@
         })
     }
 
-    /// Takes the addresses from the log; false if the gateway doesn't come to listen for clients.
-    fn wait_until_listening(&mut self) -> bool {
+    /// Waits until it says that it listens for clients, and takes the addresses from its log.
+    ///
+    /// # Errors
+    ///
+    /// It ends, or doesn't say so in time.
+    pub fn wait_until_listening(&mut self) -> Result<(), GatewayProcessError> {
         let deadline = Instant::now() + START_TIMEOUT;
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
             let Ok(line) = self.log.recv_timeout(remaining) else {
-                return false;
+                return Err(GatewayProcessError::NotStarted {
+                    name: self.name.clone(),
+                    folder: self.folder.clone(),
+                });
             };
             if let Some(address) = address_after(&line, " listens on ") {
                 self.site_address = Some(address);
@@ -180,7 +248,7 @@
             }
             if let Some(address) = address_after(&line, " serves on ") {
                 self.listen_address = address;
-                return true;
+                return Ok(());
             }
         }
     }
--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -17,7 +17,7 @@
 /// How long after its deadline a client waits for an answer at the most.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// How long a connection may take to come up.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a client without a connection waits before it tries again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(5);
 /// How a slow reader reads.
@@ -100,17 +100,31 @@
     }
 }
 
+/// What a request's connection was used for before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionUse {
+    /// It carried an answer.
+    Reused,
+    /// It is new.
+    New,
+    /// It is new, and was tried from the spawn of its gateway on.
+    Start,
+}
+
 /// Plays a client until the soak ends.
 pub(super) fn run_client(shared: &Shared, gateway: usize, mut rng: WyRand) {
     let mut connection: Option<ClientConnection> = None;
     while Instant::now() < shared.ends_at {
         let plan = RequestPlan::draw(&mut rng);
-        let is_connection_reused = connection.is_some();
+        let connection_use = match connection {
+            Some(_) => ConnectionUse::Reused,
+            None => ConnectionUse::New,
+        };
         let Some(mut open) = connection.take().or_else(|| shared.connect(gateway, &plan)) else {
             thread::sleep(RECONNECT_PAUSE);
             continue;
         };
-        if send_request(shared, gateway, &mut open, &plan, is_connection_reused) {
+        if send_request(shared, gateway, &mut open, &plan, connection_use) {
             connection = Some(open);
         }
         thread::sleep(plan.pause);
@@ -121,7 +135,7 @@
 pub(super) fn run_asking_client(shared: &Shared, gateway: usize) {
     let plan = RequestPlan::of_crowd();
     if let Some(mut connection) = shared.connect(gateway, &plan) {
-        send_request(shared, gateway, &mut connection, &plan, false);
+        send_request(shared, gateway, &mut connection, &plan, ConnectionUse::New);
     }
 }
 
@@ -134,17 +148,20 @@
 }
 
 /// Sends a request and records how it ends. Returns whether the connection can be used again.
-fn send_request(
+pub(super) fn send_request(
     shared: &Shared,
     gateway: usize,
     connection: &mut ClientConnection,
     plan: &RequestPlan,
-    is_connection_reused: bool,
+    connection_use: ConnectionUse,
 ) -> bool {
     let id = shared.next_id();
     let deadline_ms = plan.deadline.as_millis() as u32;
     let text = client_request(plan.class.name(), &id, deadline_ms);
-    if !connection.write(&text, plan) {
+    let is_in_start = connection_use == ConnectionUse::Start;
+    let is_written = connection.write(&text, plan);
+    // A client of a start is owed its answer from when its connection came up.
+    if !is_written && !is_in_start {
         return false;
     }
     let written_at = shared.now();
@@ -167,7 +184,8 @@
         class: plan.class,
         written_at,
         deadline: plan.deadline,
-        is_connection_reused,
+        is_connection_reused: connection_use == ConnectionUse::Reused,
+        is_in_start,
         reads_slowly: plan.reads_slowly || connection.reads_slowly,
         end,
     });
@@ -181,7 +199,7 @@
     NotAwaited,
 }
 
-struct ClientConnection {
+pub(super) struct ClientConnection {
     stream: TcpStream,
     reads_slowly: bool,
     /// Whether the last answer keeps the connection.
@@ -200,11 +218,16 @@
             .connect_timeout(&address.into(), CONNECT_TIMEOUT)
             .ok()?;
         socket.set_tcp_nodelay(true).ok()?;
-        Some(ClientConnection {
+        Some(ClientConnection::new(socket, reads_slowly))
+    }
+
+    /// On a socket that is connected.
+    pub(super) fn new(socket: Socket, reads_slowly: bool) -> ClientConnection {
+        ClientConnection {
             stream: socket.into(),
             reads_slowly,
             is_kept: true,
-        })
+        }
     }
 
     /// Writes a request in its pieces. False if the connection does not take it whole.
--- a/crates/fault-injection/src/soak/judge.rs
+++ b/crates/fault-injection/src/soak/judge.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::plan::{RequestClass, EARLIEST_KILL};
+use super::starts::{start_violations, StartCounts, StartupConnection};
 
 /// How long after its deadline an answer may come.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
@@ -61,6 +62,8 @@
     pub deadline: Duration,
     /// Whether its connection had carried an answer before.
     pub is_connection_reused: bool,
+    /// Whether its connection was tried from the spawn of its gateway on.
+    pub is_in_start: bool,
     /// Whether its client reads with pauses.
     pub reads_slowly: bool,
     /// How it ended.
@@ -118,6 +121,8 @@
     pub attempts: Vec<AttemptRecord>,
     /// The connections that did not come up.
     pub refused_connections: Vec<RefusedConnection>,
+    /// The connections of clients that connect from the spawn of a gateway on.
+    pub startup_connections: Vec<StartupConnection>,
     /// The shutdowns.
     pub shutdowns: Vec<ShutdownRecord>,
     /// The drain, if one was played.
@@ -170,6 +175,8 @@
     pub overstated_time: usize,
     /// Connections that did not come up.
     pub refused: usize,
+    /// What clients saw that connect from the spawn of a gateway on.
+    pub starts: StartCounts,
     /// Some of the violations.
     pub violations: Vec<String>,
 }
@@ -213,12 +220,13 @@
     }
     let mut verdict = Verdict {
         requests: seen.requests.len(),
+        starts: StartCounts::of_connections(&seen.startup_connections),
         ..Verdict::default()
     };
     for request in &seen.requests {
         let attempts = attempts_by_id.get(request.id.as_str());
         let attempts = attempts.map_or(&[][..], Vec::as_slice);
-        judge_answer(&mut verdict, seen, request, attempts);
+        judge_answer_and_count(&mut verdict, seen, request, attempts);
         judge_attempts(&mut verdict, seen, request, attempts);
     }
     for refused in &seen.refused_connections {
@@ -227,6 +235,9 @@
             format!("n{} refuses a connection {moment}", refused.gateway)
         });
     }
+    for violation in start_violations(&seen.startup_connections) {
+        verdict.add_violation(Rule::Connection, || violation.describe());
+    }
     if let Some(drain) = seen.drain {
         let is_stale = |attempt: &&AttemptRecord| {
             attempt.endpoint == drain.endpoint && attempt.at > drain.told_at + DRAIN_GRACE
@@ -244,6 +255,21 @@
     verdict
 }
 
+/// Judges a request's answer, and counts it with the starts if it belongs to one.
+fn judge_answer_and_count(
+    verdict: &mut Verdict,
+    seen: &Observations,
+    request: &RequestRecord,
+    attempts: &[&AttemptRecord],
+) {
+    let (answered, lost) = (verdict.answered, verdict.lost);
+    judge_answer(verdict, seen, request, attempts);
+    if request.is_in_start {
+        let (is_answered, is_lost) = (verdict.answered > answered, verdict.lost > lost);
+        verdict.starts.add_request(is_answered, is_lost);
+    }
+}
+
 fn judge_answer(
     verdict: &mut Verdict,
     seen: &Observations,
@@ -336,10 +362,10 @@
 fn describe(seen: &Observations, request: &RequestRecord, what: &str) -> String {
     let RequestRecord { id, gateway, .. } = request;
     let moment = moment(seen, *gateway, request.written_at, request.deadline);
-    let connection = if request.is_connection_reused {
-        "an open"
-    } else {
-        "a new"
+    let connection = match (request.is_connection_reused, request.is_in_start) {
+        (true, _) => "an open",
+        (false, true) => "a start's first",
+        (false, false) => "a new",
     };
     format!(
         "{id} ({}, {} ms) at n{gateway} on {connection} connection, written {moment}: {what}",
--- a/crates/fault-injection/src/soak/mod.rs
+++ b/crates/fault-injection/src/soak/mod.rs
@@ -6,6 +6,8 @@
 pub mod plan;
 mod restarts;
 mod servers;
+pub mod starts;
+mod startup_clients;
 
 use std::io;
 use std::net::SocketAddr;
@@ -99,7 +101,7 @@
     let setup = Arc::new(start_stand_ins(settings, &plan, &attempts)?);
     let mut processes = Vec::new();
     for gateway in 0..settings.gateways {
-        processes.push(setup.start(gateway, "127.0.0.1:0")?);
+        processes.push(setup.start(gateway)?);
     }
     let admissions = processes.iter().map(|process| Admission {
         address: process.listen_address,
@@ -119,6 +121,10 @@
     let seen = Observations {
         requests: take_all(&shared.requests),
         refused_connections: take_all(&shared.refused_connections),
+        startup_connections: outcomes
+            .iter()
+            .flat_map(|o| o.startup_connections.iter().copied())
+            .collect(),
         attempts: attempts.take(),
         shutdowns: outcomes.iter().filter_map(|o| o.shutdown).collect(),
         drain: drain.and_then(|drain| drain.join().ok()),
--- a/crates/fault-injection/src/soak/plan.rs
+++ b/crates/fault-injection/src/soak/plan.rs
@@ -341,6 +341,16 @@
         }
     }
 
+    /// The request of a client that connects in a start: written at once, and waited for.
+    pub fn of_start(rng: &mut WyRand) -> RequestPlan {
+        let drawn = RequestPlan::draw(rng);
+        RequestPlan {
+            class: drawn.class,
+            deadline: drawn.deadline,
+            ..RequestPlan::of_crowd()
+        }
+    }
+
     /// One request of a crowd: written at once, and waited for.
     pub fn of_crowd() -> RequestPlan {
         RequestPlan {
--- a/crates/fault-injection/src/soak/restarts.rs
+++ b/crates/fault-injection/src/soak/restarts.rs
@@ -14,7 +14,9 @@
 use super::judge::ShutdownRecord;
 use super::plan::{Crowd, Restart, SignalKind, Stall, EARLIEST_KILL};
 use super::servers::DiscoveryStandIn;
-use crate::gateway_process::{GatewayProcess, GatewayProcessError};
+use super::starts::StartupConnection;
+use super::startup_clients::{StartupClients, StartupTarget};
+use crate::gateway_process::{GatewayCommand, GatewayProcess, GatewayProcessError};
 use crate::stand_ins::policy_settings;
 
 /// How often it is checked whether a process has ended, or is ready.
@@ -23,6 +25,9 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const READY_REQUEST: &[u8] = b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n";
 const MEMORY_MB: u32 = 192;
+/// How far the seeds of two gateways' clients of a start lie apart.
+const STARTUP_SEED_STEP: u64 = 1_000_000_007;
+const ANY_PORT: &str = "127.0.0.1:0";
 /// A crowd's clients connect within this time.
 const CROWD_SPREAD: Duration = Duration::from_millis(50);
 const CROWD_STACK_BYTES: usize = 256 * 1024;
@@ -50,16 +55,41 @@
             "limits": {"memory_mb": MEMORY_MB, "sockets": self.descriptors}, "settings": policy_settings()})
     }
 
-    /// Starts a gateway at an address, on a port of the system's choice if that is 0.
-    pub(super) fn start(
-        &self,
-        gateway: usize,
-        listen: &str,
-    ) -> Result<GatewayProcess, GatewayProcessError> {
-        let configuration = self.configuration(gateway, listen);
+    /// Starts a gateway on a port of the system's choice, and waits until it listens.
+    pub(super) fn start(&self, gateway: usize) -> Result<GatewayProcess, GatewayProcessError> {
+        let configuration = self.configuration(gateway, ANY_PORT);
         let name = format!("n{gateway}");
         GatewayProcess::start(&self.program, &self.folder, &name, &configuration, None)
     }
+
+    /// Spawns a gateway at an address, which its environment names too, as the platform does.
+    fn spawn(
+        &self,
+        target: StartupTarget,
+        on_spawn: impl FnOnce(Instant),
+    ) -> Result<GatewayProcess, GatewayProcessError> {
+        let StartupTarget {
+            gateway, address, ..
+        } = target;
+        let command = GatewayCommand {
+            program: &self.program,
+            folder: &self.folder,
+            name: &format!("n{gateway}"),
+            configuration: &self.configuration(gateway, &address.to_string()),
+            extensions: None,
+            listen_variable: Some(address),
+        };
+        command.spawn(on_spawn)
+    }
+
+    fn startup_target(&self, gateway: usize, address: SocketAddr) -> StartupTarget {
+        let step = STARTUP_SEED_STEP * (gateway as u64 + 1);
+        StartupTarget {
+            gateway,
+            address,
+            seed: self.seed.wrapping_add(step),
+        }
+    }
 }
 
 /// What came of a restart beside its shutdown.
@@ -68,6 +98,8 @@
     pub(super) shutdown: Option<ShutdownRecord>,
     /// From the start anew until the gateway was ready.
     pub(super) ready_after: Option<Duration>,
+    /// What clients saw that connected from the spawn on.
+    pub(super) startup_connections: Vec<StartupConnection>,
     pub(super) violations: Vec<String>,
 }
 
@@ -88,15 +120,18 @@
             process,
             shutdown: None,
             ready_after: None,
+            startup_connections: Vec::new(),
             violations,
         });
     };
     let killed_at = end(shared, restart, &mut process, signal_at, &mut violations);
-    let address = process.listen_address.to_string();
+    let address = process.listen_address;
     shared.set_admission(restart.gateway, |admission| admission.is_admitted = false);
-    let started_at = Instant::now();
-    let process = setup.start(restart.gateway, &address)?;
-    let ready_after = wait_until_ready(process.listen_address, started_at);
+    let target = setup.startup_target(restart.gateway, address);
+    let startup_clients = StartupClients::prepare(shared, target);
+    let mut process = setup.spawn(target, |spawned_at| startup_clients.connect(spawned_at))?;
+    process.wait_until_listening()?;
+    let ready_after = wait_until_ready(process.listen_address, process.spawned_at);
     if ready_after.is_none() {
         violations.push(format!("n{} is not ready after a restart", restart.gateway));
     }
@@ -108,6 +143,7 @@
         // A crowd's client ends with its request.
         let _ = crowd.join();
     }
+    let startup_connections = startup_clients.join();
     let shutdown = ShutdownRecord {
         gateway: restart.gateway,
         signal_at: signal_at - shared.started_at,
@@ -117,6 +153,7 @@
         process,
         shutdown: Some(shutdown),
         ready_after,
+        startup_connections,
         violations,
     })
 }
--- a/crates/fault-injection/tests/soak_rules.rs
+++ b/crates/fault-injection/tests/soak_rules.rs
@@ -25,6 +25,7 @@
         written_at: ms(1_000),
         deadline: ms(400),
         is_connection_reused: true,
+        is_in_start: false,
         reads_slowly: false,
         end: RequestEnd::Answered {
             at: ms(1_050),
@@ -47,6 +48,7 @@
         requests: vec![request],
         attempts,
         refused_connections: Vec::new(),
+        startup_connections: Vec::new(),
         shutdowns: vec![ShutdownRecord {
             gateway: 0,
             signal_at: ms(900),
