--- a/crates/fault-injection/src/soak/mod.rs
+++ b/crates/fault-injection/src/soak/mod.rs
@@ -5,6 +5,7 @@
 pub mod judge;
 pub mod plan;
 mod restarts;
+mod sampler;
 mod servers;
 pub mod starts;
 mod startup_clients;
@@ -12,7 +13,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -24,7 +25,8 @@
 use clients::{run_client, Admission, Shared};
 use judge::{judge, DrainRecord, Observations, Verdict};
 use plan::{seeded, Crowd, Plan, Restart};
-use restarts::{descriptor_count, play_restart, GatewaySetup, RestartOutcome};
+use restarts::{play_restart, GatewaySetup, RestartOutcome};
+use sampler::{Sampler, Samples};
 use servers::{start_endpoint, AttemptLog, Conduct, DiscoveryStandIn};
 
 const ENDPOINTS: usize = 4;
@@ -32,7 +34,6 @@
 const HANGING_ENDPOINT: usize = 1;
 const CLOSING_ENDPOINT: usize = 2;
 const CLIENTS_PER_GATEWAY: usize = 10;
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a gateway may take to be ready again.
 const READY_LIMIT: Duration = Duration::from_secs(1);
 
@@ -88,6 +89,11 @@
     pub ready_ms: ReadyTimes,
     /// The most descriptors that a gateway held.
     pub descriptors_max: usize,
+    /// The longest that the machine kept a thread of the soak itself from running, in milliseconds. All that is measured here
+    /// may be late by as much; no rule allows for it.
+    pub longest_pause_ms: u64,
+    /// The longest that a gateway which could run waited for a processor between two samples, in milliseconds.
+    pub longest_wait_ms: u64,
 }
 
 /// Plays one seed.
@@ -110,7 +116,7 @@
     });
     let shared = Shared::new(settings.seed, admissions.collect(), settings.duration);
     let shared = Arc::new(shared);
-    let sampler = DescriptorSampler::start(&processes);
+    let sampler = Sampler::start(&processes);
     let clients = start_clients(settings, &shared);
     let drain = plan.drains_at.map(|at| start_drain(&setup, &shared, at));
     let outcomes = play_restarts(&setup, &shared, &plan, processes, &sampler)?;
@@ -209,7 +215,7 @@
     shared: &Arc<Shared>,
     plan: &Plan,
     processes: Vec<GatewayProcess>,
-    sampler: &DescriptorSampler,
+    sampler: &Sampler,
 ) -> Result<Vec<RestartOutcome>, GatewayProcessError> {
     let mut processes: Vec<Option<GatewayProcess>> = processes.into_iter().map(Some).collect();
     let start = |restart: &Restart| {
@@ -240,8 +246,9 @@
     plan: &Plan,
     mut verdict: Verdict,
     mut outcomes: Vec<RestartOutcome>,
-    descriptors_max: usize,
+    samples: Samples,
 ) -> SoakReport {
+    let descriptors_max = samples.descriptors_max;
     let violations = &mut verdict.violations;
     for outcome in &mut outcomes {
         outcome.process.read_log();
@@ -274,47 +281,7 @@
             max: at(ready.len().saturating_sub(1)),
         },
         descriptors_max,
-    }
-}
-
-/// Samples how many descriptors the gateways hold.
-struct DescriptorSampler {
-    process_ids: Vec<Arc<AtomicUsize>>,
-    is_over: Arc<AtomicBool>,
-    thread: thread::JoinHandle<usize>,
-}
-
-impl DescriptorSampler {
-    fn start(processes: &[GatewayProcess]) -> DescriptorSampler {
-        let id_of = |process: &GatewayProcess| Arc::new(AtomicUsize::new(process.id() as usize));
-        let process_ids: Vec<_> = processes.iter().map(id_of).collect();
-        let is_over = Arc::new(AtomicBool::new(false));
-        let (sampled, ends) = (process_ids.clone(), is_over.clone());
-        let thread = thread::spawn(move || {
-            let mut max = 0;
-            while !ends.load(Ordering::SeqCst) {
-                for process_id in &sampled {
-                    max = max.max(descriptor_count(process_id.load(Ordering::SeqCst) as u32));
-                }
-                thread::sleep(SAMPLE_INTERVAL);
-            }
-            max
-        });
-        DescriptorSampler {
-            process_ids,
-            is_over,
-            thread,
-        }
-    }
-
-    /// Where the id of a gateway's process stands.
-    fn slot(&self, gateway: usize) -> Arc<AtomicUsize> {
-        self.process_ids[gateway].clone()
-    }
-
-    /// Ends, and returns the most that one held.
-    fn stop(self) -> usize {
-        self.is_over.store(true, Ordering::SeqCst);
-        self.thread.join().unwrap_or(0)
+        longest_pause_ms: samples.longest_pause.as_millis() as u64,
+        longest_wait_ms: samples.longest_wait.as_millis() as u64,
     }
 }
--- a/crates/fault-injection/src/soak/restarts.rs
+++ b/crates/fault-injection/src/soak/restarts.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -282,9 +282,3 @@
         }
     })
 }
-
-/// How many descriptors a process holds now.
-pub(super) fn descriptor_count(process_id: u32) -> usize {
-    let folder = Path::new("/proc").join(process_id.to_string()).join("fd");
-    std::fs::read_dir(folder).map_or(0, Iterator::count)
-}
