--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -10,8 +10,8 @@
 use nanorand::WyRand;
 use socket2::{Domain, Socket, Type};
 
-use super::judge::{RefusedConnection, RequestEnd, RequestRecord};
-use super::plan::RequestPlan;
+use super::records::{RefusedConnection, RequestEnd, RequestRecord};
+use super::requests::RequestPlan;
 use crate::stand_ins::client_request;
 
 /// How long after its deadline a client waits for an answer at the most.
--- a/crates/fault-injection/src/soak/mod.rs
+++ b/crates/fault-injection/src/soak/mod.rs
@@ -4,6 +4,8 @@
 mod clients;
 pub mod judge;
 pub mod plan;
+pub mod records;
+pub mod requests;
 mod restarts;
 mod sampler;
 mod servers;
@@ -23,8 +25,9 @@
 
 use crate::gateway_process::{gateway_program, GatewayProcess, GatewayProcessError};
 use clients::{run_client, Admission, Shared};
-use judge::{judge, DrainRecord, Observations, Verdict};
+use judge::{judge, Verdict};
 use plan::{seeded, Crowd, Plan, Restart};
+use records::{DrainRecord, Observations};
 use restarts::{play_restart, GatewaySetup, RestartOutcome};
 use sampler::{Sampler, Samples};
 use servers::{start_endpoint, AttemptLog, Conduct, DiscoveryStandIn};
--- /dev/null
+++ b/crates/fault-injection/src/soak/records.rs
@@ -0,0 +1,123 @@
+//! What clients, endpoints and the kernel saw of a soak. All times count from its start.
+
+use std::time::Duration;
+
+use super::requests::RequestClass;
+use super::starts::StartupConnection;
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// It has a whole answer.
+    Answered {
+        /// When its last byte was read.
+        at: Duration,
+        /// Whether it is the answer made for this request.
+        is_own: bool,
+    },
+    /// The connection ended, or the client gave up waiting long after the deadline.
+    Unanswered {
+        /// When.
+        at: Duration,
+        /// How many bytes of an answer had come.
+        received_bytes: usize,
+    },
+    /// The client closed its connection.
+    Left {
+        /// When.
+        at: Duration,
+    },
+}
+
+/// A request whose last byte was written.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    /// Its id.
+    pub id: String,
+    /// The gateway.
+    pub gateway: usize,
+    /// Its class.
+    pub class: RequestClass,
+    /// When its last byte was written.
+    pub written_at: Duration,
+    /// The time that it stated.
+    pub deadline: Duration,
+    /// Whether its connection had carried an answer before.
+    pub is_connection_reused: bool,
+    /// Whether its connection was tried from the spawn of its gateway on.
+    pub is_in_start: bool,
+    /// Whether its client reads with pauses.
+    pub reads_slowly: bool,
+    /// How it ended.
+    pub end: RequestEnd,
+}
+
+/// An attempt that an endpoint received.
+#[derive(Clone, Debug)]
+pub struct AttemptRecord {
+    /// The request's id.
+    pub id: String,
+    /// The endpoint.
+    pub endpoint: usize,
+    /// When its last byte came.
+    pub at: Duration,
+    /// The time that it stated.
+    pub stated: Duration,
+}
+
+/// A gateway's shutdown.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownRecord {
+    /// The gateway.
+    pub gateway: usize,
+    /// When the signal was sent.
+    pub signal_at: Duration,
+    /// When it was killed, if it still ran.
+    pub killed_at: Option<Duration>,
+}
+
+/// A connection that did not come up while its gateway was to accept connections.
+#[derive(Clone, Copy, Debug)]
+pub struct RefusedConnection {
+    /// The gateway.
+    pub gateway: usize,
+    /// When it was refused.
+    pub at: Duration,
+}
+
+/// An endpoint that drains.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainRecord {
+    /// The endpoint.
+    pub endpoint: usize,
+    /// When discovery had written it to every gateway.
+    pub told_at: Duration,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Observations {
+    /// The clients' requests.
+    pub requests: Vec<RequestRecord>,
+    /// The attempts.
+    pub attempts: Vec<AttemptRecord>,
+    /// The connections that did not come up.
+    pub refused_connections: Vec<RefusedConnection>,
+    /// The connections of clients that connect from the spawn of a gateway on.
+    pub startup_connections: Vec<StartupConnection>,
+    /// The shutdowns.
+    pub shutdowns: Vec<ShutdownRecord>,
+    /// The drain, if one was played.
+    pub drain: Option<DrainRecord>,
+}
+
+impl Observations {
+    /// The same with the attempts' times counted from a moment that is later by this.
+    #[must_use]
+    pub fn shifted(mut self, offset: Duration) -> Observations {
+        for attempt in &mut self.attempts {
+            attempt.at = attempt.at.saturating_sub(offset);
+        }
+        self
+    }
+}
--- a/crates/fault-injection/src/soak/restarts.rs
+++ b/crates/fault-injection/src/soak/restarts.rs
@@ -11,8 +11,8 @@
 use serde_json::{json, Value};
 
 use super::clients::{run_asking_client, run_silent_client, Shared};
-use super::judge::ShutdownRecord;
 use super::plan::{Crowd, Restart, SignalKind, Stall, EARLIEST_KILL};
+use super::records::ShutdownRecord;
 use super::servers::DiscoveryStandIn;
 use super::starts::StartupConnection;
 use super::startup_clients::{StartupClients, StartupTarget};
--- a/crates/fault-injection/src/soak/servers.rs
+++ b/crates/fault-injection/src/soak/servers.rs
@@ -10,8 +10,8 @@
 use nanorand::Rng;
 use serde_json::Value;
 
-use super::judge::AttemptRecord;
 use super::plan::{seeded, HangWindow};
+use super::records::AttemptRecord;
 use crate::stand_ins::{endpoint_list, endpoint_record, serve_requests, ReceivedRequest};
 
 /// How long an endpoint works on most requests, and on one in [`LONG_WORK_IN`].
--- a/crates/fault-injection/src/soak/startup_clients.rs
+++ b/crates/fault-injection/src/soak/startup_clients.rs
@@ -10,7 +10,8 @@
 use socket2::{Domain, Socket, Type};
 
 use super::clients::{send_request, ClientConnection, ConnectionUse, Shared, CONNECT_TIMEOUT};
-use super::plan::{seeded, RequestPlan};
+use super::plan::seeded;
+use super::requests::RequestPlan;
 use super::starts::StartupConnection;
 
 /// How many clients connect in a start.
