--- a/crates/fault-injection/src/soak/judge.rs
+++ b/crates/fault-injection/src/soak/judge.rs
@@ -6,7 +6,9 @@
 use serde::Serialize;
 
 use super::plan::EARLIEST_KILL;
-use super::records::{AttemptRecord, Observations, RequestEnd, RequestRecord};
+use super::records::{
+    AttemptRecord, Observations, RefusedConnection, RequestEnd, RequestRecord, SuddenKillRecord,
+};
 use super::requests::RequestClass;
 use super::starts::{start_violations, StartCounts};
 
@@ -46,6 +48,8 @@
     pub answered: usize,
     /// Those that crossed the close of a connection between requests, and were not read.
     pub sent_again: usize,
+    /// Requests and connections that a kill with no signal before it met, which the gateway does not answer for.
+    pub excused: usize,
     /// Those without an answer, or with another's.
     pub lost: usize,
     /// Requests that may not be repeated and reached endpoints more than once.
@@ -115,6 +119,10 @@
         judge_attempts(&mut verdict, seen, request, attempts);
     }
     for refused in &seen.refused_connections {
+        if is_refused_by_kill(seen, refused) {
+            verdict.excused += 1;
+            continue;
+        }
         verdict.add_violation(Rule::Connection, || {
             let moment = moment(seen, refused.gateway, refused.at, Duration::ZERO);
             format!("n{} refuses a connection {moment}", refused.gateway)
@@ -187,6 +195,10 @@
                 verdict.sent_again += 1;
                 return;
             }
+            if is_under_way_at_kill(seen, request, at) {
+                verdict.excused += 1;
+                return;
+            }
             let after = at.saturating_sub(request.written_at).as_millis();
             let what = format!(
                 "is lost after {after} ms with {received_bytes} bytes of an answer and {} attempts",
@@ -197,6 +209,25 @@
     }
 }
 
+/// Whether a request had been written when its gateway was killed with no signal before, and its connection ended by that.
+fn is_under_way_at_kill(seen: &Observations, request: &RequestRecord, ended_at: Duration) -> bool {
+    kills_of(seen, request.gateway).any(|kill| {
+        request.written_at <= kill.until + MEASURING_SLACK
+            && (kill.from..=kill.until + CROSSING_TIME).contains(&ended_at)
+    })
+}
+
+/// Whether a connection was refused because its gateway was killed as it was tried. From the kill on, none is tried.
+fn is_refused_by_kill(seen: &Observations, refused: &RefusedConnection) -> bool {
+    kills_of(seen, refused.gateway)
+        .any(|kill| (kill.from..=kill.until + MEASURING_SLACK).contains(&refused.at))
+}
+
+fn kills_of(seen: &Observations, gateway: usize) -> impl Iterator<Item = &SuddenKillRecord> {
+    let kills = seen.sudden_kills.iter();
+    kills.filter(move |kill| kill.gateway == gateway)
+}
+
 fn judge_attempts(
     verdict: &mut Verdict,
     seen: &Observations,
@@ -234,12 +265,17 @@
             && at + lasting > shutdown.signal_at
             && at < shutdown.signal_at + EARLIEST_KILL
     });
-    match in_shutdown {
-        Some(shutdown) => {
+    let kill = kills_of(seen, gateway).next();
+    match (in_shutdown, kill) {
+        (Some(shutdown), _) => {
             let after_signal = at.as_millis() as i64 - shutdown.signal_at.as_millis() as i64;
             format!("{after_signal} ms after the signal")
         }
-        None => "outside any shutdown".into(),
+        (None, Some(kill)) => {
+            let after_kill = at.as_millis() as i64 - kill.from.as_millis() as i64;
+            format!("{after_kill} ms after the kill")
+        }
+        (None, None) => "outside any shutdown".into(),
     }
 }
 
--- a/crates/fault-injection/src/soak/mod.rs
+++ b/crates/fault-injection/src/soak/mod.rs
@@ -136,6 +136,7 @@
             .collect(),
         attempts: attempts.take(),
         shutdowns: outcomes.iter().filter_map(|o| o.shutdown).collect(),
+        sudden_kills: outcomes.iter().filter_map(|o| o.sudden_kill).collect(),
         drain: drain.and_then(|drain| drain.join().ok()),
     };
     let offset = shared.started_at - attempts.started_at();
--- a/crates/fault-injection/src/soak/plan.rs
+++ b/crates/fault-injection/src/soak/plan.rs
@@ -19,6 +19,8 @@
 const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 /// How long before the first restart all endpoints begin to hang, where they do.
 const HANG_LEAD: Duration = Duration::from_millis(100);
+/// Sets the draws of sudden kills apart from those before them, so that a seed's other draws stay what they were.
+const SUDDEN_KILL_DRAWS: u64 = 0x6b69_6c6c_0000_0000;
 /// Descriptors of a gateway, and of one that is short of them.
 const DESCRIPTORS: usize = 400;
 const FEW_DESCRIPTORS: usize = 90;
@@ -103,6 +105,15 @@
     pub const LEAD: Duration = Duration::from_millis(60);
 }
 
+/// How a restart ends its gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// By the signals, and a kill at the earliest moment after them.
+    Signals,
+    /// By a kill with no signal before it.
+    SuddenKill,
+}
+
 /// One gateway's restart.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Restart {
@@ -110,7 +121,9 @@
     pub gateway: usize,
     /// When the first signal is sent.
     pub at: Duration,
-    /// The signals.
+    /// How the gateway ends.
+    pub ending: Ending,
+    /// The signals, where it ends by them.
     pub signals: Vec<SignalKind>,
     /// The time from each signal to the next.
     pub signal_gap: Duration,
@@ -138,6 +151,20 @@
     }
 }
 
+impl Restart {
+    fn fmt_signals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<&str> = self.signals.iter().map(|signal| signal.name()).collect();
+        write!(f, "{}", names.join(" "))?;
+        match self.stall {
+            Stall::None => Ok(()),
+            Stall::BeforeSignal(length) => write!(f, ", stalled {} ms at it", length.as_millis()),
+            Stall::BeforeKill(length) => {
+                write!(f, ", stalled {} ms before the kill", length.as_millis())
+            }
+        }
+    }
+}
+
 /// What is played.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -184,6 +211,14 @@
             .collect();
         restarts.sort_by_key(|restart| restart.at);
         let drains_at = milliseconds(&mut rng, 500..=2_000);
+        for restart in &mut restarts {
+            if one_in(
+                &mut seeded(seed ^ (SUDDEN_KILL_DRAWS + restart.gateway as u64)),
+                4,
+            ) {
+                restart.ending = Ending::SuddenKill;
+            }
+        }
         let first_restart = restarts.first().map_or(Duration::ZERO, |first| first.at);
         let all_hang = HangWindow {
             from: first_restart.saturating_sub(HANG_LEAD),
@@ -238,6 +273,7 @@
     Restart {
         gateway,
         at,
+        ending: Ending::Signals,
         signals: SIGNAL_SERIES[series].to_vec(),
         signal_gap: milliseconds(rng, 1..=16),
         stall,
@@ -248,15 +284,10 @@
 
 impl fmt::Display for Restart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let names: Vec<&str> = self.signals.iter().map(|signal| signal.name()).collect();
-        let at = self.at.as_millis();
-        write!(f, "n{} at {at} ms: {}", self.gateway, names.join(" "))?;
-        match self.stall {
-            Stall::None => {}
-            Stall::BeforeSignal(length) => write!(f, ", stalled {} ms at it", length.as_millis())?,
-            Stall::BeforeKill(length) => {
-                write!(f, ", stalled {} ms before the kill", length.as_millis())?;
-            }
+        write!(f, "n{} at {} ms: ", self.gateway, self.at.as_millis())?;
+        match self.ending {
+            Ending::SuddenKill => write!(f, "KILL")?,
+            Ending::Signals => self.fmt_signals(f)?,
         }
         match self.crowd {
             Some(Crowd {
--- a/crates/fault-injection/src/soak/records.rs
+++ b/crates/fault-injection/src/soak/records.rs
@@ -76,6 +76,17 @@
     pub killed_at: Option<Duration>,
 }
 
+/// A kill of a gateway with no signal before it.
+#[derive(Clone, Copy, Debug)]
+pub struct SuddenKillRecord {
+    /// The gateway.
+    pub gateway: usize,
+    /// When it was about to be killed.
+    pub from: Duration,
+    /// When its process was gone.
+    pub until: Duration,
+}
+
 /// A connection that did not come up while its gateway was to accept connections.
 #[derive(Clone, Copy, Debug)]
 pub struct RefusedConnection {
@@ -107,6 +118,8 @@
     pub startup_connections: Vec<StartupConnection>,
     /// The shutdowns.
     pub shutdowns: Vec<ShutdownRecord>,
+    /// The kills with no signal before them.
+    pub sudden_kills: Vec<SuddenKillRecord>,
     /// The drain, if one was played.
     pub drain: Option<DrainRecord>,
 }
--- a/crates/fault-injection/src/soak/restarts.rs
+++ b/crates/fault-injection/src/soak/restarts.rs
@@ -11,8 +11,8 @@
 use serde_json::{json, Value};
 
 use super::clients::{run_asking_client, run_silent_client, Shared};
-use super::plan::{Crowd, Restart, SignalKind, Stall, EARLIEST_KILL};
-use super::records::ShutdownRecord;
+use super::plan::{Crowd, Ending, Restart, SignalKind, Stall, EARLIEST_KILL};
+use super::records::{ShutdownRecord, SuddenKillRecord};
 use super::servers::DiscoveryStandIn;
 use super::starts::StartupConnection;
 use super::startup_clients::{StartupClients, StartupTarget};
@@ -96,6 +96,7 @@
 pub(super) struct RestartOutcome {
     pub(super) process: GatewayProcess,
     pub(super) shutdown: Option<ShutdownRecord>,
+    pub(super) sudden_kill: Option<SuddenKillRecord>,
     /// From the start anew until the gateway was ready.
     pub(super) ready_after: Option<Duration>,
     /// What clients saw that connected from the spawn on.
@@ -103,59 +104,104 @@
     pub(super) violations: Vec<String>,
 }
 
+impl RestartOutcome {
+    /// Of a gateway that goes on as it is.
+    fn unchanged(process: GatewayProcess) -> RestartOutcome {
+        RestartOutcome {
+            process,
+            shutdown: None,
+            sudden_kill: None,
+            ready_after: None,
+            startup_connections: Vec::new(),
+            violations: Vec::new(),
+        }
+    }
+}
+
 /// Plays a restart. The time until it begins has passed.
 pub(super) fn play_restart(
     setup: &GatewaySetup,
     shared: &Arc<Shared>,
     restart: &Restart,
-    mut process: GatewayProcess,
+    process: GatewayProcess,
 ) -> Result<RestartOutcome, GatewayProcessError> {
     let crowd = restart
         .crowd
         .map(|crowd| start_crowd(shared, restart.gateway, crowd));
-    let mut violations = Vec::new();
-    let signal_at = send_signals(shared, restart, &process);
-    let Some(signal_at) = signal_at else {
-        return Ok(RestartOutcome {
-            process,
-            shutdown: None,
-            ready_after: None,
-            startup_connections: Vec::new(),
-            violations,
-        });
-    };
-    let killed_at = end(shared, restart, &mut process, signal_at, &mut violations);
-    let address = process.listen_address;
-    shared.set_admission(restart.gateway, |admission| admission.is_admitted = false);
-    let target = setup.startup_target(restart.gateway, address);
-    let startup_clients = StartupClients::prepare(shared, target);
-    let mut process = setup.spawn(target, |spawned_at| startup_clients.connect(spawned_at))?;
-    process.wait_until_listening()?;
-    let ready_after = wait_until_ready(process.listen_address, process.spawned_at);
-    if ready_after.is_none() {
-        violations.push(format!("n{} is not ready after a restart", restart.gateway));
+    let mut outcome = RestartOutcome::unchanged(process);
+    match restart.ending {
+        Ending::Signals => shut_down(shared, restart, &mut outcome),
+        Ending::SuddenKill => kill_suddenly(shared, restart.gateway, &mut outcome),
     }
-    shared.set_admission(restart.gateway, |admission| {
-        admission.is_admitted = true;
-        admission.until = None;
-    });
+    if outcome.shutdown.is_none() && outcome.sudden_kill.is_none() {
+        return Ok(outcome);
+    }
+    start_anew(setup, shared, restart.gateway, &mut outcome)?;
     if let Some(crowd) = crowd {
         // A crowd's client ends with its request.
         let _ = crowd.join();
     }
-    let startup_connections = startup_clients.join();
-    let shutdown = ShutdownRecord {
-        gateway: restart.gateway,
-        signal_at: signal_at - shared.started_at,
-        killed_at,
+    Ok(outcome)
+}
+
+/// Sends the signals, and waits until the gateway has ended or its kill has come, if one of them ends it.
+fn shut_down(shared: &Shared, restart: &Restart, outcome: &mut RestartOutcome) {
+    let Some(signal_at) = send_signals(shared, restart, &outcome.process) else {
+        return;
     };
-    Ok(RestartOutcome {
+    let RestartOutcome {
         process,
-        shutdown: Some(shutdown),
-        ready_after,
-        startup_connections,
         violations,
-    })
+        ..
+    } = outcome;
+    let killed_at = end(shared, restart, process, signal_at, violations);
+    outcome.shutdown = Some(ShutdownRecord {
+        gateway: restart.gateway,
+        signal_at: signal_at - shared.started_at,
+        killed_at,
+    });
+}
+
+/// Kills the gateway. No connection is tried from then on.
+fn kill_suddenly(shared: &Shared, gateway: usize, outcome: &mut RestartOutcome) {
+    let from = shared.now();
+    shared.set_admission(gateway, |admission| admission.is_admitted = false);
+    outcome.process.kill();
+    let until = shared.now();
+    outcome.process.read_log();
+    outcome.violations.append(&mut outcome.process.violations);
+    outcome.sudden_kill = Some(SuddenKillRecord {
+        gateway,
+        from,
+        until,
+    });
+}
+
+/// Starts the gateway anew at its address, and waits until it is ready and the clients of its start have ended.
+fn start_anew(
+    setup: &GatewaySetup,
+    shared: &Arc<Shared>,
+    gateway: usize,
+    outcome: &mut RestartOutcome,
+) -> Result<(), GatewayProcessError> {
+    let address = outcome.process.listen_address;
+    shared.set_admission(gateway, |admission| admission.is_admitted = false);
+    let target = setup.startup_target(gateway, address);
+    let startup_clients = StartupClients::prepare(shared, target);
+    let mut process = setup.spawn(target, |spawned_at| startup_clients.connect(spawned_at))?;
+    process.wait_until_listening()?;
+    outcome.ready_after = wait_until_ready(address, process.spawned_at);
+    if outcome.ready_after.is_none() {
+        let violation = format!("n{gateway} is not ready after a restart");
+        outcome.violations.push(violation);
+    }
+    outcome.process = process;
+    shared.set_admission(gateway, |admission| {
+        admission.is_admitted = true;
+        admission.until = None;
+    });
+    outcome.startup_connections = startup_clients.join();
+    Ok(())
 }
 
 fn system_signal(kind: SignalKind) -> Signal {
@@ -222,7 +268,10 @@
         let now = Instant::now();
         if now >= kill_at {
             process.kill();
-            return Some(shared.now());
+            let killed_at = shared.now();
+            process.read_log();
+            violations.append(&mut process.violations);
+            return Some(killed_at);
         }
         if !is_stalled && stall_at.is_some_and(|at| now >= at) {
             is_stalled = true;
--- a/crates/fault-injection/tests/soak_rules.rs
+++ b/crates/fault-injection/tests/soak_rules.rs
@@ -54,6 +54,7 @@
             signal_at: ms(900),
             killed_at: None,
         }],
+        sudden_kills: Vec::new(),
         drain: Some(DrainRecord {
             endpoint: 2,
             told_at: ms(10_000),
@@ -184,6 +185,7 @@
         "TERM INT",
         "HUP HUP HUP",
         "HUP TERM HUP",
+        "KILL",
         "at it",
         "before the kill",
         "crowd of",
