--- a/crates/fault-injection/src/soak/judge.rs
+++ b/crates/fault-injection/src/soak/judge.rs
@@ -187,6 +187,10 @@
             }
         }
         RequestEnd::Unanswered { at, received_bytes } => {
+            if is_under_way_at_kill(seen, request, at) {
+                verdict.excused += 1;
+                return;
+            }
             let may_have_crossed = request.is_connection_reused
                 && received_bytes == 0
                 && attempts.is_empty()
@@ -195,10 +199,6 @@
                 verdict.sent_again += 1;
                 return;
             }
-            if is_under_way_at_kill(seen, request, at) {
-                verdict.excused += 1;
-                return;
-            }
             let after = at.saturating_sub(request.written_at).as_millis();
             let what = format!(
                 "is lost after {after} ms with {received_bytes} bytes of an answer and {} attempts",
--- a/crates/fault-injection/tests/soak_kills.rs
+++ b/crates/fault-injection/tests/soak_kills.rs
@@ -70,6 +70,17 @@
     }
 }
 
+#[test]
+fn a_request_that_may_also_have_crossed_a_close_is_counted_with_the_kill() {
+    let unread = RequestEnd::Unanswered {
+        at: ms(1_002),
+        received_bytes: 0,
+    };
+    let verdict = judge_request(request(0, 999, unread), vec![]);
+    assert!(verdict.is_ok(), "{verdict:?}");
+    assert_eq!((verdict.excused, verdict.sent_again), (1, 0));
+}
+
 #[test]
 fn a_kill_excuses_no_request_that_ended_by_anything_else() {
     let foreign = RequestEnd::Answered {
