--- a/crates/fault-injection/src/soak/judge.rs
+++ b/crates/fault-injection/src/soak/judge.rs
@@ -7,7 +7,8 @@
 
 use super::plan::EARLIEST_KILL;
 use super::records::{
-    AttemptRecord, Observations, RefusedConnection, RequestEnd, RequestRecord, SuddenKillRecord,
+    Arrival, AttemptRecord, Observations, RefusedConnection, RequestEnd, RequestRecord,
+    SuddenKillRecord,
 };
 use super::requests::RequestClass;
 use super::starts::{start_violations, StartCounts};
@@ -250,8 +251,9 @@
         if attempt.stated > left + STATED_TIME_SLACK + MEASURING_SLACK {
             let stated = attempt.stated.as_millis();
             let what = format!(
-                "states {stated} ms to an endpoint with {} ms left",
-                left.as_millis()
+                "states {stated} ms to an endpoint with {} ms left, {}",
+                left.as_millis(),
+                describe_arrival(attempt.arrival)
             );
             verdict.add_violation(Rule::StatedTime, || describe(seen, request, &what));
         }
@@ -279,6 +281,16 @@
     }
 }
 
+fn describe_arrival(arrival: Arrival) -> String {
+    let waited = arrival.processor_wait.as_millis();
+    let connection = if arrival.is_first_on_connection {
+        "a new"
+    } else {
+        "an open"
+    };
+    format!("on {connection} connection to it, its thread waited {waited} ms for a processor")
+}
+
 /// A violation, with what the forced test of it needs to know.
 fn describe(seen: &Observations, request: &RequestRecord, what: &str) -> String {
     let RequestRecord { id, gateway, .. } = request;
--- a/crates/fault-injection/src/soak/records.rs
+++ b/crates/fault-injection/src/soak/records.rs
@@ -63,6 +63,17 @@
     pub at: Duration,
     /// The time that it stated.
     pub stated: Duration,
+    /// How far the machine and the connection may have made it late.
+    pub arrival: Arrival,
+}
+
+/// How an attempt came to its endpoint. Told with a violation; no rule allows for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Arrival {
+    /// Whether it is the first on its connection.
+    pub is_first_on_connection: bool,
+    /// How long the endpoint's thread waited for a processor since the attempt before, or since it was started.
+    pub processor_wait: Duration,
 }
 
 /// A gateway's shutdown.
--- a/crates/fault-injection/src/soak/sampler.rs
+++ b/crates/fault-injection/src/soak/sampler.rs
@@ -1,7 +1,7 @@
 //! Samples the gateways' processes while a soak runs, and how far the machine holds up the sampling itself.
 
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -69,7 +69,7 @@
         for (slot, last) in process_ids.iter().zip(&mut last_waits) {
             let process_id = slot.load(Ordering::SeqCst);
             samples.descriptors_max = samples.descriptors_max.max(descriptor_count(process_id));
-            let waited = processor_wait(process_id);
+            let waited = processor_wait(&process_folder(process_id));
             if last.process_id == process_id {
                 let wait = waited.saturating_sub(last.waited);
                 samples.longest_wait = samples.longest_wait.max(wait);
@@ -93,11 +93,10 @@
     fs::read_dir(process_folder(process_id).join("fd")).map_or(0, Iterator::count)
 }
 
-/// How long the one thread of a process could run and had no processor, since its start: the second field of `schedstat`. Zero
-/// where the system says nothing.
-fn processor_wait(process_id: usize) -> Duration {
-    let path = process_folder(process_id).join("schedstat");
-    let text = fs::read_to_string(path).unwrap_or_default();
+/// How long the thread with this folder, or the one thread of the process, could run and had no processor since its start: the
+/// second field of `schedstat`. Zero where the system says nothing.
+pub(super) fn processor_wait(folder: &Path) -> Duration {
+    let text = fs::read_to_string(folder.join("schedstat")).unwrap_or_default();
     let nanoseconds = text
         .split_whitespace()
         .nth(1)
--- a/crates/fault-injection/src/soak/servers.rs
+++ b/crates/fault-injection/src/soak/servers.rs
@@ -1,7 +1,9 @@
 //! The stand-ins that a soak's gateways connect to: endpoints that record each attempt, and a discovery whose list changes.
 
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -11,7 +13,8 @@
 use serde_json::Value;
 
 use super::plan::{seeded, HangWindow};
-use super::records::AttemptRecord;
+use super::records::{Arrival, AttemptRecord};
+use super::sampler::processor_wait;
 use crate::stand_ins::{endpoint_list, endpoint_record, serve_requests, ReceivedRequest};
 
 /// How long an endpoint works on most requests, and on one in [`LONG_WORK_IN`].
@@ -79,12 +82,27 @@
             endpoint,
             at: self.now(),
             stated: Duration::from_millis(stated_ms.unwrap_or(0)),
+            arrival: take_arrival(),
         };
         let mut attempts = self.attempts.lock().expect("no endpoint panics");
         attempts.push(attempt);
     }
 }
 
+thread_local! {
+    /// How long this thread had waited for a processor at the attempt before, if there was one. A connection has a thread.
+    static WAITED: Cell<Option<Duration>> = const { Cell::new(None) };
+}
+
+fn take_arrival() -> Arrival {
+    let waited = processor_wait(Path::new("/proc/thread-self"));
+    let before = WAITED.replace(Some(waited));
+    Arrival {
+        is_first_on_connection: before.is_none(),
+        processor_wait: waited.saturating_sub(before.unwrap_or_default()),
+    }
+}
+
 /// Starts an endpoint.
 pub(super) fn start_endpoint(
     endpoint: usize,
