--- a/crates/fault-injection/src/soak/clients.rs
+++ b/crates/fault-injection/src/soak/clients.rs
@@ -1,7 +1,7 @@
 //! Clients with blocking sockets: each uses one connection for request after request, as long as the gateway keeps it open.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::thread;
@@ -10,7 +10,7 @@
 use nanorand::WyRand;
 use socket2::{Domain, Socket, Type};
 
-use super::records::{RefusedConnection, RequestEnd, RequestRecord};
+use super::records::{HalfCloseAnswer, RefusedConnection, RequestEnd, RequestRecord};
 use super::requests::RequestPlan;
 use crate::stand_ins::client_request;
 
@@ -168,9 +168,12 @@
     let response = connection.read_response(plan);
     let at = shared.now();
     let end = match &response {
+        Response::NotAwaited if plan.half_closes_after.is_some() => {
+            connection.read_after_half_close(at, plan, &id)
+        }
         Response::Whole { body, is_success } => RequestEnd::Answered {
             at,
-            is_own: !is_success || body.split(' ').next() == Some(id.as_str()),
+            is_own: is_own_answer(body, *is_success, &id),
         },
         Response::Cut { received_bytes } => RequestEnd::Unanswered {
             at,
@@ -192,6 +195,11 @@
     matches!(response, Response::Whole { .. }) && connection.is_kept
 }
 
+/// Whether an answer was made for this request. Endpoints begin theirs with its id; other answers hold none.
+fn is_own_answer(body: &str, is_success: bool, id: &str) -> bool {
+    !is_success || body.split(' ').next() == Some(id)
+}
+
 /// What came back for a request.
 enum Response {
     Whole { body: String, is_success: bool },
@@ -202,6 +210,8 @@
 pub(super) struct ClientConnection {
     stream: TcpStream,
     reads_slowly: bool,
+    /// What has come since the last request.
+    received: Vec<u8>,
     /// Whether the last answer keeps the connection.
     is_kept: bool,
 }
@@ -226,6 +236,7 @@
         ClientConnection {
             stream: socket.into(),
             reads_slowly,
+            received: Vec::new(),
             is_kept: true,
         }
     }
@@ -245,49 +256,55 @@
     }
 
     fn read_response(&mut self, plan: &RequestPlan) -> Response {
-        let wait = plan.leaves_after.unwrap_or(plan.deadline + PATIENCE);
-        let give_up_at = Instant::now() + wait;
-        let mut received: Vec<u8> = Vec::new();
-        let mut part = vec![
-            0;
-            if self.reads_slowly {
-                SLOW_READ_BYTES
-            } else {
-                READ_BYTES
+        self.received.clear();
+        let stops_after = plan.leaves_after.or(plan.half_closes_after);
+        let wait = stops_after.unwrap_or(plan.deadline + PATIENCE);
+        match self.read_for(wait) {
+            Some(response) => response,
+            None if stops_after.is_some() => Response::NotAwaited,
+            None => self.cut(),
+        }
+    }
+
+    /// Ends the writing side at this moment, and reads on.
+    fn read_after_half_close(&mut self, at: Duration, plan: &RequestPlan, id: &str) -> RequestEnd {
+        // A connection that has ended already gives no answer below.
+        let _ = self.stream.shutdown(Shutdown::Write);
+        let answer = match self.read_for(plan.deadline + PATIENCE) {
+            Some(Response::Whole { body, is_success }) if is_own_answer(&body, is_success, id) => {
+                HalfCloseAnswer::Own
             }
-        ];
+            Some(Response::Whole { .. }) => HalfCloseAnswer::Foreign,
+            _ => HalfCloseAnswer::None,
+        };
+        RequestEnd::HalfClosed { at, answer }
+    }
+
+    /// Reads until the response is whole or the connection has ended. None if neither comes in this time.
+    fn read_for(&mut self, wait: Duration) -> Option<Response> {
+        let give_up_at = Instant::now() + wait;
+        let part_bytes = if self.reads_slowly {
+            SLOW_READ_BYTES
+        } else {
+            READ_BYTES
+        };
+        let mut part = vec![0; part_bytes];
         loop {
-            if let Some(response) = self.parse(&received) {
-                return response;
+            if let Some(response) = self.parse() {
+                return Some(response);
             }
-            let cut = Response::Cut {
-                received_bytes: received.len(),
-            };
             let remaining = give_up_at.saturating_duration_since(Instant::now());
-            let timed_out = if plan.leaves_after.is_some() {
-                Response::NotAwaited
-            } else {
-                cut
-            };
             if remaining.is_zero() || self.stream.set_read_timeout(Some(remaining)).is_err() {
-                return timed_out;
+                return None;
             }
             match self.stream.read(&mut part) {
-                Ok(0) => {
-                    return Response::Cut {
-                        received_bytes: received.len(),
-                    }
-                }
-                Ok(count) => received.extend_from_slice(&part[..count]),
+                Ok(0) => return Some(self.cut()),
+                Ok(count) => self.received.extend_from_slice(&part[..count]),
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    return timed_out
+                    return None;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => {
-                    return Response::Cut {
-                        received_bytes: received.len(),
-                    }
-                }
+                Err(_) => return Some(self.cut()),
             }
             if self.reads_slowly {
                 thread::sleep(SLOW_READ_PAUSE);
@@ -295,17 +312,26 @@
         }
     }
 
+    fn cut(&self) -> Response {
+        Response::Cut {
+            received_bytes: self.received.len(),
+        }
+    }
+
     /// The response, once it is whole. Gateways state the length of each.
-    fn parse(&mut self, received: &[u8]) -> Option<Response> {
+    fn parse(&mut self) -> Option<Response> {
+        let received = &self.received;
         let head_length = received.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
         let head = String::from_utf8_lossy(&received[..head_length]).to_ascii_lowercase();
         let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
         let length: usize = field("content-length:")?.trim().parse().ok()?;
         let body = received.get(head_length..head_length + length)?;
-        self.is_kept = field("connection:").map(str::trim) != Some("close");
-        Some(Response::Whole {
+        let is_kept = field("connection:").map(str::trim) != Some("close");
+        let response = Response::Whole {
             body: String::from_utf8_lossy(body).into_owned(),
             is_success: head.starts_with("http/1.1 200"),
-        })
+        };
+        self.is_kept = is_kept;
+        Some(response)
     }
 }
--- a/crates/fault-injection/src/soak/records.rs
+++ b/crates/fault-injection/src/soak/records.rs
@@ -27,6 +27,24 @@
         /// When.
         at: Duration,
     },
+    /// The client ended its writing side and read on. The gateway sees what it sees of one that closes, and counts it as gone.
+    HalfClosed {
+        /// When.
+        at: Duration,
+        /// Whether a whole answer came all the same, and was the one made for this request.
+        answer: HalfCloseAnswer,
+    },
+}
+
+/// What came to a client that had ended its writing side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HalfCloseAnswer {
+    /// No whole answer.
+    None,
+    /// The answer made for its request.
+    Own,
+    /// Another's.
+    Foreign,
 }
 
 /// A request whose last byte was written.
--- a/crates/fault-injection/src/soak/requests.rs
+++ b/crates/fault-injection/src/soak/requests.rs
@@ -46,6 +46,8 @@
     pub reads_slowly: bool,
     /// After how long the client closes its connection without an answer.
     pub leaves_after: Option<Duration>,
+    /// After how long the client without an answer ends its writing side, and reads on.
+    pub half_closes_after: Option<Duration>,
     /// How long the client waits before its next request.
     pub pause: Duration,
 }
@@ -59,7 +61,8 @@
             RequestClass::NonIdempotent,
         ];
         let deadlines_ms = [150, 400, 1_000, 2_000, LONGEST_DEADLINE_MS];
-        let leaves_after = milliseconds(rng, 5..=300);
+        let leaves_after = one_in(rng, 20).then_some(milliseconds(rng, 5..=300));
+        let half_closes_after = one_in(rng, 20).then_some(draw_half_close(rng));
         RequestPlan {
             class: classes[rng.generate_range(0..classes.len())],
             deadline: Duration::from_millis(
@@ -72,7 +75,8 @@
             },
             piece_pause: milliseconds(rng, 1..=60),
             reads_slowly: one_in(rng, 12),
-            leaves_after: one_in(rng, 20).then_some(leaves_after),
+            leaves_after,
+            half_closes_after: half_closes_after.filter(|_| leaves_after.is_none()),
             pause: if one_in(rng, 2) {
                 Duration::ZERO
             } else {
@@ -100,7 +104,17 @@
             piece_pause: Duration::ZERO,
             reads_slowly: false,
             leaves_after: None,
+            half_closes_after: None,
             pause: Duration::ZERO,
         }
     }
 }
+
+/// Right behind the request in half of the cases, as a client does that sends a file and waits.
+fn draw_half_close(rng: &mut WyRand) -> Duration {
+    if one_in(rng, 2) {
+        Duration::ZERO
+    } else {
+        milliseconds(rng, 1..=100)
+    }
+}
