--- a/crates/fault-injection/src/soak/mod.rs
+++ b/crates/fault-injection/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! crowds and endpoints that hang. Judged by what clients, endpoints and the kernel saw.
 
 mod clients;
+mod discovery;
 pub mod judge;
 pub mod plan;
 pub mod records;
@@ -25,17 +26,20 @@
 
 use crate::gateway_process::{gateway_program, GatewayProcess, GatewayProcessError};
 use clients::{run_client, Admission, Shared};
+use discovery::DiscoveryStandIn;
 use judge::{judge, Verdict};
 use plan::{seeded, Crowd, Plan, Restart};
 use records::{DrainRecord, Observations};
 use restarts::{play_restart, GatewaySetup, RestartOutcome};
 use sampler::{Sampler, Samples};
-use servers::{start_endpoint, AttemptLog, Conduct, DiscoveryStandIn};
+use servers::{start_endpoint, AttemptLog, Conduct};
 
 const ENDPOINTS: usize = 4;
 const DRAINING_ENDPOINT: usize = 3;
 const HANGING_ENDPOINT: usize = 1;
 const CLOSING_ENDPOINT: usize = 2;
+/// How long after it began to drain an endpoint is removed from the list.
+const REMOVED_AFTER_DRAIN: Duration = Duration::from_millis(600);
 const CLIENTS_PER_GATEWAY: usize = 10;
 /// How long a gateway may take to be ready again.
 const READY_LIMIT: Duration = Duration::from_secs(1);
@@ -119,6 +123,9 @@
     });
     let shared = Shared::new(settings.seed, admissions.collect(), settings.duration);
     let shared = Arc::new(shared);
+    if let Some(window) = plan.discovery_window {
+        setup.discovery.fail_in(window, shared.started_at);
+    }
     let sampler = Sampler::start(&processes);
     let clients = start_clients(settings, &shared);
     let drain = plan.drains_at.map(|at| start_drain(&setup, &shared, at));
@@ -178,7 +185,7 @@
         folder,
         seed: settings.seed,
         descriptors: plan.descriptors,
-        discovery: DiscoveryStandIn::start(&addresses, DRAINING_ENDPOINT),
+        discovery: DiscoveryStandIn::start(&addresses),
     })
 }
 
@@ -196,7 +203,7 @@
     (0..clients).map(start).collect()
 }
 
-/// Has an endpoint drain later on, and says when every watch carries it.
+/// Has an endpoint drain later on, and go a while after, and says when every watch carries the drain.
 fn start_drain(
     setup: &Arc<GatewaySetup>,
     shared: &Arc<Shared>,
@@ -206,10 +213,12 @@
     let shared = shared.clone();
     thread::spawn(move || {
         thread::sleep(at);
-        setup.discovery.drain();
+        let told_at = setup.discovery.drain(DRAINING_ENDPOINT);
+        thread::sleep(REMOVED_AFTER_DRAIN);
+        setup.discovery.remove(DRAINING_ENDPOINT);
         DrainRecord {
             endpoint: DRAINING_ENDPOINT,
-            told_at: shared.now(),
+            told_at: told_at - shared.started_at,
         }
     })
 }
--- a/crates/fault-injection/src/soak/plan.rs
+++ b/crates/fault-injection/src/soak/plan.rs
@@ -21,6 +21,12 @@
 const HANG_LEAD: Duration = Duration::from_millis(100);
 /// Sets the draws of sudden kills apart from those before them, so that a seed's other draws stay what they were.
 const SUDDEN_KILL_DRAWS: u64 = 0x6b69_6c6c_0000_0000;
+/// The same for the draws of discovery's faults.
+const DISCOVERY_DRAWS: u64 = 0x6469_7363_0000_0000;
+/// When discovery begins to fail, for how long, and how late it is where it is slow.
+const DISCOVERY_FAULT_FROM_MS: std::ops::RangeInclusive<u64> = 500..=1_500;
+const DISCOVERY_FAULT_LENGTH_MS: std::ops::RangeInclusive<u64> = 1_000..=5_500;
+const DISCOVERY_DELAY_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
 /// Descriptors of a gateway, and of one that is short of them.
 const DESCRIPTORS: usize = 400;
 const FEW_DESCRIPTORS: usize = 90;
@@ -165,6 +171,68 @@
     }
 }
 
+/// How discovery fails for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryFault {
+    /// It says nothing on watches and answers no call. What changes meanwhile is told at the end.
+    Away,
+    /// It answers calls, and tells changes, later by this.
+    Slow(Duration),
+}
+
+/// A time in which discovery fails, and its list changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DiscoveryWindow {
+    /// What fails.
+    pub fault: DiscoveryFault,
+    /// When it begins.
+    pub from: Duration,
+    /// When it ends.
+    pub until: Duration,
+}
+
+impl DiscoveryWindow {
+    /// When a change or a call of this moment is told or answered.
+    pub fn answered_at(&self, at: Duration) -> Duration {
+        match self.fault {
+            _ if !(self.from..self.until).contains(&at) => at,
+            DiscoveryFault::Away => self.until,
+            DiscoveryFault::Slow(delay) => at + delay,
+        }
+    }
+
+    fn draw(rng: &mut WyRand) -> DiscoveryWindow {
+        let from = milliseconds(rng, DISCOVERY_FAULT_FROM_MS);
+        let until = from + milliseconds(rng, DISCOVERY_FAULT_LENGTH_MS);
+        let delay = milliseconds(rng, DISCOVERY_DELAY_MS);
+        let fault = if one_in(rng, 2) {
+            DiscoveryFault::Away
+        } else {
+            DiscoveryFault::Slow(delay)
+        };
+        DiscoveryWindow { fault, from, until }
+    }
+
+    /// When an endpoint begins to drain: within the window, early enough that it is judged before the end of most runs.
+    fn draw_drain(&self, rng: &mut WyRand) -> Duration {
+        let length = (self.until - self.from).as_millis() as u64;
+        self.from + milliseconds(rng, 0..=length / 2)
+    }
+}
+
+impl fmt::Display for DiscoveryWindow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (from, until) = (self.from.as_millis(), self.until.as_millis());
+        match self.fault {
+            DiscoveryFault::Away => write!(f, "discovery is away")?,
+            DiscoveryFault::Slow(delay) => {
+                write!(f, "discovery is {} ms late", delay.as_millis())?;
+            }
+        }
+        write!(f, " from {from} to {until} ms")
+    }
+}
+
 /// What is played.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -178,6 +246,8 @@
     pub one_endpoint_closes: bool,
     /// When one endpoint begins to drain.
     pub drains_at: Option<Duration>,
+    /// When discovery fails, in some runs. An endpoint drains meanwhile.
+    pub discovery_window: Option<DiscoveryWindow>,
     /// How many descriptors each gateway may have.
     pub descriptors: usize,
 }
@@ -219,6 +289,10 @@
                 restart.ending = Ending::SuddenKill;
             }
         }
+        let mut discovery_rng = seeded(seed ^ DISCOVERY_DRAWS);
+        let discovery_window =
+            one_in(&mut discovery_rng, 3).then(|| DiscoveryWindow::draw(&mut discovery_rng));
+        let drain_meanwhile = discovery_window.map(|w| w.draw_drain(&mut discovery_rng));
         let first_restart = restarts.first().map_or(Duration::ZERO, |first| first.at);
         let all_hang = HangWindow {
             from: first_restart.saturating_sub(HANG_LEAD),
@@ -229,7 +303,8 @@
             one_endpoint_hangs: one_in(&mut rng, 3),
             all_hang: one_in(&mut rng, 4).then_some(all_hang),
             one_endpoint_closes: one_in(&mut rng, 3),
-            drains_at: one_in(&mut rng, 3).then_some(drains_at),
+            drains_at: drain_meanwhile.or(one_in(&mut rng, 3).then_some(drains_at)),
+            discovery_window,
             descriptors: if has_crowds {
                 FEW_DESCRIPTORS
             } else {
@@ -252,6 +327,7 @@
         );
         let drain = |at: Duration| format!("an endpoint drains at {} ms", at.as_millis());
         drawn.extend(self.drains_at.map(drain));
+        drawn.extend(self.discovery_window.map(|window| window.to_string()));
         drawn.push(format!("{} descriptors a gateway", self.descriptors));
         drawn
     }
--- a/crates/fault-injection/src/soak/restarts.rs
+++ b/crates/fault-injection/src/soak/restarts.rs
@@ -11,9 +11,9 @@
 use serde_json::{json, Value};
 
 use super::clients::{run_asking_client, run_silent_client, Shared};
+use super::discovery::DiscoveryStandIn;
 use super::plan::{Crowd, Ending, Restart, SignalKind, Stall, EARLIEST_KILL};
 use super::records::{ShutdownRecord, SuddenKillRecord};
-use super::servers::DiscoveryStandIn;
 use super::starts::StartupConnection;
 use super::startup_clients::{StartupClients, StartupTarget};
 use crate::gateway_process::{GatewayCommand, GatewayProcess, GatewayProcessError};
--- a/crates/fault-injection/src/soak/servers.rs
+++ b/crates/fault-injection/src/soak/servers.rs
@@ -1,21 +1,19 @@
-//! The stand-ins that a soak's gateways connect to: endpoints that record each attempt, and a discovery whose list changes.
+//! The endpoints of a soak, which record each attempt.
 
 use std::cell::Cell;
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use nanorand::Rng;
-use serde_json::Value;
 
 use super::plan::{seeded, HangWindow};
 use super::records::{Arrival, AttemptRecord};
 use super::sampler::processor_wait;
-use crate::stand_ins::{endpoint_list, endpoint_record, serve_requests, ReceivedRequest};
+use crate::stand_ins::{serve_requests, ReceivedRequest};
 
 /// How long an endpoint works on most requests, and on one in [`LONG_WORK_IN`].
 const USUAL_WORK_MS: std::ops::RangeInclusive<u64> = 2..=40;
@@ -26,13 +24,6 @@
 const LONG_BODY_BYTES: usize = 60_000;
 /// An endpoint that closes its connections does so after one answer in this many.
 const CLOSE_IN: u32 = 4;
-/// How often discovery looks for changes, and how many looks it is to its next empty line.
-const LOOK_INTERVAL: Duration = Duration::from_millis(20);
-const LOOKS_PER_EMPTY_LINE: u32 = 50;
-/// The versions of the first list and of the drain.
-const FIRST_VERSION: u32 = 41;
-const DRAIN_VERSION: u32 = 42;
-const BUILD: u32 = 41;
 
 /// How an endpoint treats its requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -137,96 +128,3 @@
         is_written && !(conduct == Conduct::Closes && draw.generate_range(0..CLOSE_IN) == 0)
     })
 }
-
-/// A discovery service that all gateways share.
-pub(super) struct DiscoveryStandIn {
-    pub(super) address: SocketAddr,
-    endpoints: Arc<Vec<Value>>,
-    drained: Value,
-    is_draining: Arc<AtomicBool>,
-}
-
-impl DiscoveryStandIn {
-    /// Lists these endpoints. The one at `draining` begins to drain when it is told to.
-    pub(super) fn start(addresses: &[SocketAddr], draining: usize) -> DiscoveryStandIn {
-        let record = |index: usize, phase: &str| {
-            endpoint_record(&format!("s-{index}"), addresses[index], phase, BUILD)
-        };
-        let indexes = 0..addresses.len();
-        let endpoints: Arc<Vec<Value>> = Arc::new(indexes.map(|i| record(i, "ready")).collect());
-        let drained = record(draining, "draining");
-        let is_draining = Arc::new(AtomicBool::new(false));
-        let served = (endpoints.clone(), drained.clone(), is_draining.clone());
-        let address = serve_requests(move |request| {
-            let (endpoints, drained, is_draining) = &served;
-            serve_list(request, endpoints, drained, is_draining)
-        });
-        DiscoveryStandIn {
-            address,
-            endpoints,
-            drained,
-            is_draining,
-        }
-    }
-
-    /// Lets the endpoint drain. The watches carry it after a look at the latest.
-    pub(super) fn drain(&self) {
-        self.is_draining.store(true, Ordering::SeqCst);
-        thread::sleep(LOOK_INTERVAL);
-    }
-
-    /// The list that a gateway has kept when it starts now.
-    pub(super) fn current_list(&self) -> Value {
-        current_list(&self.endpoints, &self.drained, &self.is_draining)
-    }
-}
-
-fn current_list(endpoints: &[Value], drained: &Value, is_draining: &AtomicBool) -> Value {
-    if !is_draining.load(Ordering::SeqCst) {
-        return endpoint_list(FIRST_VERSION, true, endpoints);
-    }
-    let is_drained = |endpoint: &Value| endpoint["id"] == drained["id"];
-    let now = |endpoint: &Value| {
-        if is_drained(endpoint) {
-            drained.clone()
-        } else {
-            endpoint.clone()
-        }
-    };
-    let endpoints: Vec<Value> = endpoints.iter().map(now).collect();
-    endpoint_list(DRAIN_VERSION, true, &endpoints)
-}
-
-fn serve_list(
-    request: &mut ReceivedRequest,
-    endpoints: &[Value],
-    drained: &Value,
-    is_draining: &AtomicBool,
-) -> bool {
-    let list = || current_list(endpoints, drained, is_draining);
-    if !request.head.contains("stream=1") {
-        return request.respond("200 OK", &list().to_string());
-    }
-    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    if request.stream.write_all(head).is_err() {
-        return false;
-    }
-    let mut knows_drain = request.head.contains(&format!("index={DRAIN_VERSION}"));
-    for look in 0_u32.. {
-        let line = if !knows_drain && is_draining.load(Ordering::SeqCst) {
-            knows_drain = true;
-            endpoint_list(DRAIN_VERSION, false, std::slice::from_ref(drained)).to_string()
-        } else if look % LOOKS_PER_EMPTY_LINE == 0 {
-            String::new()
-        } else {
-            thread::sleep(LOOK_INTERVAL);
-            continue;
-        };
-        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
-        if request.stream.write_all(chunk.as_bytes()).is_err() {
-            return false;
-        }
-        thread::sleep(LOOK_INTERVAL);
-    }
-    false
-}
--- a/crates/fault-injection/tests/soak_rules.rs
+++ b/crates/fault-injection/tests/soak_rules.rs
@@ -194,6 +194,8 @@
         "no endpoint answers",
         "an endpoint closes connections",
         "an endpoint drains",
+        "discovery is away",
+        "ms late from",
         "90 descriptors",
     ] {
         assert!(texts.contains(part), "{part} is never drawn");
