--- a/crates/fault-injection/src/soak/discovery.rs
+++ b/crates/fault-injection/src/soak/discovery.rs
@@ -87,7 +87,7 @@
 impl Service {
     /// Changes an endpoint's phase. Returns when this is told.
     fn change(&self, endpoint: usize, phase: &str) -> Instant {
-        let told_at = self.answered_at();
+        let told_at = self.told_at();
         let record = record(&self.addresses, endpoint, phase);
         let mut changes = self.changes.lock().expect("no watch panics");
         changes.push(Change { record, told_at });
@@ -98,10 +98,10 @@
         *self.window.lock().expect("no watch panics")
     }
 
-    /// When a call or change of this moment is answered or told.
-    fn answered_at(&self) -> Instant {
+    /// When a change of this moment is told.
+    fn told_at(&self) -> Instant {
         match self.window() {
-            Some((window, started_at)) => started_at + window.answered_at(started_at.elapsed()),
+            Some((window, started_at)) => started_at + window.told_at(started_at.elapsed()),
             None => Instant::now(),
         }
     }
@@ -135,7 +135,9 @@
     }
 
     fn serve(&self, request: &mut ReceivedRequest) -> bool {
-        thread::sleep(self.answered_at().saturating_duration_since(Instant::now()));
+        while self.is_away() {
+            thread::sleep(LOOK_INTERVAL);
+        }
         if request.head.contains("stream=1") {
             self.serve_watch(request)
         } else {
--- a/crates/fault-injection/src/soak/plan.rs
+++ b/crates/fault-injection/src/soak/plan.rs
@@ -176,7 +176,7 @@
 pub enum DiscoveryFault {
     /// It says nothing on watches and answers no call. What changes meanwhile is told at the end.
     Away,
-    /// It answers calls, and tells changes, later by this.
+    /// It learns of changes later by this, and answers calls at once with what it has, as the platform's agent does.
     Slow(Duration),
 }
 
@@ -192,8 +192,8 @@
 }
 
 impl DiscoveryWindow {
-    /// When a change or a call of this moment is told or answered.
-    pub fn answered_at(&self, at: Duration) -> Duration {
+    /// When a change of this moment is told. Where discovery is away, it answers calls of this moment then, too.
+    pub fn told_at(&self, at: Duration) -> Duration {
         match self.fault {
             _ if !(self.from..self.until).contains(&at) => at,
             DiscoveryFault::Away => self.until,
