--- a/crates/fault-injection/src/gateway_process.rs
+++ b/crates/fault-injection/src/gateway_process.rs
@@ -22,6 +22,8 @@
 /// Environment variables that would change a gateway's configuration.
 const CONFIGURATION_VARIABLES: [&str; 4] =
     ["LB_NAME", LISTEN_VARIABLE, "LB_DISCOVERY", "LB_CONFIG"];
+/// What the first line of a panic's report holds.
+const PANIC_MARK: &str = "panicked";
 const KIB_PER_MIB: f64 = 1024.0;
 const NANOSECONDS_PER_MICROSECOND: f64 = 1000.0;
 
@@ -89,6 +91,8 @@
     pub gossip_address: Option<SocketAddr>,
     /// Logged lines that report a violated invariant or a panic.
     pub violations: Vec<String>,
+    /// Whether the last line read began the report of a panic: its message stands in the next one.
+    is_panic_message_next: bool,
     /// Logged lines on leases.
     pub lease_log: Vec<String>,
 }
@@ -221,6 +225,7 @@
             site_address: None,
             gossip_address: None,
             violations: Vec::new(),
+            is_panic_message_next: false,
             lease_log: Vec::new(),
         })
     }
@@ -256,7 +261,10 @@
     /// Sorts the lines that were logged since the last call.
     pub fn read_log(&mut self) {
         for line in self.log.try_iter() {
-            if line.contains(" broken: ") || line.contains("panicked") {
+            if std::mem::take(&mut self.is_panic_message_next) {
+                self.violations.push(line);
+            } else if line.contains(" broken: ") || line.contains(PANIC_MARK) {
+                self.is_panic_message_next = line.contains(PANIC_MARK);
                 self.violations.push(line);
             } else if line.contains(" fleet: ") || line.contains(" fleet.") {
                 self.lease_log.push(line);
