--- a/crates/event-loop/src/clock.rs
+++ b/crates/event-loop/src/clock.rs
@@ -10,26 +10,33 @@
 /// Unix time that is given twice is one timestamp.
 #[derive(Clone, Copy)]
 pub struct Clock {
+    source: fn() -> Instant,
     started: Instant,
     /// Never near zero: to the policy a time near zero is one at which trouble was just seen.
     started_at: Timestamp,
 }
 
 impl Clock {
-    /// Starts a clock.
+    /// Starts a clock that follows the machine's monotonic one.
     pub fn start() -> Clock {
+        Clock::with_source(Instant::now)
+    }
+
+    /// Starts a clock that reads `source`. Tests hold up a gateway between two readings with one of their own.
+    pub fn with_source(source: fn() -> Instant) -> Clock {
         let unix = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
         Clock {
-            started: Instant::now(),
+            source,
+            started: source(),
             started_at: Timestamp(unix.as_micros() as i64),
         }
     }
 
     /// The current time.
     pub fn now(&self) -> Timestamp {
-        self.at(Instant::now())
+        self.at((self.source)())
     }
 
     /// The timestamp of an instant, which may lie before the clock's start.
--- a/crates/gateway/src/dispatch/attempts.rs
+++ b/crates/gateway/src/dispatch/attempts.rs
@@ -44,15 +44,14 @@
         };
         let precondition = self.dispatcher.precondition(entry, endpoint);
         let attempt = entry.attempts.len();
-        let time_left = entry.deadline - self.context.clock.now();
-        let timeout = if timeout > TimeDelta::ZERO {
-            timeout.min(time_left)
+        let deadline = if timeout > TimeDelta::ZERO {
+            entry.deadline.min(now + timeout)
         } else {
-            time_left
+            entry.deadline
         };
         let may_start = !entry.is_answered
             && attempt < self.dispatcher.max_attempts
-            && timeout > TimeDelta::ZERO
+            && deadline > self.context.clock.now()
             && !self.is_list_stale();
         let record = AttemptRecord {
             endpoint,
@@ -72,7 +71,7 @@
                 attempt,
             },
             endpoint,
-            timeout,
+            deadline,
         };
         let started = if may_start {
             self.send_attempt(now, &start)
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -36,8 +36,8 @@
     pub(crate) id: AttemptId,
     /// Where it goes.
     pub(crate) endpoint: EndpointId,
-    /// How long it may take.
-    pub(crate) timeout: TimeDelta,
+    /// When its time is over. A point in time and no duration: how late it starts does not move it.
+    pub(crate) deadline: Timestamp,
 }
 
 /// An attempt of whose request the last byte has not been written.
@@ -125,7 +125,8 @@
             return Err(AttemptOutcome::NotSent);
         };
         let address = pooled.instance.address;
-        pooled.time_left_at = wire::write_request(output, address, request, start.timeout);
+        let time_left = start.deadline - context.now();
+        pooled.time_left_at = wire::write_request(output, address, request, time_left);
         self.attempts.insert(start.id, id);
         self.write(context, id);
         Ok(())
@@ -142,11 +143,10 @@
             .get(&start.endpoint)
             .map(|endpoint| endpoint.instance)
             .ok_or(AttemptOutcome::ConnectFailed)?;
-        let deadline = context.now() + start.timeout;
         let mut exchange = Exchange {
             attempt: start.id,
-            timer_deadline: deadline,
-            deadline,
+            timer_deadline: start.deadline,
+            deadline: start.deadline,
         };
         if let Some(id) = self.reuse(context, start.endpoint, exchange) {
             return Ok(id);
@@ -164,7 +164,7 @@
             move |gateway, readiness| handle_upstream(gateway, id, readiness),
         )
         .map_err(|e| outcome_of_connect_error(context, &e))?;
-        exchange.timer_deadline = deadline.min(context.now() + self.connect_timeout);
+        exchange.timer_deadline = start.deadline.min(context.now() + self.connect_timeout);
         context
             .timers
             .set(exchange.timer_deadline, Timer::Attempt(id));
--- /dev/null
+++ b/crates/gateway/tests/unit/gateway_fixture.rs
@@ -0,0 +1,150 @@
+//! A gateway in the test's own thread, turned by the test, with a scripted clock, one endpoint and one client.
+
+use std::fs;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use calloop::EventLoop;
+use harrierdock_fault_injection::stand_ins::{
+    client_request, endpoint_list, endpoint_record, policy_settings, unresponsive_server,
+};
+use harrierdock_types::Timestamp;
+use serde_json::json;
+
+use super::scripted_clock;
+use crate::config::gateway::GatewayConfig;
+use crate::runtime::gateway::Gateway;
+use crate::runtime::startup::listen_on;
+
+/// How many turns a test waits for anything.
+const MAX_TURNS: usize = 100;
+const END_OF_HEAD: &str = "\r\n\r\n";
+
+/// What one end of a connection has received and not taken yet.
+struct Received {
+    stream: TcpStream,
+    text: String,
+}
+
+impl Received {
+    fn new(stream: TcpStream) -> Received {
+        stream.set_nonblocking(true).unwrap();
+        Received {
+            stream,
+            text: String::new(),
+        }
+    }
+
+    /// Takes a whole message without a body, if one has arrived.
+    fn take_message(&mut self) -> Option<String> {
+        let mut bytes = [0; 4096];
+        match self.stream.read(&mut bytes) {
+            Ok(size) => self.text += std::str::from_utf8(&bytes[..size]).unwrap(),
+            Err(e) => assert_eq!(e.kind(), ErrorKind::WouldBlock, "{e}"),
+        }
+        let end = self.text.find(END_OF_HEAD)? + END_OF_HEAD.len();
+        let rest = self.text.split_off(end);
+        Some(std::mem::replace(&mut self.text, rest))
+    }
+}
+
+/// The gateway, and who speaks to it.
+pub(super) struct GatewayFixture {
+    pub(super) gateway: Gateway,
+    event_loop: EventLoop<'static, Gateway>,
+    endpoint: TcpListener,
+    upstream: Option<Received>,
+    client: Received,
+}
+
+impl GatewayFixture {
+    /// Starts a gateway that knows one endpoint, and connects a client.
+    pub(super) fn start() -> GatewayFixture {
+        let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+        endpoint.set_nonblocking(true).unwrap();
+        let config = read_config(endpoint.local_addr().unwrap());
+        let event_loop = EventLoop::try_new().unwrap();
+        let listener = listen_on(config.listen).unwrap();
+        let mut gateway = Gateway::start(&config, listener, None, &event_loop).unwrap();
+        gateway.context.io.clock = scripted_clock::clock();
+        let address = gateway.downstream.local_address().unwrap();
+        GatewayFixture {
+            gateway,
+            event_loop,
+            endpoint,
+            upstream: None,
+            client: Received::new(TcpStream::connect(address).unwrap()),
+        }
+    }
+
+    /// Has the client send a request that any endpoint may repeat.
+    pub(super) fn send_request(&mut self, id: &str, time_left: Duration) {
+        let time_left_ms = u32::try_from(time_left.as_millis()).unwrap();
+        let request = client_request("draft", id, time_left_ms);
+        self.client.stream.write_all(request.as_bytes()).unwrap();
+    }
+
+    /// Turns the loop until the endpoint has a request, and returns its head.
+    pub(super) fn wait_for_attempt(&mut self) -> String {
+        self.turn_until("an attempt", |fixture| {
+            if let Ok((stream, _)) = fixture.endpoint.accept() {
+                fixture.upstream = Some(Received::new(stream));
+            }
+            fixture.upstream.as_mut()?.take_message()
+        })
+    }
+
+    /// Has the endpoint answer the attempt that it received last.
+    pub(super) fn respond(&mut self) {
+        let upstream = self.upstream.as_mut().unwrap();
+        let response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        upstream.stream.write_all(response.as_bytes()).unwrap();
+    }
+
+    /// Turns the loop until the client has its answer, and returns its status.
+    pub(super) fn wait_for_answer(&mut self) -> String {
+        let head = self.turn_until("an answer", |fixture| fixture.client.take_message());
+        head.split(' ').nth(1).unwrap().to_string()
+    }
+
+    /// When the only request under way must have been answered, whatever the policy does.
+    pub(super) fn overdue_at(&self) -> Timestamp {
+        let requests = &self.gateway.dispatcher.requests;
+        let id = requests
+            .unanswered()
+            .next()
+            .expect("a request is under way");
+        requests.get(id).unwrap().overdue_at
+    }
+
+    fn turn_until<T>(
+        &mut self,
+        awaited: &str,
+        mut poll: impl FnMut(&mut GatewayFixture) -> Option<T>,
+    ) -> T {
+        for _ in 0..MAX_TURNS {
+            if let Some(value) = poll(self) {
+                return value;
+            }
+            self.gateway.turn(&mut self.event_loop);
+        }
+        panic!("{awaited} does not come in {MAX_TURNS} turns");
+    }
+}
+
+fn read_config(endpoint: SocketAddr) -> GatewayConfig {
+    static NUMBERS: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBERS.fetch_add(1, Ordering::SeqCst);
+    let members = [endpoint_record("s-1", endpoint, "ready", 41)];
+    let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": unresponsive_server(),
+        "seed": "00000000000000aa", "limits": {"memory_mb": 192, "sockets": 200},
+        "known": endpoint_list(41, true, &members), "settings": policy_settings()});
+    let file = format!("harrierdock-unit-{}-{number}.json", std::process::id());
+    let path = std::env::temp_dir().join(file);
+    fs::write(&path, config.to_string()).unwrap();
+    let read = GatewayConfig::read(Some(path.clone())).unwrap();
+    fs::remove_file(path).unwrap();
+    read
+}
