--- a/crates/gateway/src/runtime/mod.rs
+++ b/crates/gateway/src/runtime/mod.rs
@@ -21,3 +21,6 @@
 #[cfg(test)]
 #[path = "../../tests/unit/scripted_clock.rs"]
 mod scripted_clock;
+#[cfg(test)]
+#[path = "../../tests/unit/stated_time.rs"]
+mod stated_time;
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -3,7 +3,7 @@
 use calloop::Readiness;
 use harrierdock_event_loop::{ConnectionId, ReadResult, WriteResult};
 use harrierdock_http::{MessageReader, Progress, ResponseHead};
-use harrierdock_types::AttemptOutcome;
+use harrierdock_types::{AttemptOutcome, TimeDelta};
 
 use super::{wire, Phase, Upstream};
 use crate::metrics::Counter;
@@ -39,14 +39,6 @@
             context
                 .timers
                 .set(exchange.timer_deadline, Timer::Attempt(id));
-            // The time that the connection took to come up is not left to the endpoint.
-            if !pooled.time_left_at.is_empty() {
-                let time_left = wire::time_left_text(exchange.deadline - context.now());
-                pooled
-                    .connection
-                    .output
-                    .splice(pooled.time_left_at.clone(), time_left.into_bytes());
-            }
         }
         Readiness {
             writable: true,
@@ -81,13 +73,18 @@
         if pooled.phase != Phase::Writing {
             return;
         }
+        let Some(exchange) = pooled.exchange else {
+            return;
+        };
+        let time_left = exchange.deadline - context.now();
         // Sockets are handled before timers, so the attempt's own timer may not have fired yet.
-        if pooled
-            .exchange
-            .is_some_and(|exchange| exchange.deadline <= context.now())
-        {
+        if time_left <= TimeDelta::ZERO {
             return self.time_out(context, id);
         }
+        // No sooner, as the endpoint is not granted what has passed until its request is written.
+        if let Some(at) = pooled.time_left_at.take() {
+            wire::insert_time_left(&mut pooled.connection.output, at, time_left);
+        }
         match pooled.connection.flush(context) {
             // The request was not written in full, so the endpoint cannot have started on it.
             WriteResult::Failed => self.fail(context, id, AttemptOutcome::ConnectFailed),
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -6,7 +6,6 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::ops::Range;
 
 use harrierdock_attempt_guard::ReusePolicy;
 use harrierdock_event_loop::{Connection, ConnectionId, ResourceClass};
@@ -74,8 +73,8 @@
     reader: MessageReader,
     since: Timestamp,
     exchange: Option<Exchange>,
-    /// Where in the output the time stands that the client still waits.
-    time_left_at: Range<usize>,
+    /// Where the time that the client still waits is to be inserted into the output, if it is not stated yet.
+    time_left_at: Option<usize>,
 }
 
 /// The endpoints' side of the gateway.
@@ -125,8 +124,7 @@
             return Err(AttemptOutcome::NotSent);
         };
         let address = pooled.instance.address;
-        let time_left = start.deadline - context.now();
-        pooled.time_left_at = wire::write_request(output, address, request, time_left);
+        pooled.time_left_at = Some(wire::write_request(output, address, request));
         self.attempts.insert(start.id, id);
         self.write(context, id);
         Ok(())
@@ -176,7 +174,7 @@
             reader: MessageReader::default(),
             since: context.now(),
             exchange: Some(exchange),
-            time_left_at: 0..0,
+            time_left_at: None,
         };
         self.connections.insert(id, pooled);
         Ok(id)
--- a/crates/gateway/src/upstream/wire.rs
+++ b/crates/gateway/src/upstream/wire.rs
@@ -1,7 +1,6 @@
 //! Requests and responses of endpoints as bytes. The names that endpoints use on the wire stand in this file.
 
 use std::net::SocketAddr;
-use std::ops::Range;
 
 use harrierdock_http::{write, ResponseHead};
 use harrierdock_types::{AttemptOutcome, TimeDelta};
@@ -16,17 +15,17 @@
 const LINE_END: &str = "\r\n";
 const MICROS_PER_MILLISECOND: i64 = 1000;
 
-/// Writes a request. Returns where the time that its client still waits stands in the output.
+/// Writes a request without the time that its client still waits. Returns where this is to be inserted.
 pub(super) fn write_request(
     output: &mut Vec<u8>,
     address: SocketAddr,
     request: &OutboundRequest<'_>,
-    time_left: TimeDelta,
-) -> Range<usize> {
+) -> usize {
     write::request_line(output, request.method, request.target);
     write::field(output, "Host", address);
     write::field(output, REQUEST_ID_FIELD, request.client_request_id);
-    let time_left_at = write_time_left(output, time_left);
+    write::field(output, TIME_LEFT_FIELD, "");
+    let time_left_at = output.len() - LINE_END.len();
     if let Some(key) = request.idempotency_key {
         write::field(output, IDEMPOTENCY_KEY_FIELD, key);
     }
@@ -38,16 +37,10 @@
     time_left_at
 }
 
-fn write_time_left(output: &mut Vec<u8>, time_left: TimeDelta) -> Range<usize> {
-    let text = time_left_text(time_left);
-    write::field(output, TIME_LEFT_FIELD, &text);
-    let end = output.len() - LINE_END.len();
-    end - text.len()..end
-}
-
-/// The time that is left, as the field says it.
-pub(super) fn time_left_text(time_left: TimeDelta) -> String {
-    (time_left.0.max(0) / MICROS_PER_MILLISECOND).to_string()
+/// Inserts the time that its client still waits into a request.
+pub(super) fn insert_time_left(output: &mut Vec<u8>, at: usize, time_left: TimeDelta) {
+    let text = (time_left.0.max(0) / MICROS_PER_MILLISECOND).to_string();
+    output.splice(at..at, text.into_bytes());
 }
 
 /// What a response means for its attempt.
