--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -14,6 +14,9 @@
 mod multi_site;
 mod rollout;
 mod runtime;
+#[cfg(test)]
+#[path = "../tests/unit/mod.rs"]
+mod unit;
 mod upstream;
 
 use std::error::Error;
--- a/crates/gateway/src/runtime/event_loop.rs
+++ b/crates/gateway/src/runtime/event_loop.rs
@@ -56,7 +56,7 @@
 
 impl Gateway {
     /// Handles the sockets that are ready and the timers that have expired. Waits for the first of them.
-    pub(super) fn turn(&mut self, event_loop: &mut EventLoop<'static, Gateway>) {
+    pub(crate) fn turn(&mut self, event_loop: &mut EventLoop<'static, Gateway>) {
         let timeout = self
             .context
             .timers
--- a/crates/gateway/src/runtime/mod.rs
+++ b/crates/gateway/src/runtime/mod.rs
@@ -9,18 +9,5 @@
 mod reporting;
 pub(crate) mod shutdown;
 pub(crate) mod socket_handlers;
-mod startup;
+pub(crate) mod startup;
 pub(crate) mod timer;
-
-#[cfg(test)]
-#[path = "../../tests/unit/attempt_deadlines.rs"]
-mod attempt_deadlines;
-#[cfg(test)]
-#[path = "../../tests/unit/gateway_fixture.rs"]
-mod gateway_fixture;
-#[cfg(test)]
-#[path = "../../tests/unit/scripted_clock.rs"]
-mod scripted_clock;
-#[cfg(test)]
-#[path = "../../tests/unit/stated_time.rs"]
-mod stated_time;
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -42,7 +42,7 @@
     /// # Errors
     ///
     /// The settings do not fit, or a socket cannot be opened.
-    pub(super) fn start(
+    pub(crate) fn start(
         config: &GatewayConfig,
         listener: Listener,
         extension_path: Option<PathBuf>,
@@ -166,7 +166,7 @@
 /// # Errors
 ///
 /// The address cannot be listened on.
-pub(super) fn listen_on(address: SocketAddr) -> Result<Listener, StartError> {
+pub(crate) fn listen_on(address: SocketAddr) -> Result<Listener, StartError> {
     Listener::bind(address).map_err(|source| StartError::Listen { address, source })
 }
 
--- /dev/null
+++ b/crates/gateway/tests/unit/mod.rs
@@ -0,0 +1,6 @@
+//! Turns a gateway in the test's own thread, with a clock that the test moves between any two readings.
+
+mod attempt_deadlines;
+mod gateway_fixture;
+mod scripted_clock;
+mod stated_time;
