--- a/crates/gateway/src/dispatch/multi_site.rs
+++ b/crates/gateway/src/dispatch/multi_site.rs
@@ -25,6 +25,8 @@
     inbound: InboundId,
     class: ClassId,
     key: Option<AffinityKey>,
+    /// When its message was handled. Its time counts from then.
+    came_at: Timestamp,
     time_left: TimeDelta,
     message: ForwardedRequest,
 }
@@ -120,7 +122,8 @@
         }
     }
 
-    fn execute_multi_site(&mut self, now: Timestamp, action: Action) {
+    /// Executes an action that cross-site forwarding returned for an event at `now`.
+    pub(crate) fn execute_multi_site(&mut self, now: Timestamp, action: Action) {
         match action {
             Action::ServeLocally { id, remaining } => self.serve_locally(now, id, remaining),
             Action::Forward {
@@ -162,6 +165,7 @@
                 inbound,
                 class,
                 key,
+                came_at: now,
                 time_left: remaining,
                 message: request,
             }),
@@ -225,17 +229,19 @@
                 key,
                 build: sticky_build,
             };
-            self.context.emit(InternalEvent::Policy(learned));
+            self.context
+                .emit_at(request.came_at, InternalEvent::Policy(learned));
         }
+        let received = ReceivedRequest {
+            id,
+            class: request.class,
+            key: request.key,
+            is_client_retry,
+            time_left: request.time_left,
+            inbound: Some(request.inbound),
+        };
         self.context
-            .emit(InternalEvent::RequestReceived(ReceivedRequest {
-                id,
-                class: request.class,
-                key: request.key,
-                is_client_retry,
-                time_left: request.time_left,
-                inbound: Some(request.inbound),
-            }));
+            .emit_at(request.came_at, InternalEvent::RequestReceived(received));
     }
 
     /// The other site waits no more for a request that it has forwarded.
--- a/crates/gateway/tests/unit/mod.rs
+++ b/crates/gateway/tests/unit/mod.rs
@@ -2,5 +2,6 @@
 
 mod attempt_deadlines;
 mod gateway_fixture;
+mod inbound_deadlines;
 mod scripted_clock;
 mod stated_time;
