--- a/crates/gateway/tests/unit/mod.rs
+++ b/crates/gateway/tests/unit/mod.rs
@@ -3,5 +3,6 @@
 mod attempt_deadlines;
 mod gateway_fixture;
 mod inbound_deadlines;
+mod late_responses;
 mod scripted_clock;
 mod stated_time;
--- a/crates/policy/src/request_flow.rs
+++ b/crates/policy/src/request_flow.rs
@@ -266,7 +266,7 @@
         }
         match finished.outcome {
             // Every endpoint may reject: retry after a delay, so that retries don't amplify the overload.
-            AttemptOutcome::Rejected => {
+            AttemptOutcome::Rejected if self.has_time_left(id) => {
                 let retry_at = self.context.now + latency_objective * RETRY_DELAY_RATIO;
                 self.requests.schedule_retry(id, retry_at);
             }
@@ -274,4 +274,12 @@
             _ => self.look_for_endpoint(id),
         }
     }
+
+    /// Whether a request's deadline has not passed. No retry is scheduled after it: the timer would fire later than now.
+    fn has_time_left(&self, id: RequestId) -> bool {
+        let now = self.context.now;
+        self.requests
+            .get(id)
+            .is_some_and(|request| now < request.deadline)
+    }
 }
--- a/crates/policy/tests/decisions/retries.rs
+++ b/crates/policy/tests/decisions/retries.rs
@@ -63,6 +63,21 @@
     .assert_eq(&gateway.trace);
 }
 
+#[test]
+fn a_rejection_after_the_deadline_is_answered_at_once() {
+    let mut gateway =
+        ScriptedGateway::with_endpoints(default_parameters(), &[1], RolloutPhase::Released);
+    let idempotent = gateway.receive_request(IDEMPOTENT, None);
+    // The gateway was held up, so the rejection is read before any timer of the time between.
+    gateway.run_until(1600);
+    gateway.finish_attempt(idempotent, 0, AttemptOutcome::Rejected, 1600);
+    expect![[r#"
+        0: attempt #1 to 0
+        1600: reject #1, retry after 400 ms
+    "#]]
+    .assert_eq(&gateway.trace);
+}
+
 #[test]
 fn retries_stay_inside_the_idempotency_scope_and_window() {
     let mut gateway = ScriptedGateway::with_endpoints(
