--- a/crates/fault-injection/src/stand_ins/discovery.rs
+++ b/crates/fault-injection/src/stand_ins/discovery.rs
@@ -29,6 +29,13 @@
         "safety": {"cold_from": 0.5, "ramp_time": 1000000, "fall": 1000000, "fall_multiple": 4.0}})
 }
 
+/// The configuration of a gateway that knows these endpoints from its start, with `policy_settings`.
+pub fn gateway_configuration(discovery: SocketAddr, endpoints: &[Value]) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "00000000000000aa",
+        "limits": {"memory_mb": 192, "sockets": 200}, "known": endpoint_list(41, true, endpoints),
+        "settings": policy_settings()})
+}
+
 /// An endpoint as discovery lists it.
 pub fn endpoint_record(id: &str, address: SocketAddr, lifecycle: &str, build: u32) -> Value {
     json!({"id": id, "host_port": address, "locality": "h", "flavor": "m", "cell": 0, "phase": lifecycle,
--- a/crates/fault-injection/src/stand_ins/mod.rs
+++ b/crates/fault-injection/src/stand_ins/mod.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 pub use discovery::{
-    discovery_server, endpoint_list, endpoint_record, policy_settings, rollout_update,
+    discovery_server, endpoint_list, endpoint_record, gateway_configuration, policy_settings,
+    rollout_update,
 };
 pub use endpoint::{endpoint, EndpointBehavior};
 pub use http_server::{
