--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,142 +1,110 @@
-"""Flow export over TCP. The collector's machine vanishes for some seconds, says nothing meanwhile, and comes back."""
+"""Two sites; site hobart is drained by its operator, so its gateway forwards. The line between the sites is cut for a moment."""
+import asyncio
 import os
-import re
+import subprocess
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
-from ipfix import ATTEMPTS, REQUESTS, Decoder  # noqa: E402
+from link import Line  # noqa: E402
 from standin import *  # noqa: E402,F403
 
-GONE_S = float(os.environ.get("GONE", "60"))
-
-
-class Collector:
-    """While its machine is gone, open connections stay open and silent, and new ones are not answered; they are reset once it is back."""
-
-    def __init__(self, record):
-        self.record = record
-        self.decoders = []
-        self.connections = {}
-        self.is_gone = False
-
-    async def start(self):
-        self.socket = socket.socket()
-        # A vanished machine takes in nothing: what is not read stays at the sender but for a few kilobytes.
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        self.socket.bind(("127.0.0.1", 0))
-        self.socket.listen(8)
-        self.socket.setblocking(False)
-        self.port = self.socket.getsockname()[1]
-        asyncio.get_running_loop().add_reader(self.socket, self.accept)
-        return self
-
-    def accept(self):
-        connection, _ = self.socket.accept()
-        connection.setblocking(False)
-        decoder = Decoder()
-        self.connections[connection] = decoder
-        self.decoders.append(decoder)
-        self.record.add("collector", "accepted a connection")
-        if not self.is_gone:
-            asyncio.get_running_loop().add_reader(connection, self.read, connection)
-
-    def read(self, connection):
-        try:
-            data = connection.recv(65536)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
-        if not data:
-            asyncio.get_running_loop().remove_reader(connection)
-            self.connections.pop(connection)
-            connection.close()
-            return
-        before = self.totals()
-        self.connections[connection].feed(data)
-        if self.totals() != before:
-            self.record.add("collector", f"counted {self.totals()}")
-
-    def totals(self):
-        return [sum(d.counts[kind] for d in self.decoders) for kind in (ATTEMPTS, REQUESTS)]
-
-    def vanish(self):
-        self.record.add("collector", "gone")
-        self.is_gone = True
-        for connection in self.connections:
-            asyncio.get_running_loop().remove_reader(connection)
-
-    def come_back(self):
-        self.record.add("collector", "back; resets the connections from before")
-        self.is_gone = False
-        for connection in list(self.connections):
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            connection.close()
-        self.connections.clear()
-
-
-import struct  # noqa: E402
+CUT_S = float(os.environ.get("CUT", "0.45"))
+LOSS = float(os.environ.get("LOSS", "0"))
+SECONDS = float(os.environ.get("SECONDS", "40"))
 
 
 async def main(record, folder):
-    here = [await Endpoint(record, f"s-{k}", service=0.02).start() for k in range(4)]
-    discovery = await Discovery(record, [member(e.name, e.port) for e in here]).start()
-    collector = await Collector(record).start()
-    extension = {"flows": {"active_ms": 1000, "domain": 1, "collectors": [
-        {"name": "main", "address": f"127.0.0.1:{collector.port}", "road": "tcp"}]}}
-    cfg = config("n0", discovery, tas_settings("hobart", ("hobart",), 0, 1), discovery.listing())
-    gateway = Gateway(record, folder, "n0", cfg, extension).start()
-    await gateway.ready()
-    end = now() + GONE_S + 15
-    answered = 0
-
-    async def client(index):
-        nonlocal answered
-        rng = random.Random(index)
+    binary = os.path.join(ROOT, "target/release/harrierdock")
+    keys = os.path.join(folder, "keys")
+    subprocess.run([binary, "keys", "authority", keys], check=True, stdout=subprocess.DEVNULL)
+    subprocess.run([binary, "keys", "issue", keys, "hobart/h0", "launceston/l0"], check=True, stdout=subprocess.DEVNULL)
+    line = await Line().start()
+    gateways, endpoints, discoveries = [], {}, []
+    udp = [free_port(socket.SOCK_DGRAM) for _ in range(2)]
+    names = [("hobart", "h0"), ("launceston", "l0")]
+    for index, (site, name) in enumerate(names):
+        here = [await Endpoint(record, f"s-{name}{k}", service=0.03).start() for k in range(3)]
+        endpoints[site] = here
+        discovery = await Discovery(record, [member(e.name, e.port, site) for e in here]).start()
+        discoveries.append(discovery)
+        settings = tas_settings(site, (site,), 0, 1)
+        other_site, other_name = names[1 - index]
+        extension = {"sites": {
+            "site": site, "gateway": name, "listen": f"127.0.0.1:{udp[index]}",
+            "reached_at": f"127.0.0.1:{line.ports[index]}",
+            "other": {"site": other_site, "gateways": [
+                {"gateway": other_name, "address": f"127.0.0.1:{line.ports[1 - index]}"}]},
+            "keys": {"authority": f"{keys}/authority.pem", "certificate": f"{keys}/{site}-{name}.pem",
+                     "key": f"{keys}/{site}-{name}.key"},
+            "control": f"{folder}/{name}.sock", "groups_spanning": []}}
+        line.targets[index] = udp[index]
+        gateways.append(Gateway(record, folder, name, config(name, discovery, settings, discovery.listing()), extension).start())
+    for g in gateways:
+        await g.ready()
+    sent = {}  # txn -> (lane, when, until)
+    ended = {}  # txn -> (when, status)
+
+    async def client(gateway, site, index, end):
+        rng = random.Random(index + 1000 * (site == "hobart"))
         c = Client(gateway.port)
         n = 0
         while now() < end:
             n += 1
-            txn = f"c{index:02d}{n:06d}"
-            record.add("client", f"sent {txn}")
-            status, _ = await c.ask(txn, "draft", 1200)
-            answered += 1
+            txn = f"{site[0]}{index:02d}{n:06d}"
+            lane = rng.choice(["draft", "payment", "lodge"])
+            ms = rng.randrange(240, 1500)
+            at = now()
+            sent[txn] = (lane, at, at + ms / 1000)
+            record.add("client", f"sent {txn} {lane} {ms} ms")
+            kind = {"draft": dict(method="GET"), "payment": dict(method="POST", key="k" + txn, body=b"x" * 60),
+                    "lodge": dict(method="POST", body=b"x" * 60)}[lane]
+            try:
+                status, _ = await asyncio.wait_for(c.ask(txn, lane, ms, **kind), ms / 1000 + 0.5)
+            except (asyncio.TimeoutError, OSError):
+                status = 0
+                c.close()
+            ended[txn] = (now(), status)
             record.add("client", f"got {txn} {status}")
             await asyncio.sleep(rng.uniform(0.05, 0.25))
         c.close()
 
-    clients = [asyncio.create_task(client(i)) for i in range(12)]
-    await asyncio.sleep(5)
+    end = now() + SECONDS
+    clients = [asyncio.create_task(client(g, s, i, end)) for g, (s, _) in zip(gateways, names) for i in range(12)]
+    await asyncio.sleep(2)
+    subprocess.run([binary, "site", "--control", f"{folder}/h0.sock", "drain"], check=True, stdout=subprocess.DEVNULL)
+    record.add("operator", "drained hobart")
+    await asyncio.sleep(3)
     if TROUBLE:
-        collector.vanish()
-    await asyncio.sleep(GONE_S)
-    if TROUBLE:
-        collector.come_back()
+        line.loss = LOSS
+    while now() < end - 2:
+        if TROUBLE and CUT_S:
+            line.cut = True
+            record.add("line", f"cut for {CUT_S} s")
+            await asyncio.sleep(CUT_S)
+            line.cut = False
+            record.add("line", "back")
+        await asyncio.sleep(3)
     await asyncio.gather(*clients)
-    # Time for what is left: the active time-out, and the back-off of 8 s at most with its jitter.
-    await asyncio.sleep(14)
-    gateway.signal(signal.SIGTERM)
-    for _ in range(100):
-        if gateway.process.poll() is not None:
-            break
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(0.5)
-    reported = re.findall(r"flows: to main: recorded \[(\d+), (\d+)\] dropped \[(\d+), (\d+)\] in-doubt (\d+)", gateway.log())
-    if not reported:
-        raise CannotRun("the gateway's last lines are missing: " + gateway.log()[-800:])
-    recorded = [int(n) for n in reported[-1][:2]]
-    dropped = [int(n) for n in reported[-1][2:4]]
-    in_doubt = int(reported[-1][4])
-    got = collector.totals()
-    print("requests answered to clients:", answered, "run at instances:", sum(len(e.arrivals) for e in here))
-    print("gateway: recorded", recorded, "dropped", dropped, "in doubt", in_doubt, "collector counted", got)
-    record.add("check", f"recorded {recorded} dropped {dropped} in doubt {in_doubt} counted {got}")
-    missing = sum(recorded) - sum(got)
-    excused = sum(dropped) + in_doubt
-    if missing > excused:
-        return [f"{missing} attempts and requests are missing at the collector, {excused} were reported as dropped or in doubt"]
-    return []
-
-
-play(HERE, main, 118)
+    await asyncio.sleep(1)
+    line.loss = 0
+    broken = []
+    forwarded = 0
+    from collections import Counter
+    print(Counter(s for _, s in ended.values()))
+    for site, here in endpoints.items():
+        for e in here:
+            for at, txn, stated, *_ in e.arrivals:
+                lane, since, until = sent[txn]
+                if txn[0] == "h" and site == "launceston":
+                    forwarded += 1
+                left = until - at
+                if stated / 1000 > left + 0.15:
+                    broken.append(f"{txn} {lane} ran at {e.name}, told {stated} ms with {left * 1000:.0f} ms left")
+                if txn in ended and at > ended[txn][0] + 0.1:
+                    broken.append(f"{txn} {lane} ran at {e.name} {at - ended[txn][0]:.3f} s after the client had its answer {ended[txn][1]}")
+    print("forwarded", forwarded, "of", len(sent), "line passed", line.passed, "dropped", line.dropped)
+    return broken
+
+
+play(HERE, main)
