--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -360,9 +360,10 @@
         if not os.path.exists(os.path.join(ROOT, "target/release/harrierdock")):
             raise CannotRun("target/release/harrierdock is missing: build first")
         broken = run_loop(asyncio.wait_for(main(record, folder), limit))
+        for line in broken:
+            record.add("check", "broken: " + line)
         for line in broken[:20]:
             print("broken:", line)
-            record.add("check", "broken: " + line)
         print(f"{'rule broken' if broken else 'rule held'}: {len(broken)} cases")
         code = 1 if broken else 0
     except (CannotRun, asyncio.TimeoutError, OSError) as e:
