--- a/crates/event-loop/src/io_context.rs
+++ b/crates/event-loop/src/io_context.rs
@@ -7,6 +7,7 @@
 use crate::buffer_pool::BufferPool;
 use crate::clock::Clock;
 use crate::descriptor_budget::DescriptorBudget;
+use crate::stream_end::StreamCounts;
 
 /// The id of a connection, unique within the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -35,8 +36,8 @@
     pub descriptors: DescriptorBudget,
     /// How many times no buffer was available.
     pub buffer_shortages: u64,
-    /// How many line streams have been opened.
-    pub streams_opened: u64,
+    /// How often line streams were opened and ended.
+    pub streams: StreamCounts,
     /// Scratch buffer for input that is read and discarded.
     pub(crate) discard: Vec<u8>,
     last_connection: u64,
@@ -55,7 +56,7 @@
             buffers,
             descriptors,
             buffer_shortages: 0,
-            streams_opened: 0,
+            streams: StreamCounts::default(),
             discard: vec![0; BUFFER_BYTES],
             last_connection: 0,
         }
--- a/crates/event-loop/src/lib.rs
+++ b/crates/event-loop/src/lib.rs
@@ -14,6 +14,7 @@
 mod line_stream;
 pub mod logging;
 mod request_exchange;
+mod stream_end;
 mod timer_queue;
 
 pub use buffer_pool::{Buffer, BufferPool};
@@ -23,4 +24,5 @@
 pub use io_context::{ConnectionId, IoContext, ResourceClass};
 pub use line_stream::{LineStream, ResponseMode, StreamEvent};
 pub use request_exchange::{ExchangeEvent, RequestExchange};
+pub use stream_end::{StreamCounts, StreamEnd};
 pub use timer_queue::TimerQueue;
--- a/crates/event-loop/src/line_stream.rs
+++ b/crates/event-loop/src/line_stream.rs
@@ -9,6 +9,7 @@
 
 use crate::connection::{Connection, ReadResult, WriteResult};
 use crate::io_context::{IoContext, ResourceClass};
+use crate::stream_end::StreamEnd;
 
 const STATUS_OK: u16 = 200;
 
@@ -98,8 +99,13 @@
     }
 
     /// Whether the stream has received nothing for too long, has not connected within the connect timeout, or has had an
-    /// incomplete line or response for longer than that timeout. Logs a warning if so; the caller must reopen the stream.
-    pub fn is_unresponsive(&self, now: Timestamp, connect_timeout: TimeDelta) -> bool {
+    /// incomplete line or response for longer than that timeout. Logs and counts it if so; the caller must reopen the stream.
+    pub fn is_unresponsive<D>(
+        &self,
+        context: &mut IoContext<D>,
+        connect_timeout: TimeDelta,
+    ) -> bool {
+        let now = context.now();
         let inactivity_timeout = if self.is_connected {
             self.inactivity_timeout
         } else {
@@ -109,11 +115,17 @@
         let is_stalled = self
             .partial_since
             .is_some_and(|since| now - since > connect_timeout);
-        let is_unresponsive = self.is_open() && (is_inactive || is_stalled);
-        if is_unresponsive {
-            tracing::warn!("{}: unresponsive, reopened", self.name);
+        if !self.is_open() || !(is_inactive || is_stalled) {
+            return false;
         }
-        is_unresponsive
+        context.streams.unresponsive += 1;
+        let state = if is_inactive {
+            "silent"
+        } else {
+            "a line is incomplete"
+        };
+        tracing::warn!("{}: unresponsive, reopened: {state}", self.name);
+        true
     }
 
     /// Closes the current connection, reconnects and sends a request.
@@ -129,7 +141,7 @@
         self.last_input_at = context.now();
         match Connection::connect(context, self.address, ResourceClass::Reserved, on_ready) {
             Ok(connection) => {
-                context.streams_opened += 1;
+                context.streams.opened += 1;
                 self.connection = Some(connection);
                 self.request(context, target, mode);
             }
@@ -150,8 +162,9 @@
         write::request_line(out, "GET", target);
         write::field(out, "Host", self.address);
         write::end_of_head(out);
-        if self.is_connected {
-            self.flush(context);
+        if self.is_connected && self.flush(context).is_err() {
+            // The next read reports the failure.
+            tracing::debug!("{}: the request cannot be written", self.name);
         }
     }
 
@@ -171,9 +184,10 @@
         readiness: Readiness,
     ) -> Vec<StreamEvent> {
         let mut events = Vec::new();
-        if !self.transfer(context, readiness, &mut events) {
+        if let Err(end) = self.transfer(context, readiness, &mut events) {
             if self.is_connected {
-                tracing::warn!("{}: disconnected", self.name);
+                tracing::warn!("{}: disconnected: {end}", self.name);
+                context.streams.record_end(end);
             }
             self.close(context);
             events.push(StreamEvent::Disconnected);
@@ -181,60 +195,74 @@
         events
     }
 
-    /// Transfers pending output and input. Returns whether the connection can still be used.
+    /// Transfers pending output and input.
+    ///
+    /// # Errors
+    ///
+    /// Why the connection cannot be used any more.
     fn transfer<D>(
         &mut self,
         context: &mut IoContext<D>,
         readiness: Readiness,
         events: &mut Vec<StreamEvent>,
-    ) -> bool {
+    ) -> Result<(), StreamEnd> {
         if self.connection.is_none() {
-            return true;
+            return Ok(());
         }
-        if readiness.writable && !(self.record_connected() && self.flush(context)) {
-            return false;
+        if readiness.writable {
+            self.record_connected()?;
+            self.flush(context)?;
         }
         if !readiness.readable {
-            return true;
+            return Ok(());
         }
         let Some(connection) = &mut self.connection else {
-            return true;
+            return Ok(());
         };
-        let is_open = match connection.read(context) {
-            ReadResult::Data => true,
-            ReadResult::WouldBlock => return true,
-            ReadResult::NoBuffer | ReadResult::EndOfStream | ReadResult::Failed => false,
+        let read = match connection.read(context) {
+            ReadResult::Data => Ok(()),
+            ReadResult::WouldBlock => return Ok(()),
+            ReadResult::NoBuffer => Err(StreamEnd::NoBuffer),
+            ReadResult::EndOfStream => Err(StreamEnd::ClosedByServer),
+            ReadResult::Failed => Err(StreamEnd::ConnectionFailed),
         };
         self.last_input_at = context.now();
-        let is_readable = self.parse_input(events);
+        let parsed = self.parse_input(events);
         self.record_partial_input();
-        is_readable && is_open
+        parsed.and(read)
     }
 
-    /// Records that the connection is established. Returns false if the connection attempt failed.
-    fn record_connected(&mut self) -> bool {
+    /// Records that the connection is established.
+    ///
+    /// # Errors
+    ///
+    /// The connection attempt failed.
+    fn record_connected(&mut self) -> Result<(), StreamEnd> {
         if self.is_connected {
-            return true;
+            return Ok(());
         }
         let failed = self
             .connection
             .as_ref()
             .is_some_and(|connection| connection.check_connected().is_err());
         if failed {
-            return false;
+            return Err(StreamEnd::ConnectionFailed);
         }
         self.is_connected = true;
         tracing::info!("{}: connected", self.name);
-        true
+        Ok(())
     }
 
-    fn flush<D>(&mut self, context: &mut IoContext<D>) -> bool {
+    fn flush<D>(&mut self, context: &mut IoContext<D>) -> Result<(), StreamEnd> {
         let Some(connection) = &mut self.connection else {
-            return false;
+            return Ok(());
         };
         let result = connection.flush(context);
         connection.set_interest(context, true, result == WriteResult::Partial);
-        result != WriteResult::Failed
+        match result {
+            WriteResult::Complete | WriteResult::Partial => Ok(()),
+            WriteResult::Failed => Err(StreamEnd::ConnectionFailed),
+        }
     }
 
     fn record_partial_input(&mut self) {
@@ -245,21 +273,23 @@
         self.partial_since = is_partial.then(|| self.partial_since.unwrap_or(self.last_input_at));
     }
 
-    /// Parses input into events. Returns whether the input is well-formed and the response continues.
-    fn parse_input(&mut self, events: &mut Vec<StreamEvent>) -> bool {
+    /// Parses input into events.
+    ///
+    /// # Errors
+    ///
+    /// The response cannot be read, or does not continue.
+    fn parse_input(&mut self, events: &mut Vec<StreamEvent>) -> Result<(), StreamEnd> {
         let Some(connection) = &mut self.connection else {
-            return false;
+            return Ok(());
         };
         let input = &mut connection.input;
         let progress = match self.mode {
             ResponseMode::Single => self.reader.read_response(input),
             ResponseMode::Lines => self.reader.read_stream(input),
-        };
-        let Ok(progress) = progress else {
-            return false;
-        };
+        }
+        .map_err(StreamEnd::MalformedResponse)?;
         if self.reader.is_in_head() {
-            return true;
+            return Ok(());
         }
         let status = ResponseHead::parse(input)
             .ok()
@@ -267,7 +297,7 @@
             .map(|head| head.status);
         if status != Some(STATUS_OK) {
             events.push(StreamEvent::Refused(status));
-            return false;
+            return Err(StreamEnd::Refused);
         }
         match self.mode {
             ResponseMode::Single => {
@@ -275,13 +305,21 @@
                     events.push(StreamEvent::Response(input[self.reader.body()].to_vec()));
                     self.reader.consume(input);
                 }
-                true
+                Ok(())
             }
             ResponseMode::Lines => {
                 while let Some(line) = self.reader.next_line(input) {
                     events.push(StreamEvent::Line(line));
                 }
-                progress != Progress::Complete && self.reader.body().len() <= MAX_BODY_BYTES
+                if progress == Progress::Complete {
+                    return Err(StreamEnd::ResponseEnded);
+                }
+                if self.reader.body().len() > MAX_BODY_BYTES {
+                    return Err(StreamEnd::LineTooLong {
+                        max_bytes: MAX_BODY_BYTES,
+                    });
+                }
+                Ok(())
             }
         }
     }
--- /dev/null
+++ b/crates/event-loop/src/stream_end.rs
@@ -0,0 +1,63 @@
+//! Why a line stream ended, and how often streams were opened and ended.
+
+use harrierdock_http::ParseError;
+use thiserror::Error;
+
+/// Why the connection of a line stream was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum StreamEnd {
+    /// The server closed the connection.
+    #[error("the server closed the connection")]
+    ClosedByServer,
+    /// The connection could not be established, or broke.
+    #[error("the connection failed")]
+    ConnectionFailed,
+    /// The buffer pool has no input buffer left.
+    #[error("no input buffer is available")]
+    NoBuffer,
+    /// The response is not an HTTP response that can be read.
+    #[error("the response cannot be read: {0}")]
+    MalformedResponse(ParseError),
+    /// The response has a status other than 200.
+    #[error("the request was refused")]
+    Refused,
+    /// The server ended a response that has no end.
+    #[error("the server ended the response")]
+    ResponseEnded,
+    /// A line is longer than the stream accepts.
+    #[error("a line exceeds the limit of {max_bytes} bytes")]
+    LineTooLong {
+        /// The limit.
+        max_bytes: usize,
+    },
+}
+
+/// How often line streams were opened, and how often they ended for which reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamCounts {
+    /// Connection attempts, including failed ones.
+    pub opened: u64,
+    /// Established connections that were closed by the server, or broke.
+    pub disconnected: u64,
+    /// Responses that could not be read.
+    pub malformed: u64,
+    /// Lines that exceeded their limit.
+    pub too_long: u64,
+    /// Connections that were given up because they were silent, or because a line remained incomplete.
+    pub unresponsive: u64,
+}
+
+impl StreamCounts {
+    /// Counts the end of an established connection.
+    pub(crate) fn record_end(&mut self, end: StreamEnd) {
+        match end {
+            StreamEnd::ClosedByServer | StreamEnd::ConnectionFailed | StreamEnd::ResponseEnded => {
+                self.disconnected += 1;
+            }
+            StreamEnd::MalformedResponse(_) => self.malformed += 1,
+            StreamEnd::LineTooLong { .. } => self.too_long += 1,
+            // The pool counts shortages, and the log names the status of a refused request.
+            StreamEnd::NoBuffer | StreamEnd::Refused => {}
+        }
+    }
+}
--- a/crates/gateway/src/control_plane/discovery.rs
+++ b/crates/gateway/src/control_plane/discovery.rs
@@ -218,7 +218,7 @@
             !self.has_list() && is_open && now - self.watch.opened_at >= KEEPALIVE_INTERVAL;
         if is_list_stalled
             || is_request_unanswered
-            || self.stream.is_unresponsive(now, self.retry_interval)
+            || self.stream.is_unresponsive(context, self.retry_interval)
         {
             self.reconnect(context);
         } else if !is_open && now >= self.reopen_at {
--- a/crates/gateway/src/control_plane/rollout_platform.rs
+++ b/crates/gateway/src/control_plane/rollout_platform.rs
@@ -177,7 +177,7 @@
     /// Reopens a closed or unresponsive stream. Must be called at the retry interval.
     pub(crate) fn run_maintenance(&mut self, context: &mut Context) {
         let now = context.now();
-        if self.stream.is_unresponsive(now, self.retry_interval) || self.may_open(now) {
+        if self.stream.is_unresponsive(context, self.retry_interval) || self.may_open(now) {
             self.open(context);
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,8 +63,16 @@
     EndpointLists => "endpoint-lists",
     /// Lines of discovery and of the rollout platform that were malformed or referred to unknown names.
     LinesRefused => "lines-refused",
+    /// Lines of discovery and of the rollout platform that exceeded their maximum length.
+    LinesTooLong => "lines-too-long",
     /// Attempts to open a stream, including failed ones.
     StreamsOpened => "streams-opened",
+    /// Established streams that the server closed, or whose connection broke.
+    StreamsDisconnected => "streams-disconnected",
+    /// Streams closed because their HTTP response could not be read.
+    StreamsMalformed => "streams-malformed",
+    /// Streams closed because they were silent, or because a line remained incomplete, for too long.
+    StreamsUnresponsive => "streams-unresponsive",
     /// Rollout updates from the stream, from responses to votes and from the configuration.
     RolloutUpdates => "rollout-updates",
     /// Rollout updates received after an update with a later state.
--- a/crates/gateway/src/runtime/reporting.rs
+++ b/crates/gateway/src/runtime/reporting.rs
@@ -24,7 +24,12 @@
         counters.set(Counter::DroppedLogLines, logging::dropped_lines());
         counters.set(Counter::PoolViolations, context.io.buffers.violations);
         counters.set(Counter::BufferShortages, context.io.buffer_shortages);
-        counters.set(Counter::StreamsOpened, context.io.streams_opened);
+        let streams = &context.io.streams;
+        counters.set(Counter::StreamsOpened, streams.opened);
+        counters.set(Counter::StreamsDisconnected, streams.disconnected);
+        counters.set(Counter::StreamsMalformed, streams.malformed);
+        counters.set(Counter::StreamsUnresponsive, streams.unresponsive);
+        counters.set(Counter::LinesTooLong, streams.too_long);
         if let Some(leases) = &self.leases {
             tracing::info!("counts: {}", leases.counts(context.io.now()));
         }
