--- a/crates/event-loop/src/line_stream.rs
+++ b/crates/event-loop/src/line_stream.rs
@@ -1,89 +1,80 @@
 //! A long-lived stream of lines from one address. Its owner must reopen it when it disconnects or receives nothing for longer
 //! than its protocol allows.
+//!
+//! A message may be longer than an input buffer: what has arrived of it is moved to a buffer of its own, whose size the owner
+//! limits and which counts against the memory of the buffer pool.
 
 use std::net::SocketAddr;
 
 use calloop::Readiness;
-use harrierdock_http::{write, MessageReader, Progress, ResponseHead, MAX_BODY_BYTES};
+use harrierdock_http::{write, MessageReader, Progress, ResponseHead};
 use harrierdock_types::{TimeDelta, Timestamp};
 
 use crate::connection::{Connection, ReadResult, WriteResult};
 use crate::io_context::{IoContext, ResourceClass};
+use crate::message_buffer::{MessageBuffer, MessageFraming};
 use crate::stream_end::StreamEnd;
+use crate::stream_event::{ResponseMode, StreamEvent};
 
 const STATUS_OK: u16 = 200;
 
-/// The kind of response to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ResponseMode {
-    /// One complete response.
-    Single,
-    /// An unbounded response, read line by line.
-    Lines,
-}
-
-/// An event of a stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum StreamEvent {
-    /// The body of a complete response.
-    Response(Vec<u8>),
-    /// A line without its line break.
-    Line(Vec<u8>),
-    /// The response status is not 200. `None` if its head is malformed.
-    Refused(Option<u16>),
-    /// The connection was closed.
-    Disconnected,
+/// The settings of a stream.
+pub struct LineStreamSettings {
+    /// Start of the log lines.
+    pub name: &'static str,
+    /// The address to connect to.
+    pub address: SocketAddr,
+    /// The longest time without input on a healthy stream.
+    pub inactivity_timeout: TimeDelta,
+    /// How the messages of a response without an end are separated.
+    pub framing: MessageFraming,
+    /// The longest message, and the longest body of a complete response.
+    pub max_message_bytes: usize,
 }
 
 /// A stream of lines with at most one connection at a time.
 pub struct LineStream {
-    address: SocketAddr,
-    name: &'static str,
+    settings: LineStreamSettings,
     connection: Option<Connection>,
     is_connected: bool,
     reader: MessageReader,
     mode: ResponseMode,
+    /// What has arrived of the next message or response.
+    message: MessageBuffer,
     last_input_at: Timestamp,
     /// When the incomplete line or response started to arrive. `None` if no line or response is incomplete.
     partial_since: Option<Timestamp>,
     opened_at: Timestamp,
-    /// The longest time without input on a healthy stream.
-    inactivity_timeout: TimeDelta,
 }
 
 impl LineStream {
-    /// Creates a stream that is not open yet. Log lines start with `name`.
-    pub fn new(
-        name: &'static str,
-        address: SocketAddr,
-        inactivity_timeout: TimeDelta,
-    ) -> LineStream {
+    /// Creates a stream that is not open yet.
+    pub fn new(settings: LineStreamSettings) -> LineStream {
         LineStream {
-            address,
-            name,
             connection: None,
             is_connected: false,
-            reader: MessageReader::default(),
+            reader: MessageReader::without_body_limit(),
             mode: ResponseMode::Lines,
+            message: MessageBuffer::new(settings.framing, settings.max_message_bytes),
             last_input_at: Timestamp(0),
             partial_since: None,
-            opened_at: Timestamp(0) - inactivity_timeout,
-            inactivity_timeout,
+            opened_at: Timestamp(0) - settings.inactivity_timeout,
+            settings,
         }
     }
 
     /// The address to which the stream connects.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.settings.address
     }
 
     /// Sets the address. If it changes, closes the stream, which must then be reopened, and returns true.
     pub fn set_address<D>(&mut self, context: &mut IoContext<D>, address: SocketAddr) -> bool {
-        if self.address == address {
+        if self.settings.address == address {
             return false;
         }
-        tracing::info!("{}: address changed to {address}", self.name);
-        self.address = address;
+        tracing::info!("{}: address changed to {address}", self.settings.name);
+        self.settings.address = address;
         self.close(context);
         true
     }
@@ -107,7 +98,7 @@
     ) -> bool {
         let now = context.now();
         let inactivity_timeout = if self.is_connected {
-            self.inactivity_timeout
+            self.settings.inactivity_timeout
         } else {
             connect_timeout
         };
@@ -124,7 +115,7 @@
         } else {
             "a line is incomplete"
         };
-        tracing::warn!("{}: unresponsive, reopened: {state}", self.name);
+        tracing::warn!("{}: unresponsive, reopened: {state}", self.settings.name);
         true
     }
 
@@ -139,13 +130,18 @@
         self.close(context);
         self.opened_at = context.now();
         self.last_input_at = context.now();
-        match Connection::connect(context, self.address, ResourceClass::Reserved, on_ready) {
+        match Connection::connect(
+            context,
+            self.settings.address,
+            ResourceClass::Reserved,
+            on_ready,
+        ) {
             Ok(connection) => {
                 context.streams.opened += 1;
                 self.connection = Some(connection);
                 self.request(context, target, mode);
             }
-            Err(error) => tracing::warn!("{}: cannot connect: {error}", self.name),
+            Err(error) => tracing::warn!("{}: cannot connect: {error}", self.settings.name),
         }
     }
 
@@ -154,17 +150,17 @@
         let Some(connection) = &mut self.connection else {
             return;
         };
-        self.reader = MessageReader::default();
+        self.reader = MessageReader::without_body_limit();
         self.mode = mode;
         let Some(out) = connection.output_buffer(context) else {
             return self.close(context);
         };
         write::request_line(out, "GET", target);
-        write::field(out, "Host", self.address);
+        write::field(out, "Host", self.settings.address);
         write::end_of_head(out);
         if self.is_connected && self.flush(context).is_err() {
             // The next read reports the failure.
-            tracing::debug!("{}: the request cannot be written", self.name);
+            tracing::debug!("{}: the request cannot be written", self.settings.name);
         }
     }
 
@@ -172,6 +168,8 @@
     pub fn close<D>(&mut self, context: &mut IoContext<D>) {
         self.is_connected = false;
         self.partial_since = None;
+        context.buffers.uncharge(self.message.partial_bytes());
+        self.message.clear();
         if let Some(connection) = self.connection.take() {
             connection.close(context);
         }
@@ -186,7 +184,7 @@
         let mut events = Vec::new();
         if let Err(end) = self.transfer(context, readiness, &mut events) {
             if self.is_connected {
-                tracing::warn!("{}: disconnected: {end}", self.name);
+                tracing::warn!("{}: disconnected: {end}", self.settings.name);
                 context.streams.record_end(end);
             }
             self.close(context);
@@ -227,8 +225,11 @@
             ReadResult::Failed => Err(StreamEnd::ConnectionFailed),
         };
         self.last_input_at = context.now();
+        context.buffers.uncharge(self.message.partial_bytes());
         let parsed = self.parse_input(events);
+        context.buffers.charge(self.message.partial_bytes());
         self.record_partial_input();
+        self.report_skipped(context, events);
         parsed.and(read)
     }
 
@@ -249,7 +250,7 @@
             return Err(StreamEnd::ConnectionFailed);
         }
         self.is_connected = true;
-        tracing::info!("{}: connected", self.name);
+        tracing::info!("{}: connected", self.settings.name);
         Ok(())
     }
 
@@ -266,13 +267,26 @@
     }
 
     fn record_partial_input(&mut self) {
-        let is_partial = self
+        let is_head_partial = self
             .connection
             .as_ref()
             .is_some_and(|connection| self.reader.is_partial(&connection.input));
+        let is_partial = is_head_partial || self.message.is_partial();
         self.partial_since = is_partial.then(|| self.partial_since.unwrap_or(self.last_input_at));
     }
 
+    /// Logs and counts the messages that exceeded the limit.
+    fn report_skipped<D>(&self, context: &mut IoContext<D>, events: &[StreamEvent]) {
+        for _ in events.iter().filter(|e| **e == StreamEvent::TooLong) {
+            context.streams.too_long += 1;
+            tracing::warn!(
+                "{}: a message exceeds the limit of {} bytes and is skipped",
+                self.settings.name,
+                self.message.max_bytes()
+            );
+        }
+    }
+
     /// Parses input into events.
     ///
     /// # Errors
@@ -283,11 +297,10 @@
             return Ok(());
         };
         let input = &mut connection.input;
-        let progress = match self.mode {
-            ResponseMode::Single => self.reader.read_response(input),
-            ResponseMode::Lines => self.reader.read_stream(input),
-        }
-        .map_err(StreamEnd::MalformedResponse)?;
+        let progress = self
+            .reader
+            .read_response(input)
+            .map_err(StreamEnd::MalformedResponse)?;
         if self.reader.is_in_head() {
             return Ok(());
         }
@@ -299,26 +312,28 @@
             events.push(StreamEvent::Refused(status));
             return Err(StreamEnd::Refused);
         }
+        let body = &input[self.reader.body()];
+        let has_ended = progress == Progress::Complete;
         match self.mode {
             ResponseMode::Single => {
-                if progress == Progress::Complete {
-                    events.push(StreamEvent::Response(input[self.reader.body()].to_vec()));
+                if !self.message.append(body) {
+                    events.push(StreamEvent::TooLong);
+                    return Err(StreamEnd::ResponseTooLong);
+                }
+                self.reader.discard_body(input);
+                if has_ended {
+                    events.push(StreamEvent::Response(self.message.take()));
                     self.reader.consume(input);
                 }
                 Ok(())
             }
             ResponseMode::Lines => {
-                while let Some(line) = self.reader.next_line(input) {
-                    events.push(StreamEvent::Line(line));
-                }
-                if progress == Progress::Complete {
+                let messages = self.message.push_lines(body);
+                events.extend(messages.into_iter().map(StreamEvent::from));
+                self.reader.discard_body(input);
+                if has_ended {
                     return Err(StreamEnd::ResponseEnded);
                 }
-                if self.reader.body().len() > MAX_BODY_BYTES {
-                    return Err(StreamEnd::LineTooLong {
-                        max_bytes: MAX_BODY_BYTES,
-                    });
-                }
                 Ok(())
             }
         }
--- a/crates/event-loop/src/stream_end.rs
+++ b/crates/event-loop/src/stream_end.rs
@@ -24,12 +24,9 @@
     /// The server ended a response that has no end.
     #[error("the server ended the response")]
     ResponseEnded,
-    /// A line is longer than the stream accepts.
-    #[error("a line exceeds the limit of {max_bytes} bytes")]
-    LineTooLong {
-        /// The limit.
-        max_bytes: usize,
-    },
+    /// The response exceeds the limit of the stream.
+    #[error("the response is too long")]
+    ResponseTooLong,
 }
 
 /// How often line streams were opened, and how often they ended for which reason.
@@ -41,7 +38,7 @@
     pub disconnected: u64,
     /// Responses that could not be read.
     pub malformed: u64,
-    /// Lines that exceeded their limit.
+    /// Messages and responses that exceeded the limit of their stream.
     pub too_long: u64,
     /// Connections that were given up because they were silent, or because a line remained incomplete.
     pub unresponsive: u64,
@@ -55,9 +52,8 @@
                 self.disconnected += 1;
             }
             StreamEnd::MalformedResponse(_) => self.malformed += 1,
-            StreamEnd::LineTooLong { .. } => self.too_long += 1,
-            // The pool counts shortages, and the log names the status of a refused request.
-            StreamEnd::NoBuffer | StreamEnd::Refused => {}
+            // Counted where they show: shortages by the pool, long responses as long messages, refusals by their owner.
+            StreamEnd::NoBuffer | StreamEnd::Refused | StreamEnd::ResponseTooLong => {}
         }
     }
 }
--- a/crates/gateway/src/control_plane/discovery.rs
+++ b/crates/gateway/src/control_plane/discovery.rs
@@ -6,8 +6,9 @@
 use calloop::Readiness;
 use harrierdock_attempt_guard::{Backoff, ListFreshness, NOTIFICATION_DEADLINE};
 use harrierdock_config::Names;
-use harrierdock_event_loop::{LineStream, ResponseMode, StreamEvent};
-use harrierdock_http::MAX_BODY_BYTES;
+use harrierdock_event_loop::{
+    LineStream, LineStreamSettings, MessageFraming, ResponseMode, StreamEvent,
+};
 use harrierdock_types::{EndpointId, Event, Parameters, TimeDelta, Timestamp, UpdateKind};
 
 use crate::control_plane::discovery_messages::{watch_path, EndpointListMessage, SNAPSHOT_PATH};
@@ -48,21 +49,6 @@
     }
 }
 
-/// Received lines of an endpoint list that spans several lines.
-#[derive(Default)]
-struct PartialList {
-    bytes: Vec<u8>,
-    /// When the first line arrived. `None` unless a list is incomplete.
-    since: Option<Timestamp>,
-}
-
-impl PartialList {
-    fn clear(&mut self) {
-        self.bytes.clear();
-        self.since = None;
-    }
-}
-
 /// Result of handling one event of the stream.
 enum Received {
     /// An endpoint list to apply.
@@ -77,6 +63,16 @@
     Closed,
 }
 
+/// Settings of the discovery client that are not parameters of the policy.
+pub(crate) struct DiscoverySettings {
+    /// Address of the discovery service.
+    pub(crate) address: SocketAddr,
+    /// Interval of `run_maintenance`, and the connect timeout.
+    pub(crate) retry_interval: TimeDelta,
+    /// Length of the longest endpoint list that is read.
+    pub(crate) max_list_bytes: usize,
+}
+
 /// Keeps the endpoint list up to date from the discovery service.
 pub(crate) struct Discovery {
     stream: LineStream,
@@ -89,23 +85,28 @@
     was_stale: bool,
     reopen_at: Timestamp,
     watch: Watch,
-    partial: PartialList,
 }
 
 impl Discovery {
-    /// Creates an unconnected client. `retry_interval` is the interval of `run_maintenance` and the connect timeout.
+    /// Creates an unconnected client.
     pub(crate) fn new(
         now: Timestamp,
-        address: SocketAddr,
-        retry_interval: TimeDelta,
+        settings: &DiscoverySettings,
         parameters: &Parameters,
         seed: u64,
     ) -> Discovery {
+        let retry_interval = settings.retry_interval;
         // Detects an unresponsive stream early enough to replace it before the notification deadline.
         let max_silence = (KEEPALIVE_INTERVAL * MISSED_KEEPALIVES)
             .min(NOTIFICATION_DEADLINE - retry_interval * RECOVERY_INTERVALS);
         Discovery {
-            stream: LineStream::new("discovery", address, max_silence),
+            stream: LineStream::new(LineStreamSettings {
+                name: "discovery",
+                address: settings.address,
+                inactivity_timeout: max_silence,
+                framing: MessageFraming::JsonDocument,
+                max_message_bytes: settings.max_list_bytes,
+            }),
             version: None,
             retry_interval,
             backoff: Backoff::for_discovery(parameters, retry_interval, seed),
@@ -113,7 +114,6 @@
             was_stale: false,
             reopen_at: now,
             watch: Watch::new(now),
-            partial: PartialList::default(),
         }
     }
 
@@ -148,7 +148,6 @@
 
     /// Opens the watch. Requests a snapshot instead if there is no list to apply changes to.
     fn open(&mut self, context: &mut Context) {
-        self.partial.clear();
         self.watch = Watch::new(context.now());
         let handler = context.handlers.discovery;
         match self.version {
@@ -207,19 +206,11 @@
     pub(crate) fn run_maintenance(&mut self, context: &mut Context) {
         let now = context.now();
         self.log_staleness(now);
-        // A list may stall between two of its lines while keepalives continue.
-        let is_list_stalled = self
-            .partial
-            .since
-            .is_some_and(|since| now - since > self.retry_interval);
         let is_open = self.stream.is_open();
         // A snapshot response arrives completely or not at all, and sends no keepalives.
         let is_request_unanswered =
             !self.has_list() && is_open && now - self.watch.opened_at >= KEEPALIVE_INTERVAL;
-        if is_list_stalled
-            || is_request_unanswered
-            || self.stream.is_unresponsive(context, self.retry_interval)
-        {
+        if is_request_unanswered || self.stream.is_unresponsive(context, self.retry_interval) {
             self.reconnect(context);
         } else if !is_open && now >= self.reopen_at {
             self.open(context);
@@ -244,7 +235,6 @@
     /// Closes the stream and reopens it if the retry delay has passed. Otherwise `run_maintenance` reopens it later, which
     /// limits the cost of repeated malformed responses.
     fn reconnect(&mut self, context: &mut Context) {
-        self.partial.clear();
         self.stream.close(context);
         self.schedule_reopening(context.now());
         if context.now() >= self.reopen_at {
@@ -288,8 +278,12 @@
                 self.confirm_if_working(context.now());
                 Received::Nothing
             }
-            StreamEvent::Line(text) => self.receive_text(context, text, false),
-            StreamEvent::Response(text) => self.receive_text(context, text, true),
+            StreamEvent::Line(text) => self.receive_text(context, &text, false),
+            StreamEvent::Response(text) => self.receive_text(context, &text, true),
+            StreamEvent::TooLong => {
+                self.reconnect(context);
+                Received::Closed
+            }
         }
     }
 
@@ -306,26 +300,12 @@
         }
     }
 
-    fn receive_text(
-        &mut self,
-        context: &mut Context,
-        text: Vec<u8>,
-        is_response: bool,
-    ) -> Received {
-        self.partial.bytes.extend(text);
-        match serde_json::from_slice(&self.partial.bytes) {
-            Ok(message) => {
-                self.partial.clear();
-                Received::List {
-                    message,
-                    is_response,
-                }
-            }
-            // An indented list spans several lines; every line except the last leaves it incomplete.
-            Err(e) if e.is_eof() && !is_response && self.partial.bytes.len() <= MAX_BODY_BYTES => {
-                self.partial.since.get_or_insert(context.now());
-                Received::Nothing
-            }
+    fn receive_text(&mut self, context: &mut Context, text: &[u8], is_response: bool) -> Received {
+        match serde_json::from_slice(text) {
+            Ok(message) => Received::List {
+                message,
+                is_response,
+            },
             Err(e) => {
                 context.counters.add(Counter::LinesRefused);
                 tracing::warn!("discovery: malformed line, reconnecting: {e}");
--- a/crates/gateway/src/control_plane/rollout_platform.rs
+++ b/crates/gateway/src/control_plane/rollout_platform.rs
@@ -4,7 +4,10 @@
 
 use calloop::Readiness;
 use harrierdock_config::Names;
-use harrierdock_event_loop::{LineStream, ResponseMode, StreamEvent};
+use harrierdock_event_loop::{
+    LineStream, LineStreamSettings, MessageFraming, ResponseMode, StreamEvent,
+};
+use harrierdock_http::MAX_BODY_BYTES;
 use harrierdock_types::{Event, TimeDelta, Timestamp};
 
 use super::rollout_messages::{ComplaintMessage, EventMessage, RolloutMessage, EVENTS_PATH};
@@ -53,7 +56,13 @@
         retry_interval: TimeDelta,
     ) -> RolloutPlatform {
         RolloutPlatform {
-            stream: LineStream::new("platform", address, KEEPALIVE_INTERVAL * MISSED_KEEPALIVES),
+            stream: LineStream::new(LineStreamSettings {
+                name: "platform",
+                address,
+                inactivity_timeout: KEEPALIVE_INTERVAL * MISSED_KEEPALIVES,
+                framing: MessageFraming::Line,
+                max_message_bytes: MAX_BODY_BYTES,
+            }),
             votes: PendingVotes::new(address, vote_timeout),
             latest: None,
             retry_interval,
@@ -142,6 +151,8 @@
                 tracing::warn!("platform: event stream refused");
                 return StreamState::Open;
             }
+            // Reopening would bring the same message again, and lose the complaints of the meantime.
+            StreamEvent::TooLong => return StreamState::Open,
             StreamEvent::Line(line) | StreamEvent::Response(line) => line,
         };
         if line.is_empty() || line == EMPTY_EVENT {
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -12,7 +12,7 @@
 
 use crate::config::extension::ExtensionConfig;
 use crate::config::gateway::GatewayConfig;
-use crate::control_plane::discovery::Discovery;
+use crate::control_plane::discovery::{Discovery, DiscoverySettings};
 use crate::control_plane::rollout_platform::RolloutPlatform;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::downstream::{Downstream, DownstreamSettings, Listener, MIN_IDLE_TIME};
@@ -72,13 +72,7 @@
             .rollouts
             .as_ref()
             .map(|r| RolloutPlatform::new(r.address, vote_timeout, maintenance_interval));
-        let discovery = Discovery::new(
-            context.now(),
-            config.discovery,
-            maintenance_interval,
-            &parameters,
-            config.seed(),
-        );
+        let discovery = new_discovery(&context, config, maintenance_interval);
         let exporter = open_exporter(&context, config, &extension, &parameters)?;
         context.set_timer_after(TimeDelta::ZERO, Timer::Maintenance);
         context.set_timer_after(REPORT_INTERVAL, Timer::Report);
@@ -147,6 +141,19 @@
     Context::new(io, SocketHandlers::of_gateway())
 }
 
+fn new_discovery(
+    context: &Context,
+    config: &GatewayConfig,
+    maintenance_interval: TimeDelta,
+) -> Discovery {
+    let settings = DiscoverySettings {
+        address: config.discovery,
+        retry_interval: maintenance_interval,
+        max_list_bytes: context.buffers.max_message_bytes(),
+    };
+    Discovery::new(context.now(), &settings, &config.parameters, config.seed())
+}
+
 fn downstream_settings(
     config: &GatewayConfig,
     parameters: &Parameters,
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod golden;
 mod gossip;
 mod graceful_shutdown;
+mod long_lists;
 mod preconditions;
 mod resource_limits;
 mod rollout_platform;
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -2,7 +2,7 @@
 
 use httparse::{Header, Status, EMPTY_HEADER};
 
-use crate::{ParseError, MAX_BODY_BYTES, MAX_HEAD_BYTES};
+use crate::{ParseError, MAX_HEAD_BYTES};
 
 const MAX_FIELDS: usize = 64;
 
@@ -122,10 +122,10 @@
     if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
         return Err(ParseError::Malformed);
     }
-    match digits.parse() {
-        Ok(length) if length <= MAX_BODY_BYTES => Ok(Framing::Length(length)),
-        _ => Err(ParseError::BodyTooLarge),
-    }
+    digits
+        .parse()
+        .map(Framing::Length)
+        .map_err(|_| ParseError::BodyTooLarge)
 }
 
 /// Parses a head, and returns its fields and its size in bytes. `None` while the head is incomplete.
@@ -177,7 +177,7 @@
     ///
     /// # Errors
     ///
-    /// The fields are ambiguous, or the body is too large.
+    /// The fields are ambiguous, or the length is not a number that fits.
     pub fn framing(&self) -> Result<Framing, ParseError> {
         Ok(self
             .fields
@@ -251,7 +251,7 @@
     ///
     /// # Errors
     ///
-    /// The fields are ambiguous, or the body is too large.
+    /// The fields are ambiguous, or the length is not a number that fits.
     pub fn framing(&self) -> Result<Framing, ParseError> {
         if self.status < 200 || matches!(self.status, 204 | 304) {
             return Ok(Framing::Length(0));
--- a/crates/http/src/message_reader.rs
+++ b/crates/http/src/message_reader.rs
@@ -1,7 +1,7 @@
 //! Parses one message incrementally as its bytes arrive.
 //!
 //! The head stays at the front of the caller's buffer. The body follows it with its transfer coding removed. The start of the
-//! next message may follow the body.
+//! next message may follow the body. The caller of a reader without a body limit removes the body piece by piece as it arrives.
 
 use std::ops::Range;
 
@@ -38,11 +38,22 @@
     body_end: usize,
     chunked: ChunkedDecoder,
     expects_continue: bool,
+    /// Whether the body may be longer than `MAX_BODY_BYTES`.
+    is_body_unlimited: bool,
     /// Bytes of interim responses (1xx) that were skipped.
     interim_bytes: usize,
 }
 
 impl MessageReader {
+    /// Creates a reader that does not limit the body. The caller removes the body with `discard_body` as it arrives, and limits
+    /// what it keeps.
+    pub fn without_body_limit() -> MessageReader {
+        MessageReader {
+            is_body_unlimited: true,
+            ..MessageReader::default()
+        }
+    }
+
     /// Whether no byte of a message has arrived.
     pub fn is_untouched(&self, bytes: &[u8]) -> bool {
         self.is_in_head() && bytes.is_empty()
@@ -58,7 +69,7 @@
         matches!(self.stage, Stage::Body(Framing::UntilEnd))
     }
 
-    /// Whether part of a head, of a body, or of the last line of a stream has arrived.
+    /// Whether part of a head, or of a body that is still in the buffer, has arrived.
     pub fn is_partial(&self, bytes: &[u8]) -> bool {
         if self.is_in_head() {
             !bytes.is_empty()
@@ -92,31 +103,36 @@
             };
             let (size, framing) = (head.size, head.framing()?);
             self.expects_continue = head.expects_continue();
-            self.start_body(size, framing);
+            self.start_body(size, framing)?;
         }
-        let progress = self.read_body(bytes, true)?;
+        let progress = self.read_body(bytes)?;
         if progress == Progress::Incomplete && std::mem::take(&mut self.expects_continue) {
             return Ok(Progress::ExpectsContinue);
         }
         Ok(progress)
     }
 
-    /// Continues to read a response of limited size. Interim responses (1xx) are skipped.
+    /// Continues to read a response. Interim responses (1xx) are skipped.
     ///
     /// # Errors
     ///
     /// The message is malformed or too large; the connection cannot be used any more.
     pub fn read_response(&mut self, bytes: &mut Vec<u8>) -> Result<Progress, ParseError> {
-        self.read_response_head_and_body(bytes, true)
-    }
-
-    /// Continues to read an unbounded response. `next_line` removes its lines.
-    ///
-    /// # Errors
-    ///
-    /// The message is malformed; the connection cannot be used any more.
-    pub fn read_stream(&mut self, bytes: &mut Vec<u8>) -> Result<Progress, ParseError> {
-        self.read_response_head_and_body(bytes, false)
+        while self.is_in_head() {
+            if !self.may_have_head(bytes) {
+                return Ok(Progress::Incomplete);
+            }
+            let Some(head) = ResponseHead::parse(bytes)? else {
+                return incomplete_head(bytes);
+            };
+            let (size, framing) = (head.size, head.framing()?);
+            if head.is_interim() {
+                self.skip_interim(bytes, size)?;
+            } else {
+                self.start_body(size, framing)?;
+            }
+        }
+        self.read_body(bytes)
     }
 
     /// Records that the sender has closed its sending side, and returns whether the message is complete.
@@ -127,43 +143,23 @@
         matches!(self.stage, Stage::Complete)
     }
 
-    /// Removes the next line of the body and returns it without its line break.
-    pub fn next_line(&mut self, bytes: &mut Vec<u8>) -> Option<Vec<u8>> {
-        let length = bytes[self.body()].iter().position(|byte| *byte == b'\n')?;
-        let mut line: Vec<u8> = bytes
-            .drain(self.head_end..=self.head_end + length)
-            .collect();
-        self.body_end -= line.len();
-        line.truncate(line.trim_ascii_end().len());
-        Some(line)
+    /// Removes the part of the body received so far from the buffer. The head stays.
+    pub fn discard_body(&mut self, bytes: &mut Vec<u8>) {
+        let body = self.body();
+        if let Stage::Body(Framing::Length(remaining)) = &mut self.stage {
+            *remaining -= body.len();
+        }
+        self.body_end = self.head_end;
+        bytes.drain(body);
     }
 
     /// Removes the message from the buffer; bytes after it stay.
     pub fn consume(&mut self, bytes: &mut Vec<u8>) {
         bytes.drain(..self.body_end);
-        *self = MessageReader::default();
-    }
-
-    fn read_response_head_and_body(
-        &mut self,
-        bytes: &mut Vec<u8>,
-        is_limited: bool,
-    ) -> Result<Progress, ParseError> {
-        while self.is_in_head() {
-            if !self.may_have_head(bytes) {
-                return Ok(Progress::Incomplete);
-            }
-            let Some(head) = ResponseHead::parse(bytes)? else {
-                return incomplete_head(bytes);
-            };
-            let (size, framing) = (head.size, head.framing()?);
-            if head.is_interim() {
-                self.skip_interim(bytes, size)?;
-            } else {
-                self.start_body(size, framing);
-            }
-        }
-        self.read_body(bytes, is_limited)
+        *self = MessageReader {
+            is_body_unlimited: self.is_body_unlimited,
+            ..MessageReader::default()
+        };
     }
 
     /// Skips an interim response. The total size of interim responses is limited, so that a server cannot send them forever.
@@ -187,20 +183,37 @@
         has_empty_line || bytes.len() >= MAX_HEAD_BYTES
     }
 
-    fn start_body(&mut self, head_size: usize, framing: Framing) {
+    /// Starts to read the body behind a complete head.
+    ///
+    /// # Errors
+    ///
+    /// The head announces a body that exceeds the limit.
+    fn start_body(&mut self, head_size: usize, framing: Framing) -> Result<(), ParseError> {
+        if let Framing::Length(length) = framing {
+            self.check_body_size(length)?;
+        }
         self.head_end = head_size;
         self.body_end = head_size;
         self.stage = Stage::Body(framing);
+        Ok(())
+    }
+
+    fn check_body_size(&self, size: usize) -> Result<(), ParseError> {
+        if !self.is_body_unlimited && size > MAX_BODY_BYTES {
+            return Err(ParseError::BodyTooLarge);
+        }
+        Ok(())
     }
 
-    fn read_body(&mut self, bytes: &mut Vec<u8>, is_limited: bool) -> Result<Progress, ParseError> {
+    fn read_body(&mut self, bytes: &mut Vec<u8>) -> Result<Progress, ParseError> {
         let Stage::Body(framing) = &self.stage else {
             return Ok(Progress::Complete);
         };
         let is_complete = match framing {
             Framing::Length(length) => {
-                self.body_end = bytes.len().min(self.head_end + length);
-                self.body_end == self.head_end + length
+                let end = self.head_end.saturating_add(*length);
+                self.body_end = bytes.len().min(end);
+                self.body_end == end
             }
             Framing::Chunked => {
                 let decoded = self.chunked.decode(bytes, self.body_end)?;
@@ -212,9 +225,7 @@
                 false
             }
         };
-        if is_limited && self.body_end - self.head_end > MAX_BODY_BYTES {
-            return Err(ParseError::BodyTooLarge);
-        }
+        self.check_body_size(self.body().len())?;
         if !is_complete {
             return Ok(Progress::Incomplete);
         }
