--- a/crates/event-loop/src/line_stream.rs
+++ b/crates/event-loop/src/line_stream.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use calloop::Readiness;
+use harrierdock_attempt_guard::{Transfer, TransferTimeouts};
 use harrierdock_http::{write, MessageReader, Progress, ResponseHead};
 use harrierdock_types::{TimeDelta, Timestamp};
 
@@ -26,6 +27,9 @@
     pub address: SocketAddr,
     /// The longest time without input on a healthy stream.
     pub inactivity_timeout: TimeDelta,
+    /// The longest time until a connection is established, and the longest pause within a message that arrives in pieces. The
+    /// pause grows with consecutive stalls.
+    pub connect_timeout: TimeDelta,
     /// How the messages of a response without an end are separated.
     pub framing: MessageFraming,
     /// The longest message, and the longest body of a complete response.
@@ -42,8 +46,11 @@
     /// What has arrived of the next message or response.
     message: MessageBuffer,
     last_input_at: Timestamp,
-    /// When the incomplete line or response started to arrive. `None` if no line or response is incomplete.
+    /// When the incomplete message or response started to arrive. `None` if none is incomplete.
     partial_since: Option<Timestamp>,
+    /// When input other than white space arrived.
+    last_piece_at: Timestamp,
+    transfer_timeouts: TransferTimeouts,
     opened_at: Timestamp,
 }
 
@@ -58,6 +65,11 @@
             message: MessageBuffer::new(settings.framing, settings.max_message_bytes),
             last_input_at: Timestamp(0),
             partial_since: None,
+            last_piece_at: Timestamp(0),
+            transfer_timeouts: TransferTimeouts::new(
+                settings.connect_timeout,
+                settings.inactivity_timeout,
+            ),
             opened_at: Timestamp(0) - settings.inactivity_timeout,
             settings,
         }
@@ -89,36 +101,50 @@
         now - self.opened_at < interval
     }
 
-    /// Whether the stream has received nothing for too long, has not connected within the connect timeout, or has had an
-    /// incomplete line or response for longer than that timeout. Logs and counts it if so; the caller must reopen the stream.
-    pub fn is_unresponsive<D>(
-        &self,
-        context: &mut IoContext<D>,
-        connect_timeout: TimeDelta,
-    ) -> bool {
+    /// Whether the stream is open and has received nothing for this long.
+    pub fn has_been_silent_for(&self, now: Timestamp, time: TimeDelta) -> bool {
+        self.is_open() && now - self.last_input_at >= time
+    }
+
+    /// Whether the stream has received nothing for too long, has not connected within the connect timeout, or has a message or
+    /// response that has stalled. Logs and counts it if so; the caller must reopen the stream.
+    pub fn check_unresponsive<D>(&mut self, context: &mut IoContext<D>) -> bool {
         let now = context.now();
         let inactivity_timeout = if self.is_connected {
             self.settings.inactivity_timeout
         } else {
-            connect_timeout
+            self.settings.connect_timeout
         };
-        let is_inactive = now - self.last_input_at >= inactivity_timeout;
-        let is_stalled = self
-            .partial_since
-            .is_some_and(|since| now - since > connect_timeout);
-        if !self.is_open() || !(is_inactive || is_stalled) {
+        let is_silent = self.has_been_silent_for(now, inactivity_timeout);
+        let stalled = self
+            .partial_transfer()
+            .filter(|transfer| self.transfer_timeouts.has_stalled(*transfer, now));
+        if !is_silent && stalled.is_none() {
             return false;
         }
         context.streams.unresponsive += 1;
-        let state = if is_inactive {
-            "silent"
+        if let Some(transfer) = stalled {
+            self.transfer_timeouts.record_stall();
+            tracing::warn!(
+                "{}: unresponsive, reopened: a message is incomplete after {:.3} s and {} bytes",
+                self.settings.name,
+                (now - transfer.started_at).as_seconds(),
+                self.message.partial_bytes()
+            );
         } else {
-            "a line is incomplete"
-        };
-        tracing::warn!("{}: unresponsive, reopened: {state}", self.settings.name);
+            tracing::warn!("{}: unresponsive, reopened: silent", self.settings.name);
+        }
         true
     }
 
+    /// The progress of the incomplete message or response, if there is one.
+    fn partial_transfer(&self) -> Option<Transfer> {
+        self.partial_since.map(|started_at| Transfer {
+            started_at,
+            last_piece_at: self.last_piece_at,
+        })
+    }
+
     /// Closes the current connection, reconnects and sends a request.
     pub fn open<D>(
         &mut self,
@@ -228,7 +254,7 @@
         context.buffers.uncharge(self.message.partial_bytes());
         let parsed = self.parse_input(events);
         context.buffers.charge(self.message.partial_bytes());
-        self.record_partial_input();
+        self.record_progress(events);
         self.report_skipped(context, events);
         parsed.and(read)
     }
@@ -266,7 +292,12 @@
         }
     }
 
-    fn record_partial_input(&mut self) {
+    /// Updates the progress of the incomplete message after input was read that ended with these events.
+    fn record_progress(&mut self, events: &[StreamEvent]) {
+        if events.iter().any(StreamEvent::is_message) {
+            self.partial_since = None;
+            self.transfer_timeouts.record_completion();
+        }
         let is_head_partial = self
             .connection
             .as_ref()
@@ -302,6 +333,7 @@
             .read_response(input)
             .map_err(StreamEnd::MalformedResponse)?;
         if self.reader.is_in_head() {
+            self.last_piece_at = self.last_input_at;
             return Ok(());
         }
         let status = ResponseHead::parse(input)
@@ -313,6 +345,10 @@
             return Err(StreamEnd::Refused);
         }
         let body = &input[self.reader.body()];
+        // A sign of life is no progress of an incomplete message.
+        if !body.trim_ascii().is_empty() {
+            self.last_piece_at = self.last_input_at;
+        }
         let has_ended = progress == Progress::Complete;
         match self.mode {
             ResponseMode::Single => {
--- a/crates/event-loop/src/stream_event.rs
+++ b/crates/event-loop/src/stream_event.rs
@@ -26,6 +26,17 @@
     Disconnected,
 }
 
+impl StreamEvent {
+    /// Whether this is a complete message that is not empty, or a complete response.
+    pub(crate) fn is_message(&self) -> bool {
+        match self {
+            StreamEvent::Response(_) => true,
+            StreamEvent::Line(text) => !text.is_empty(),
+            StreamEvent::TooLong | StreamEvent::Refused(_) | StreamEvent::Disconnected => false,
+        }
+    }
+}
+
 impl From<AssembledMessage> for StreamEvent {
     fn from(message: AssembledMessage) -> StreamEvent {
         match message {
--- a/crates/gateway/src/control_plane/discovery.rs
+++ b/crates/gateway/src/control_plane/discovery.rs
@@ -104,6 +104,7 @@
                 name: "discovery",
                 address: settings.address,
                 inactivity_timeout: max_silence,
+                connect_timeout: retry_interval,
                 framing: MessageFraming::JsonDocument,
                 max_message_bytes: settings.max_list_bytes,
             }),
@@ -207,10 +208,10 @@
         let now = context.now();
         self.log_staleness(now);
         let is_open = self.stream.is_open();
-        // A snapshot response arrives completely or not at all, and sends no keepalives.
+        // A snapshot request is answered at once or not at all, and its response contains no keepalives.
         let is_request_unanswered =
-            !self.has_list() && is_open && now - self.watch.opened_at >= KEEPALIVE_INTERVAL;
-        if is_request_unanswered || self.stream.is_unresponsive(context, self.retry_interval) {
+            !self.has_list() && self.stream.has_been_silent_for(now, KEEPALIVE_INTERVAL);
+        if is_request_unanswered || self.stream.check_unresponsive(context) {
             self.reconnect(context);
         } else if !is_open && now >= self.reopen_at {
             self.open(context);
--- a/crates/gateway/src/control_plane/rollout_platform.rs
+++ b/crates/gateway/src/control_plane/rollout_platform.rs
@@ -60,6 +60,7 @@
                 name: "platform",
                 address,
                 inactivity_timeout: KEEPALIVE_INTERVAL * MISSED_KEEPALIVES,
+                connect_timeout: retry_interval,
                 framing: MessageFraming::Line,
                 max_message_bytes: MAX_BODY_BYTES,
             }),
@@ -188,7 +189,7 @@
     /// Reopens a closed or unresponsive stream. Must be called at the retry interval.
     pub(crate) fn run_maintenance(&mut self, context: &mut Context) {
         let now = context.now();
-        if self.stream.is_unresponsive(context, self.retry_interval) || self.may_open(now) {
+        if self.stream.check_unresponsive(context) || self.may_open(now) {
             self.open(context);
         }
     }
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -16,6 +16,7 @@
 mod preconditions;
 mod resource_limits;
 mod rollout_platform;
+mod slow_lists;
 mod start_order;
 mod startup;
 mod sticky_versions;
