--- a/crates/gateway/src/control_plane/discovery.rs
+++ b/crates/gateway/src/control_plane/discovery.rs
@@ -81,6 +81,8 @@
     retry_interval: TimeDelta,
     /// `Some` if all gateways share the discovery service and must not overload it.
     backoff: Option<Backoff>,
+    /// Waits after lists that are too long.
+    too_long_backoff: Backoff,
     freshness: ListFreshness,
     was_stale: bool,
     reopen_at: Timestamp,
@@ -111,6 +113,7 @@
             version: None,
             retry_interval,
             backoff: Backoff::for_discovery(parameters, retry_interval, seed),
+            too_long_backoff: Backoff::new(retry_interval, max_silence, seed),
             freshness: ListFreshness::new(parameters, now),
             was_stale: false,
             reopen_at: now,
@@ -282,7 +285,7 @@
             StreamEvent::Line(text) => self.receive_text(context, &text, false),
             StreamEvent::Response(text) => self.receive_text(context, &text, true),
             StreamEvent::TooLong => {
-                self.reconnect(context);
+                self.handle_too_long(context);
                 Received::Closed
             }
         }
@@ -301,6 +304,21 @@
         }
     }
 
+    /// Discards the version, so that a snapshot is requested next: it contains no removed endpoints, and may fit where the changes
+    /// since a version do not. Waits longer each time, as the next list may be too long as well.
+    fn handle_too_long(&mut self, context: &mut Context) {
+        self.version = None;
+        self.stream.close(context);
+        let now = context.now();
+        let wait = self.too_long_backoff.next_wait(TimeDelta::ZERO);
+        self.schedule_reopening(now);
+        self.reopen_at = self.reopen_at.max(now + wait);
+        tracing::warn!(
+            "discovery: the endpoint list is too long and is not updated; the next request follows in {:.1} s",
+            (self.reopen_at - now).as_seconds()
+        );
+    }
+
     fn receive_text(&mut self, context: &mut Context, text: &[u8], is_response: bool) -> Received {
         match serde_json::from_slice(text) {
             Ok(message) => Received::List {
@@ -327,6 +345,7 @@
         self.watch.has_received = true;
         self.watch.has_succeeded |= list.is_snapshot || !list.endpoints.is_empty();
         self.confirm_if_working(context.now());
+        self.too_long_backoff.reset();
         self.version = Some(list.version);
         apply_list(context, tables, list, list.kind());
         if is_response {
