--- a/crates/event-loop/src/request_exchange.rs
+++ b/crates/event-loop/src/request_exchange.rs
@@ -10,6 +10,7 @@
 
 use crate::connection::{Connection, ReadResult, WriteResult};
 use crate::io_context::{IoContext, ResourceClass};
+use crate::stream_end::StreamEnd;
 
 /// The progress of an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,8 +26,8 @@
         /// The body with its transfer coding removed.
         body: Vec<u8>,
     },
-    /// The connection broke, or the response is malformed.
-    Failed,
+    /// No response can arrive any more, or it cannot be read.
+    Failed(StreamEnd),
 }
 
 /// A request on a dedicated connection with reserved descriptors.
@@ -81,7 +82,7 @@
             return self.handle_connecting(readiness);
         }
         if !self.is_written && readiness.writable && self.flush(context) == WriteResult::Failed {
-            return ExchangeEvent::Failed;
+            return ExchangeEvent::Failed(StreamEnd::ConnectionFailed);
         }
         if !readiness.readable || !self.is_written {
             return ExchangeEvent::Pending;
@@ -98,7 +99,7 @@
         match self.connection.check_connected() {
             Ok(()) if readiness.writable => ExchangeEvent::Connected,
             Ok(()) => ExchangeEvent::Pending,
-            Err(_) => ExchangeEvent::Failed,
+            Err(_) => ExchangeEvent::Failed(StreamEnd::ConnectionFailed),
         }
     }
 
@@ -114,15 +115,20 @@
     fn read_response<D>(&mut self, context: &mut IoContext<D>) -> ExchangeEvent {
         let read = self.connection.read(context);
         let progress = self.reader.read_response(&mut self.connection.input);
-        let is_ended_by_close = read == ReadResult::EndOfStream
-            && progress.is_ok()
-            && self.reader.record_end_of_input();
-        if progress == Ok(Progress::Complete) || is_ended_by_close {
+        let progress = match progress {
+            Ok(progress) => progress,
+            Err(error) => return ExchangeEvent::Failed(StreamEnd::MalformedResponse(error)),
+        };
+        let is_ended_by_close =
+            read == ReadResult::EndOfStream && self.reader.record_end_of_input();
+        if progress == Progress::Complete || is_ended_by_close {
             return self.response();
         }
         match read {
-            ReadResult::Data | ReadResult::WouldBlock if progress.is_ok() => ExchangeEvent::Pending,
-            _ => ExchangeEvent::Failed,
+            ReadResult::Data | ReadResult::WouldBlock => ExchangeEvent::Pending,
+            ReadResult::NoBuffer => ExchangeEvent::Failed(StreamEnd::NoBuffer),
+            ReadResult::EndOfStream => ExchangeEvent::Failed(StreamEnd::ClosedByServer),
+            ReadResult::Failed => ExchangeEvent::Failed(StreamEnd::ConnectionFailed),
         }
     }
 
@@ -133,7 +139,8 @@
                 status: head.status,
                 body: input[self.reader.body()].to_vec(),
             },
-            _ => ExchangeEvent::Failed,
+            Ok(None) => ExchangeEvent::Failed(StreamEnd::ClosedByServer),
+            Err(error) => ExchangeEvent::Failed(StreamEnd::MalformedResponse(error)),
         }
     }
 }
--- a/crates/event-loop/src/stream_end.rs
+++ b/crates/event-loop/src/stream_end.rs
@@ -1,9 +1,9 @@
-//! Why a line stream ended, and how often streams were opened and ended.
+//! Why a line stream or a request exchange ended, and how often streams were opened and ended.
 
 use harrierdock_http::ParseError;
 use thiserror::Error;
 
-/// Why the connection of a line stream was closed.
+/// Why the connection of a line stream or of a request exchange is no longer usable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum StreamEnd {
     /// The server closed the connection.
--- a/crates/gateway/src/control_plane/votes.rs
+++ b/crates/gateway/src/control_plane/votes.rs
@@ -66,6 +66,10 @@
     fn read(&mut self, context: &mut Context) -> VoteProgress {
         let result = self.connection.read(context);
         let progress = self.reader.read_response(&mut self.connection.input);
+        if let Err(error) = progress {
+            context.counters.add(Counter::VoteResponsesMalformed);
+            tracing::warn!("platform: the response to a vote cannot be read: {error}");
+        }
         let ends_with_connection = result == ReadResult::EndOfStream
             && progress.is_ok()
             && self.reader.record_end_of_input();
--- a/crates/gateway/src/dispatch/multi_site.rs
+++ b/crates/gateway/src/dispatch/multi_site.rs
@@ -6,6 +6,7 @@
 use harrierdock_multi_site::{Action, Change, Event, InboundId};
 use harrierdock_site_messages::{
     self as site_messages, ForwardedRequest, ForwardingOutcome, ForwardingResponse, SiteMessage,
+    MAX_MESSAGE_BYTES,
 };
 use harrierdock_site_transport::{CloseCause, PathId, TransportEvent};
 use harrierdock_types::{
@@ -119,6 +120,12 @@
                     tracing::debug!("sites: failed to decode a message: {e}");
                 }
             },
+            TransportEvent::MessageTooLong { path } => {
+                self.context.counters.add(Counter::SiteMessagesRefused);
+                tracing::warn!(
+                    "sites: discarded a message on {path:?} that exceeds the limit of {MAX_MESSAGE_BYTES} bytes"
+                );
+            }
         }
     }
 
--- a/crates/gateway/src/dispatch/rollout.rs
+++ b/crates/gateway/src/dispatch/rollout.rs
@@ -178,6 +178,12 @@
             finished.deadline,
             Timer::RolloutCommand(finished.connection_id),
         );
+        if matches!(
+            finished.outcome,
+            CallOutcome::Unknown | CallOutcome::NotSent
+        ) {
+            self.context.counters.add(Counter::CommandsWithoutResult);
+        }
         self.handle_rollout_event(Event::CallFinished {
             vote: finished.vote,
             outcome: finished.outcome,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     ConnectsFailed => "connect-failed",
     /// Attempts whose connection broke, or whose response was malformed.
     AttemptsReset => "reset",
+    /// Attempts whose response exceeded the limit of a head or of a body; counted as reset, too.
+    EndpointResponsesTooLong => "responses-too-long",
     /// Attempts cancelled after they were sent.
     AttemptsCancelled => "cancelled",
     /// Attempts dropped before they were sent.
@@ -83,6 +85,10 @@
     Votes => "votes",
     /// Votes that ended without a rollout state in response.
     VotesRefused => "votes-refused",
+    /// Responses to votes that could not be read.
+    VoteResponsesMalformed => "vote-responses-malformed",
+    /// Commands to the deployment controller that were not sent, or had no readable response in time.
+    CommandsWithoutResult => "commands-without-result",
     /// Datagrams sent to peers; a broadcast counts once.
     GossipSent => "gossip-sent",
     /// Valid messages received from peers.
--- a/crates/gateway/src/rollout/commands.rs
+++ b/crates/gateway/src/rollout/commands.rs
@@ -214,7 +214,10 @@
             ExchangeEvent::Responded { status, body } => {
                 CommandResult::from_response(status, &body, epoch)
             }
-            ExchangeEvent::Failed => CommandResult::unknown(),
+            ExchangeEvent::Failed(reason) => {
+                log::command_failed(vote, &reason.to_string());
+                CommandResult::unknown()
+            }
         };
         self.finish(io, result)
     }
@@ -249,7 +252,8 @@
         io: &mut IoContext<D>,
         connection_id: ConnectionId,
     ) -> Option<FinishedCommand> {
-        self.pending_on(connection_id)?;
+        let vote = self.pending_on(connection_id)?.command.vote;
+        log::command_failed(vote, "no response in time");
         self.finish(io, CommandResult::unknown())
     }
 
--- a/crates/gateway/src/rollout/log.rs
+++ b/crates/gateway/src/rollout/log.rs
@@ -24,6 +24,14 @@
     );
 }
 
+/// Logs why a command has no result; it is retried.
+pub(super) fn command_failed(vote: Vote, reason: &str) {
+    tracing::warn!(
+        "fleet: rollout controller: the command to {} has no result: {reason}",
+        describe(vote)
+    );
+}
+
 /// Logs a notice of the rollout controller.
 pub(super) fn log_notice(notice: &Notice) {
     match *notice {
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -2,7 +2,7 @@
 
 use calloop::Readiness;
 use harrierdock_event_loop::{ConnectionId, ReadResult, WriteResult};
-use harrierdock_http::{MessageReader, Progress, ResponseHead};
+use harrierdock_http::{MessageReader, ParseError, Progress, ResponseHead};
 use harrierdock_types::{AttemptOutcome, TimeDelta};
 
 use super::{wire, Phase, Upstream};
@@ -114,6 +114,10 @@
             return self.fail_exchange(context, id, AttemptOutcome::ConnectFailed);
         }
         let progress = pooled.reader.read_response(&mut pooled.connection.input);
+        if let Err(error @ (ParseError::BodyTooLarge | ParseError::HeadTooLarge)) = progress {
+            context.counters.add(Counter::EndpointResponsesTooLong);
+            tracing::debug!("upstream: the response to an attempt cannot be read: {error}");
+        }
         if progress == Ok(Progress::Complete) {
             self.handle_response(context, id, result == ReadResult::Data);
         } else if result != ReadResult::Data || progress.is_err() || pooled.reader.is_open_ended() {
--- a/crates/gateway/tests/leases/main.rs
+++ b/crates/gateway/tests/leases/main.rs
@@ -10,7 +10,7 @@
 
 use harrierdock_fault_injection::fleet::process_group::{ShutdownPurpose, StartOverrides};
 use harrierdock_fault_injection::fleet::{FleetRun, Scenario};
-use harrierdock_fault_injection::stand_ins::TEST_TIMEOUT;
+use harrierdock_fault_injection::stand_ins::{serve_requests, TEST_TIMEOUT};
 use harrierdock_types::TimeDelta;
 use rustix::process::Signal;
 use serde_json::{json, Value};
@@ -109,6 +109,30 @@
     fleet.assert_rules_held();
 }
 
+/// Guards against commands that are repeated without a word on why their responses count for nothing.
+#[test]
+fn a_response_to_a_command_that_is_too_long_is_reported() {
+    let scenario = Scenario {
+        requests_per_second: 20.0,
+        endpoints: 2,
+        ..Scenario::default()
+    };
+    let mut fleet = Fleet::new("long-response", scenario);
+    fleet.run.group.deployment_controller_address =
+        serve_requests(|request| request.respond("200 OK", &"b".repeat(64 * 1024 + 1)));
+    fleet.run.start().unwrap();
+    fleet.run_until("a response that cannot be read", |run| {
+        let gateways = run.group.gateways.len();
+        (0..gateways).any(|gateway| {
+            run.group.has_logged(
+                gateway,
+                "has no result: the response cannot be read: body too large",
+            )
+        })
+    });
+    fleet.assert_rules_held();
+}
+
 #[test]
 fn a_holder_partitioned_one_way_gives_up_its_lease() {
     for drops_inward in [true, false] {
--- a/crates/gateway/tests/sockets/oversized_lists.rs
+++ b/crates/gateway/tests/sockets/oversized_messages.rs
@@ -1,4 +1,4 @@
-//! Messages that exceed the limit of their stream.
+//! Messages and responses that exceed the limit on their length.
 
 use std::net::SocketAddr;
 use std::sync::mpsc::channel;
@@ -130,3 +130,25 @@
         "#]],
     );
 }
+
+/// Guards against requests that cannot be served without a word on the limit that their responses exceed.
+#[test]
+fn an_endpoint_response_that_is_too_long_is_reported() {
+    let trace = Trace::default();
+    let endpoint = serve_requests(|request| request.respond("200 OK", &"b".repeat(64 * 1024 + 1)));
+    let known = endpoint_record("s-1", endpoint, "ready", 41);
+    let gateway = start_gateway(&gateway_configuration(unresponsive_server(), &[known]));
+    let answer = gateway
+        .client()
+        .request(client_request("lodge", "aa", 9000));
+    trace.record(answer);
+    gateway.wait_for_log_line("the response to an attempt cannot be read: body too large");
+    trace.record(gateway.shut_down_and_read_counts(&["reset", "responses-too-long"]));
+    assert_trace(
+        &trace,
+        expect![[r#"
+            502
+            reset=1 responses-too-long=1
+        "#]],
+    );
+}
--- a/crates/gateway/tests/sockets/rollout_platform.rs
+++ b/crates/gateway/tests/sockets/rollout_platform.rs
@@ -1,7 +1,7 @@
 //! Updates from the rollout platform and votes sent to it.
 
 use std::fs;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 
 use expect_test::expect;
@@ -53,6 +53,26 @@
     );
 }
 
+/// Guards against votes that are repeated without a word on why their responses count for nothing.
+#[test]
+fn a_response_to_a_vote_that_is_too_long_is_reported() {
+    let trace = Trace::default();
+    let platform = serve_requests(|request| {
+        if request.head.starts_with("GET /apis/fleet/events") {
+            return request.stream.read(&mut [0; 1]).is_err();
+        }
+        request.respond("200 OK", &"b".repeat(64 * 1024 + 1))
+    });
+    let mut config = gateway_configuration(unresponsive_server(), &[]);
+    config["rollouts"] = json!({"address": platform, "news": rollout_update(42, 0, "trial")});
+    let gateway = start_gateway(&config);
+    gateway.wait_for_log_line("platform: the response to a vote cannot be read: body too large");
+    gateway.wait_for_log_line("platform: vote failed: TimedOut");
+    trace.record(gateway.shut_down_and_read_counts(&["vote-responses-malformed"]));
+    let text = trace.text();
+    assert!(text.starts_with("vote-responses-malformed="), "{text}");
+}
+
 #[test]
 fn an_unresponsive_platform_stream_is_reopened_and_outdated_updates_are_ignored() {
     let trace = Trace::default();
--- a/crates/site-transport/src/connection.rs
+++ b/crates/site-transport/src/connection.rs
@@ -13,7 +13,7 @@
 use rustls_pki_types::CertificateDer;
 
 use crate::certificate::gateway_name;
-use crate::streams::MessageStreams;
+use crate::streams::{MessageStreams, ReceivedMessage};
 use crate::transport::OutgoingDatagrams;
 use crate::{CloseCause, HandshakeError, TransportEvent};
 
@@ -137,8 +137,13 @@
                 },
                 Event::ConnectionLost { reason } => self.report_lost(&reason, events),
                 Event::Stream(event) => {
-                    for bytes in self.streams.handle_event(&mut self.connection, event) {
-                        events.push_back(self.message_event(bytes));
+                    for message in self.streams.handle_event(&mut self.connection, event) {
+                        events.push_back(match message {
+                            ReceivedMessage::Complete(bytes) => self.message_event(bytes),
+                            ReceivedMessage::TooLong => {
+                                TransportEvent::MessageTooLong { path: self.path }
+                            }
+                        });
                     }
                 }
                 Event::DatagramReceived => {
--- a/crates/site-transport/src/event.rs
+++ b/crates/site-transport/src/event.rs
@@ -50,4 +50,9 @@
         /// The whole message, still encoded.
         bytes: Vec<u8>,
     },
+    /// A message was discarded because it is longer than `MAX_MESSAGE_BYTES`.
+    MessageTooLong {
+        /// The path on which the message arrived.
+        path: PathId,
+    },
 }
--- a/crates/site-transport/src/streams.rs
+++ b/crates/site-transport/src/streams.rs
@@ -26,6 +26,26 @@
     }
 }
 
+/// A message that a stream delivered.
+pub(crate) enum ReceivedMessage {
+    /// The whole message.
+    Complete(Vec<u8>),
+    /// The message is longer than [`MAX_MESSAGE_BYTES`], and was discarded.
+    TooLong,
+}
+
+/// How far a stream was read.
+enum ReadState {
+    /// More bytes may follow.
+    Open,
+    /// The message is complete.
+    Complete,
+    /// The sender gave the message up.
+    Reset,
+    /// The message is too long.
+    TooLong,
+}
+
 /// The messages of one connection that are not completely sent or received yet.
 #[derive(Default)]
 pub(crate) struct MessageStreams {
@@ -105,7 +125,7 @@
         &mut self,
         connection: &mut Connection,
         event: StreamEvent,
-    ) -> Vec<Vec<u8>> {
+    ) -> Vec<ReceivedMessage> {
         let mut received = Vec::new();
         match event {
             StreamEvent::Opened { dir: Dir::Uni } => {
@@ -128,48 +148,55 @@
         received
     }
 
-    /// Reads the available bytes of a stream, and returns its message if that is complete.
-    fn read_stream(&mut self, connection: &mut Connection, id: StreamId) -> Option<Vec<u8>> {
+    /// Reads the available bytes of a stream, and returns its message if that is complete or too long.
+    fn read_stream(
+        &mut self,
+        connection: &mut Connection,
+        id: StreamId,
+    ) -> Option<ReceivedMessage> {
         let message = self.receiving.get_mut(&id)?;
         let mut stream = connection.recv_stream(id);
-        let has_ended = match stream.read(true) {
+        let state = match stream.read(true) {
             Ok(mut chunks) => {
-                let has_ended = read_available(&mut chunks, message);
+                let state = read_available(&mut chunks, message);
                 // The result only reports whether to transmit; the caller polls for datagrams after every event anyway.
                 let _ = chunks.finalize();
-                has_ended
+                state
+            }
+            Err(ReadableError::ClosedStream | ReadableError::IllegalOrderedRead) => {
+                ReadState::Complete
             }
-            Err(ReadableError::ClosedStream | ReadableError::IllegalOrderedRead) => true,
         };
-        if !has_ended {
+        if matches!(state, ReadState::Open) {
             return None;
         }
         let message = self.receiving.remove(&id)?;
-        if message.is_empty() {
-            // Fails harmlessly if the stream is already closed.
-            let _ = connection
-                .recv_stream(id)
-                .stop(VarInt::from_u32(STOP_INVALID_MESSAGE));
-            return None;
-        }
-        Some(message)
+        let received = match state {
+            ReadState::Complete if !message.is_empty() => {
+                return Some(ReceivedMessage::Complete(message));
+            }
+            ReadState::TooLong => Some(ReceivedMessage::TooLong),
+            ReadState::Open | ReadState::Complete | ReadState::Reset => None,
+        };
+        // Fails harmlessly if the stream is already closed.
+        let _ = connection
+            .recv_stream(id)
+            .stop(VarInt::from_u32(STOP_INVALID_MESSAGE));
+        received
     }
 }
 
-/// Appends the available bytes to a message. Returns true if the stream has ended; a message that is too long or was reset is
-/// then empty.
-fn read_available(chunks: &mut Chunks, message: &mut Vec<u8>) -> bool {
+/// Appends the available bytes to a message.
+fn read_available(chunks: &mut Chunks, message: &mut Vec<u8>) -> ReadState {
     loop {
         match chunks.next(MAX_MESSAGE_BYTES) {
             Ok(Some(chunk)) if message.len() + chunk.bytes.len() <= MAX_MESSAGE_BYTES => {
                 message.extend_from_slice(&chunk.bytes);
             }
-            Ok(Some(_)) | Err(ReadError::Reset(_)) => {
-                message.clear();
-                return true;
-            }
-            Ok(None) => return true,
-            Err(ReadError::Blocked) => return false,
+            Ok(Some(_)) => return ReadState::TooLong,
+            Err(ReadError::Reset(_)) => return ReadState::Reset,
+            Ok(None) => return ReadState::Complete,
+            Err(ReadError::Blocked) => return ReadState::Open,
         }
     }
 }
--- a/crates/site-transport/tests/transport/delivery.rs
+++ b/crates/site-transport/tests/transport/delivery.rs
@@ -105,6 +105,25 @@
     );
 }
 
+/// Guards against a message that is discarded without a word, as it is longer than the receiver accepts.
+#[test]
+fn a_message_that_is_too_long_is_reported_and_the_next_one_arrives() {
+    let mut network = Network::with_two_sites(7, 0.0);
+    network.connect();
+    network.advance(Duration::from_secs(1));
+    let (now, path) = (network.now, network.path(CONNECTING));
+    for message in [vec![1; MAX_MESSAGE_BYTES + 1], vec![2; 300]] {
+        network.ends[CONNECTING].send(now, path, message, Delivery::Reliable);
+    }
+    network.advance(Duration::from_secs(1));
+    let reported = network.events[ACCEPTING]
+        .iter()
+        .filter(|event| matches!(event, TransportEvent::MessageTooLong { .. }))
+        .count();
+    assert_eq!(reported, 1, "{:?}", network.events[ACCEPTING]);
+    assert_eq!(network.messages(ACCEPTING), vec![vec![2; 300]]);
+}
+
 #[test]
 fn noise_and_replayed_datagrams_have_no_effect() {
     let mut network = Network::with_two_sites(6, 0.0);
