--- a/crates/gateway/src/control_plane/discovery.rs
+++ b/crates/gateway/src/control_plane/discovery.rs
@@ -12,6 +12,7 @@
 use harrierdock_types::{EndpointId, Event, Parameters, TimeDelta, Timestamp, UpdateKind};
 
 use crate::control_plane::discovery_messages::{watch_path, EndpointListMessage, SNAPSHOT_PATH};
+use crate::control_plane::list_limits::ListLimits;
 use crate::metrics::Counter;
 use crate::runtime::context::{Context, InternalEvent};
 use crate::upstream::Upstream;
@@ -69,8 +70,8 @@
     pub(crate) address: SocketAddr,
     /// Interval of `run_maintenance`, and the connect timeout.
     pub(crate) retry_interval: TimeDelta,
-    /// Length of the longest endpoint list that is read.
-    pub(crate) max_list_bytes: usize,
+    /// Limits on an endpoint list.
+    pub(crate) list_limits: ListLimits,
 }
 
 /// Keeps the endpoint list up to date from the discovery service.
@@ -81,6 +82,7 @@
     retry_interval: TimeDelta,
     /// `Some` if all gateways share the discovery service and must not overload it.
     backoff: Option<Backoff>,
+    max_endpoints: usize,
     /// Waits after lists that are too long.
     too_long_backoff: Backoff,
     freshness: ListFreshness,
@@ -108,11 +110,12 @@
                 inactivity_timeout: max_silence,
                 connect_timeout: retry_interval,
                 framing: MessageFraming::JsonDocument,
-                max_message_bytes: settings.max_list_bytes,
+                max_message_bytes: settings.list_limits.max_bytes,
             }),
             version: None,
             retry_interval,
             backoff: Backoff::for_discovery(parameters, retry_interval, seed),
+            max_endpoints: settings.list_limits.max_endpoints,
             too_long_backoff: Backoff::new(retry_interval, max_silence, seed),
             freshness: ListFreshness::new(parameters, now),
             was_stale: false,
@@ -320,7 +323,17 @@
     }
 
     fn receive_text(&mut self, context: &mut Context, text: &[u8], is_response: bool) -> Received {
-        match serde_json::from_slice(text) {
+        match serde_json::from_slice::<EndpointListMessage>(text) {
+            Ok(message) if message.endpoints.len() > self.max_endpoints => {
+                context.streams.too_long += 1;
+                tracing::warn!(
+                    "discovery: a list of {} endpoints exceeds the limit of {} and is skipped",
+                    message.endpoints.len(),
+                    self.max_endpoints
+                );
+                self.handle_too_long(context);
+                Received::Closed
+            }
             Ok(message) => Received::List {
                 message,
                 is_response,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,7 +65,7 @@
     EndpointLists => "endpoint-lists",
     /// Lines of discovery and of the rollout platform that were malformed or referred to unknown names.
     LinesRefused => "lines-refused",
-    /// Lines of discovery and of the rollout platform that exceeded their maximum length.
+    /// Endpoint lists, and lines of the rollout platform, that exceeded a limit on their size.
     LinesTooLong => "lines-too-long",
     /// Attempts to open a stream, including failed ones.
     StreamsOpened => "streams-opened",
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -13,6 +13,7 @@
 use crate::config::extension::ExtensionConfig;
 use crate::config::gateway::GatewayConfig;
 use crate::control_plane::discovery::{Discovery, DiscoverySettings};
+use crate::control_plane::list_limits::ListLimits;
 use crate::control_plane::rollout_platform::RolloutPlatform;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::downstream::{Downstream, DownstreamSettings, Listener, MIN_IDLE_TIME};
@@ -149,7 +150,7 @@
     let settings = DiscoverySettings {
         address: config.discovery,
         retry_interval: maintenance_interval,
-        max_list_bytes: context.buffers.max_message_bytes(),
+        list_limits: ListLimits::new(&config.limits, &context.buffers),
     };
     Discovery::new(context.now(), &settings, &config.parameters, config.seed())
 }
