--- a/crates/event-loop/src/request_exchange.rs
+++ b/crates/event-loop/src/request_exchange.rs
@@ -90,6 +90,11 @@
         self.read_response(context)
     }
 
+    /// Whether the request's last byte was written.
+    pub fn is_written(&self) -> bool {
+        self.is_written
+    }
+
     /// Closes the connection, whether or not a response has arrived.
     pub fn close<D>(self, context: &mut IoContext<D>) {
         self.connection.close(context);
--- a/crates/gateway/src/control_plane/votes.rs
+++ b/crates/gateway/src/control_plane/votes.rs
@@ -4,8 +4,7 @@
 use std::net::SocketAddr;
 
 use calloop::Readiness;
-use harrierdock_event_loop::{Connection, ConnectionId, ReadResult, ResourceClass, WriteResult};
-use harrierdock_http::{write, MessageReader, Progress, ResponseHead};
+use harrierdock_event_loop::{ConnectionId, ExchangeEvent, RequestExchange, StreamEnd};
 use harrierdock_types::{
     BuildId, Event, PlatformStatus, RolloutDecision, RolloutPhase, RolloutUpdate, TimeDelta,
     Timestamp,
@@ -19,11 +18,12 @@
 use crate::runtime::context::{Context, InternalEvent};
 use crate::runtime::timer::Timer;
 
-/// A posted vote that waits for a response.
+const STATUS_OK: u16 = 200;
+
+/// A vote that waits for a response.
 struct Vote {
-    connection: Connection,
-    reader: MessageReader,
-    is_sent: bool,
+    exchange: RequestExchange,
+    body: String,
     deadline: Timestamp,
 }
 
@@ -39,58 +39,44 @@
 
 impl Vote {
     fn handle_readiness(&mut self, context: &mut Context, readiness: Readiness) -> VoteProgress {
-        if readiness.writable && !self.is_sent {
-            match self.write(context) {
-                WriteResult::Complete => {
-                    self.is_sent = true;
-                    self.connection.set_interest(context, true, false);
-                }
-                WriteResult::Partial => return VoteProgress::Pending,
-                WriteResult::Failed => return VoteProgress::Failed(PlatformStatus::ServerError),
-            }
-        }
-        if readiness.readable && self.is_sent {
-            self.read(context)
-        } else {
-            VoteProgress::Pending
+        match self.exchange.handle_readiness(context, readiness) {
+            ExchangeEvent::Connected => self.write(context),
+            ExchangeEvent::Pending => VoteProgress::Pending,
+            ExchangeEvent::Responded { status, body } => evaluate_response(status, &body),
+            ExchangeEvent::Failed(end) => self.fail(context, end),
         }
     }
 
-    fn write(&mut self, context: &mut Context) -> WriteResult {
-        match self.connection.check_connected() {
-            Ok(()) => self.connection.flush(context),
-            Err(_) => WriteResult::Failed,
+    fn write(&mut self, context: &mut Context) -> VoteProgress {
+        let body = self.body.as_bytes();
+        if self.exchange.post(context, VOTES_PATH, body) {
+            VoteProgress::Pending
+        } else {
+            VoteProgress::Failed(PlatformStatus::ServerError)
         }
     }
 
-    fn read(&mut self, context: &mut Context) -> VoteProgress {
-        let result = self.connection.read(context);
-        let progress = self.reader.read_response(&mut self.connection.input);
-        if let Err(error) = progress {
+    /// A vote that was not written completely is not counted. Whether the platform counts one without a readable response is
+    /// unknown.
+    fn fail(&self, context: &mut Context, end: StreamEnd) -> VoteProgress {
+        if !self.exchange.is_written() {
+            return VoteProgress::Failed(PlatformStatus::ServerError);
+        }
+        if let StreamEnd::MalformedResponse(error) = end {
             context.counters.add(Counter::VoteResponsesMalformed);
             tracing::warn!("platform: the response to a vote cannot be read: {error}");
         }
-        let ends_with_connection = result == ReadResult::EndOfStream
-            && progress.is_ok()
-            && self.reader.record_end_of_input();
-        let is_complete = progress == Ok(Progress::Complete) || ends_with_connection;
-        let may_continue = matches!(result, ReadResult::Data | ReadResult::WouldBlock);
-        if !is_complete && may_continue && progress.is_ok() {
-            return VoteProgress::Pending;
-        }
-        let input = &self.connection.input;
-        let status = ResponseHead::parse(input)
-            .ok()
-            .flatten()
-            .filter(|_| is_complete)
-            .map(|head| head.status);
-        if status == Some(200) {
-            if let Ok(message) = serde_json::from_slice(&input[self.reader.body()]) {
-                return VoteProgress::Answered(message);
-            }
+        VoteProgress::Failed(failed_vote_status(None))
+    }
+}
+
+fn evaluate_response(status: u16, body: &[u8]) -> VoteProgress {
+    if status == STATUS_OK {
+        if let Ok(message) = serde_json::from_slice(body) {
+            return VoteProgress::Answered(message);
         }
-        VoteProgress::Failed(failed_vote_status(status))
     }
+    VoteProgress::Failed(failed_vote_status(Some(status)))
 }
 
 /// Votes that wait for a response, by connection.
@@ -115,32 +101,20 @@
         self.address = address;
     }
 
-    /// Starts to post a vote. Returns `false` if no connection or buffer was available.
-    fn post(&mut self, context: &mut Context, body: &str) -> bool {
+    /// Starts to post a vote. Returns `false` if no connection was available.
+    fn post(&mut self, context: &mut Context, body: String) -> bool {
         let id = context.next_connection_id();
         let handle_vote = context.handlers.vote;
-        let connected = Connection::connect(
-            context,
-            self.address,
-            ResourceClass::Reserved,
-            move |gateway, readiness| handle_vote(gateway, id, readiness),
-        );
-        let Ok(mut connection) = connected else {
-            return false;
-        };
-        let Some(output) = connection.output_buffer(context) else {
-            connection.close(context);
+        let exchange =
+            RequestExchange::connect(context, self.address, move |gateway, readiness| {
+                handle_vote(gateway, id, readiness);
+            });
+        let Some(exchange) = exchange else {
             return false;
         };
-        write::request_line(output, "POST", VOTES_PATH);
-        write::field(output, "Host", self.address);
-        write::field(output, "Connection", "close");
-        write::field(output, "Content-Type", "application/json");
-        write::body(output, body.as_bytes());
         let vote = Vote {
-            connection,
-            reader: MessageReader::default(),
-            is_sent: false,
+            exchange,
+            body,
             deadline: context.set_timer_after(self.timeout, Timer::Vote(id)),
         };
         self.pending.insert(id, vote);
@@ -162,7 +136,7 @@
     fn close(&mut self, context: &mut Context, id: ConnectionId) {
         if let Some(vote) = self.pending.remove(&id) {
             context.timers.cancel(vote.deadline, Timer::Vote(id));
-            vote.connection.close(context);
+            vote.exchange.close(context);
         }
     }
 }
@@ -182,7 +156,7 @@
             decision_name(decision)
         );
         let body = vote_body(build, stage, decision);
-        if !self.votes.post(context, &body) {
+        if !self.votes.post(context, body) {
             report_failed_vote(context, PlatformStatus::ServerError);
         }
     }
