--- a/crates/gateway/tests/sockets/support.rs
+++ b/crates/gateway/tests/sockets/support.rs
@@ -143,6 +143,16 @@
         send_signal(&self.child, signal);
     }
 
+    /// The most memory that the process has used so far.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        status
+            .lines()
+            .find_map(|l| l.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"))
+            .and_then(|kb| kb.parse().ok())
+            .unwrap()
+    }
+
     /// Suspends the process with SIGSTOP and returns once it is stopped. SIGCONT resumes it.
     pub fn suspend(&self) {
         self.signal(Signal::STOP);
@@ -256,6 +266,15 @@
     (address, line_sender)
 }
 
+/// The head of a response without an end, whose body is sent with `write_chunk`.
+pub const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Sends a chunk of a body. Returns whether the write succeeded.
+pub fn write_chunk(stream: &mut TcpStream, text: &str) -> bool {
+    let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(chunk.as_bytes()).is_ok()
+}
+
 /// Connects until the listener's accept queue is full, so that the next connection attempt hangs.
 pub fn fill_accept_queue(address: SocketAddr) -> Vec<TcpStream> {
     let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
