--- a/crates/event-loop/src/stream_end.rs
+++ b/crates/event-loop/src/stream_end.rs
@@ -38,6 +38,8 @@
     pub disconnected: u64,
     /// Responses that could not be read.
     pub malformed: u64,
+    /// Requests that were answered with a status other than 200.
+    pub refused: u64,
     /// Messages and responses that exceeded the limit of their stream.
     pub too_long: u64,
     /// Connections that were given up because they were silent, or because a line remained incomplete.
@@ -52,8 +54,9 @@
                 self.disconnected += 1;
             }
             StreamEnd::MalformedResponse(_) => self.malformed += 1,
-            // Counted where they show: shortages by the pool, long responses as long messages, refusals by their owner.
-            StreamEnd::NoBuffer | StreamEnd::Refused | StreamEnd::ResponseTooLong => {}
+            StreamEnd::Refused => self.refused += 1,
+            // Counted where they show: shortages by the pool, long responses as long messages.
+            StreamEnd::NoBuffer | StreamEnd::ResponseTooLong => {}
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     StreamsDisconnected => "streams-disconnected",
     /// Streams closed because their HTTP response could not be read.
     StreamsMalformed => "streams-malformed",
+    /// Streams whose request was answered with a status other than 200.
+    StreamsRefused => "streams-refused",
     /// Streams closed because they were silent, or because a line remained incomplete, for too long.
     StreamsUnresponsive => "streams-unresponsive",
     /// Rollout updates from the stream, from responses to votes and from the configuration.
--- a/crates/gateway/src/runtime/reporting.rs
+++ b/crates/gateway/src/runtime/reporting.rs
@@ -28,6 +28,7 @@
         counters.set(Counter::StreamsOpened, streams.opened);
         counters.set(Counter::StreamsDisconnected, streams.disconnected);
         counters.set(Counter::StreamsMalformed, streams.malformed);
+        counters.set(Counter::StreamsRefused, streams.refused);
         counters.set(Counter::StreamsUnresponsive, streams.unresponsive);
         counters.set(Counter::LinesTooLong, streams.too_long);
         if let Some(leases) = &self.leases {
--- a/crates/gateway/tests/sockets/discovery_updates.rs
+++ b/crates/gateway/tests/sockets/discovery_updates.rs
@@ -184,12 +184,14 @@
     let gateway = start_gateway(&config);
     gateway.wait_for_log_line("discovery: list 60 ");
     trace.wait_for("discovery: GET", 3);
+    trace.record(gateway.shut_down_and_read_counts(&["streams-refused"]));
     assert_trace(
         &trace,
         expect![[r#"
         discovery: GET /v1/endpoints?stream=1&index=0 HTTP/1.1
         discovery: GET /v1/endpoints HTTP/1.1
         discovery: GET /v1/endpoints?stream=1&index=60 HTTP/1.1
+        streams-refused=1
     "#]],
     );
 }
