--- a/crates/gateway/src/control_plane/discovery.rs
+++ b/crates/gateway/src/control_plane/discovery.rs
@@ -1,6 +1,5 @@
 //! Discovery client. It fetches a snapshot if it has no endpoint list, and then streams the changes since its version.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use calloop::Readiness;
@@ -9,12 +8,13 @@
 use harrierdock_event_loop::{
     LineStream, LineStreamSettings, MessageFraming, ResponseMode, StreamEvent,
 };
-use harrierdock_types::{EndpointId, Event, Parameters, TimeDelta, Timestamp, UpdateKind};
+use harrierdock_types::{Parameters, TimeDelta, Timestamp, UpdateKind};
 
 use crate::control_plane::discovery_messages::{watch_path, EndpointListMessage, SNAPSHOT_PATH};
+use crate::control_plane::endpoint_tables::EndpointTables;
 use crate::control_plane::list_limits::ListLimits;
 use crate::metrics::Counter;
-use crate::runtime::context::{Context, InternalEvent};
+use crate::runtime::context::Context;
 use crate::upstream::Upstream;
 
 /// Interval at which a working stream sends at least an empty line.
@@ -24,12 +24,6 @@
 /// Maintenance intervals that it takes to detect an unresponsive stream, abandon a connection attempt and open the next one.
 const RECOVERY_INTERVALS: f64 = 3.0;
 
-/// The tables that an endpoint list updates.
-struct EndpointTables<'a> {
-    names: &'a mut Names,
-    upstream: &'a mut Upstream,
-}
-
 /// State of the most recently opened snapshot request or watch stream.
 #[derive(Clone, Copy)]
 struct Watch {
@@ -150,7 +144,7 @@
         let delay = self.backoff.as_mut().map(Backoff::draw_spread_wait);
         self.reopen_at = self.reopen_at + delay.unwrap_or_default();
         let mut tables = EndpointTables { names, upstream };
-        apply_list(context, &mut tables, list, UpdateKind::Cached);
+        tables.apply(context, list, UpdateKind::Cached);
     }
 
     /// Opens the watch. Requests a snapshot instead if there is no list to apply changes to.
@@ -214,10 +208,11 @@
         let now = context.now();
         self.log_staleness(now);
         let is_open = self.stream.is_open();
-        // A snapshot request is answered at once or not at all, and its response contains no keepalives.
-        let is_request_unanswered =
-            !self.has_list() && self.stream.has_been_silent_for(now, KEEPALIVE_INTERVAL);
-        if is_request_unanswered || self.stream.check_unresponsive(context) {
+        if self.is_snapshot_unanswered(now) {
+            context.streams.unresponsive += 1;
+            tracing::warn!("discovery: the request for a snapshot is not answered, reopened");
+            self.reconnect(context);
+        } else if self.stream.check_unresponsive(context) {
             self.reconnect(context);
         } else if !is_open && now >= self.reopen_at {
             self.open(context);
@@ -226,6 +221,12 @@
         }
     }
 
+    /// Whether a requested snapshot has not come, or has ceased to come. A snapshot request is answered at once or not at all,
+    /// and its response contains no keepalives.
+    fn is_snapshot_unanswered(&self, now: Timestamp) -> bool {
+        !self.has_list() && self.stream.has_been_silent_for(now, KEEPALIVE_INTERVAL)
+    }
+
     fn log_staleness(&mut self, now: Timestamp) {
         let is_stale = self.is_stale(now);
         if is_stale == std::mem::replace(&mut self.was_stale, is_stale) {
@@ -360,44 +361,10 @@
         self.confirm_if_working(context.now());
         self.too_long_backoff.reset();
         self.version = Some(list.version);
-        apply_list(context, tables, list, list.kind());
+        tables.apply(context, list, list.kind());
         if is_response {
             let path = watch_path(list.version);
             self.stream.request(context, &path, ResponseMode::Lines);
         }
     }
 }
-
-/// Updates the instance of each endpoint, and queues the list as a policy event.
-fn apply_list(
-    context: &mut Context,
-    tables: &mut EndpointTables<'_>,
-    list: &EndpointListMessage,
-    kind: UpdateKind,
-) {
-    context.counters.add(Counter::EndpointLists);
-    let now = context.now();
-    let mut absent: BTreeSet<EndpointId> = match kind {
-        UpdateKind::Delta => BTreeSet::new(),
-        _ => tables.names.endpoints.ids().collect(),
-    };
-    let mut endpoints = Vec::new();
-    for message in &list.endpoints {
-        let record = message.record(tables.names, &context.clock, now);
-        tables
-            .upstream
-            .set_instance(context, record.endpoint, message.instance());
-        absent.remove(&record.endpoint);
-        endpoints.push(record);
-    }
-    for endpoint in absent {
-        tables.upstream.set_instance(context, endpoint, None);
-    }
-    tracing::debug!(
-        "discovery: list {} with {} endpoints",
-        list.version,
-        endpoints.len()
-    );
-    let event = Event::EndpointsUpdated { kind, endpoints };
-    context.emit_at(now, InternalEvent::Policy(event));
-}
--- a/crates/gateway/tests/sockets/discovery.rs
+++ b/crates/gateway/tests/sockets/discovery.rs
@@ -45,6 +45,7 @@
         );
         thread::sleep(Duration::from_millis(10));
     }
+    gateway.wait_for_log_line("discovery: the request for a snapshot is not answered, reopened");
     drop(line_sender);
 }
 
