--- a/crates/event-loop/src/connection.rs
+++ b/crates/event-loop/src/connection.rs
@@ -170,7 +170,7 @@
     pub fn read<D>(&mut self, context: &mut IoContext<D>) -> ReadResult {
         if self.input.capacity() == 0 {
             let Some(buffer) = context.buffers.acquire(self.class) else {
-                context.buffer_shortages += 1;
+                context.buffer_shortages.record();
                 return ReadResult::NoBuffer;
             };
             self.input = buffer;
@@ -208,7 +208,7 @@
     pub fn output_buffer<D>(&mut self, context: &mut IoContext<D>) -> Option<&mut Buffer> {
         if self.output.capacity() == 0 {
             let Some(buffer) = context.buffers.acquire(ResourceClass::Upstream) else {
-                context.buffer_shortages += 1;
+                context.buffer_shortages.record();
                 return None;
             };
             self.output = buffer;
--- a/crates/event-loop/src/io_context.rs
+++ b/crates/event-loop/src/io_context.rs
@@ -5,6 +5,7 @@
 use harrierdock_types::Timestamp;
 
 use crate::buffer_pool::BufferPool;
+use crate::buffer_shortages::BufferShortages;
 use crate::clock::Clock;
 use crate::descriptor_budget::DescriptorBudget;
 use crate::stream_end::StreamCounts;
@@ -34,8 +35,8 @@
     pub buffers: BufferPool,
     /// The limit on open connections.
     pub descriptors: DescriptorBudget,
-    /// How many times no buffer was available.
-    pub buffer_shortages: u64,
+    /// How often no buffer was available, and the waits for one.
+    pub buffer_shortages: BufferShortages,
     /// How often line streams were opened and ended.
     pub streams: StreamCounts,
     /// Scratch buffer for input that is read and discarded.
@@ -55,7 +56,7 @@
             clock: Clock::start(),
             buffers,
             descriptors,
-            buffer_shortages: 0,
+            buffer_shortages: BufferShortages::default(),
             streams: StreamCounts::default(),
             discard: vec![0; BUFFER_BYTES],
             last_connection: 0,
--- a/crates/event-loop/src/lib.rs
+++ b/crates/event-loop/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs, unreachable_pub)]
 
 mod buffer_pool;
+mod buffer_shortages;
 mod clock;
 mod connection;
 mod descriptor_budget;
@@ -21,6 +22,7 @@
 mod timer_queue;
 
 pub use buffer_pool::{Buffer, BufferPool};
+pub use buffer_shortages::{BufferShortages, RecentShortages};
 pub use clock::Clock;
 pub use connection::{respond_and_close, Connection, ReadResult, RegisterError, WriteResult};
 pub use descriptor_budget::DescriptorBudget;
--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -58,6 +58,8 @@
     pub(super) idle_since: Timestamp,
     /// Upper bound on how long the first request waited in the accept queue. Zero once that request has been read.
     pub(super) queue_time: TimeDelta,
+    /// Since when reading has been paused for lack of a buffer. `None` if it is not paused.
+    pub(super) buffer_wait_since: Option<Timestamp>,
     /// This connection's entry in the list of idle connections. `None` if it is not listed.
     pub(super) listed_idle: Option<Idle>,
 }
@@ -77,6 +79,7 @@
             keeps_alive: false,
             idle_since: now,
             queue_time,
+            buffer_wait_since: None,
             listed_idle: None,
         }
     }
--- a/crates/gateway/src/downstream/idle_eviction.rs
+++ b/crates/gateway/src/downstream/idle_eviction.rs
@@ -123,14 +123,18 @@
     }
 
     /// Resumes reading on connections that stopped because no buffer was available.
-    pub(super) fn resume_reading(&mut self, context: &Context) {
+    pub(super) fn resume_reading(&mut self, context: &mut Context) {
+        let now = context.now();
         let reading = self
             .connections
-            .values()
+            .values_mut()
             .filter(|client| client.phase == Phase::Reading);
         for client in reading {
             if !client.connection.is_reading() && client.connection.input.is_empty() {
                 client.connection.set_interest(context, true, false);
+                if let Some(since) = client.buffer_wait_since.take() {
+                    context.buffer_shortages.record_wait(now - since);
+                }
             }
         }
     }
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -12,9 +12,10 @@
 use harrierdock_config::ClassNames;
 use harrierdock_event_loop::ConnectionId;
 use harrierdock_http::RequestHead;
-use harrierdock_types::{RequestId, TimeDelta};
+use harrierdock_types::{RequestId, TimeDelta, Timestamp};
 
 use crate::metrics::Counter;
+use crate::runtime::buffer_use::{held_bytes, BufferUse};
 use crate::runtime::context::{Context, InternalEvent, OutboundRequest};
 use connection::{ClientConnection, Phase};
 use idle_eviction::{IdleList, READABLE};
@@ -124,6 +125,21 @@
         self.connections.len()
     }
 
+    /// Adds the buffers of all client connections, and the connections that wait for one.
+    pub(crate) fn add_buffer_use(&self, now: Timestamp, buffer_use: &mut BufferUse) {
+        for client in self.connections.values() {
+            let holder = match client.phase {
+                Phase::Reading => &mut buffer_use.partial_requests,
+                Phase::Waiting(_) => &mut buffer_use.requests,
+                Phase::Responding { .. } | Phase::Closing => &mut buffer_use.responses,
+            };
+            *holder += held_bytes(&client.connection);
+            if let Some(since) = client.buffer_wait_since {
+                buffer_use.add_waiting(now - since);
+            }
+        }
+    }
+
     /// Makes readiness checks succeed, unless the gateway is shutting down.
     pub(crate) fn set_ready(&mut self) {
         self.state = self.state.max(GatewayState::Ready);
@@ -169,6 +185,10 @@
             context.counters.add(Counter::ClientsDisconnected);
             context.emit(InternalEvent::ClientDisconnected { id: request_id });
         }
+        if let Some(since) = client.buffer_wait_since {
+            let wait = context.now() - since;
+            context.buffer_shortages.record_wait(wait);
+        }
         client.connection.close(context);
     }
 }
--- a/crates/gateway/src/downstream/requests.rs
+++ b/crates/gateway/src/downstream/requests.rs
@@ -80,9 +80,10 @@
     /// Stops reading for lack of a buffer. If this connection holds no buffer, evicts one stalled partial request, so that
     /// partial requests cannot occupy all buffers.
     fn handle_buffer_shortage(&mut self, context: &mut Context, id: ConnectionId) {
-        let Some(client) = self.connections.get(&id) else {
+        let Some(client) = self.connections.get_mut(&id) else {
             return;
         };
+        client.buffer_wait_since.get_or_insert(context.now());
         let has_no_buffer = client.connection.input.is_empty();
         client.connection.set_interest(context, false, false);
         if has_no_buffer && self.evict(context, IdleKind::PartialRequest, self.stall_timeout) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -107,6 +107,8 @@
     DescriptorShortages => "no-descriptor",
     /// Times that no buffer was available.
     BufferShortages => "no-buffer",
+    /// Waits of connections for a buffer that have ended.
+    BufferWaits => "buffer-waits",
     /// Log lines dropped because the queue was full.
     DroppedLogLines => "log-lines-dropped",
     /// Buffers released with a changed capacity, or released without having been acquired.
--- a/crates/gateway/src/runtime/mod.rs
+++ b/crates/gateway/src/runtime/mod.rs
@@ -1,5 +1,6 @@
 //! The event loop of a gateway: shared state, socket and timer handlers, startup, reload and shutdown.
 
+pub(crate) mod buffer_use;
 pub(crate) mod context;
 pub(crate) mod error;
 pub(crate) mod event_loop;
--- a/crates/gateway/src/runtime/reporting.rs
+++ b/crates/gateway/src/runtime/reporting.rs
@@ -1,9 +1,10 @@
 //! Log lines with the counters, and with the exporter's totals at shutdown.
 
-use harrierdock_event_loop::logging;
+use harrierdock_event_loop::{logging, RecentShortages};
 use harrierdock_types::TimeDelta;
 
 use crate::metrics::Counter;
+use crate::runtime::buffer_use::BufferUse;
 use crate::runtime::gateway::Gateway;
 use crate::runtime::timer::Timer;
 
@@ -23,7 +24,14 @@
         let counters = &mut context.counters;
         counters.set(Counter::DroppedLogLines, logging::dropped_lines());
         counters.set(Counter::PoolViolations, context.io.buffers.violations);
-        counters.set(Counter::BufferShortages, context.io.buffer_shortages);
+        counters.set(
+            Counter::BufferShortages,
+            context.io.buffer_shortages.count(),
+        );
+        counters.set(
+            Counter::BufferWaits,
+            context.io.buffer_shortages.wait_count(),
+        );
         let streams = &context.io.streams;
         counters.set(Counter::StreamsOpened, streams.opened);
         counters.set(Counter::StreamsDisconnected, streams.disconnected);
@@ -44,6 +52,27 @@
             context.io.buffers.in_use,
             self.dispatcher.requests.unanswered_count()
         );
+        self.report_buffers();
+    }
+
+    /// Logs who holds the buffers, and the waits for one. Does nothing if none was lacking since the last report.
+    fn report_buffers(&mut self) {
+        let recent = self.context.buffer_shortages.take_recent();
+        if recent == RecentShortages::default() {
+            return;
+        }
+        let mut buffer_use = BufferUse::default();
+        self.downstream
+            .add_buffer_use(self.context.now(), &mut buffer_use);
+        self.upstream.add_buffer_use(&mut buffer_use);
+        let all = &self.context.buffer_shortages;
+        tracing::warn!(
+            "buffers: lacking {} times; {} waits have ended, in {:.3} s together, the longest lately in {:.3} s; {buffer_use}",
+            recent.count,
+            all.wait_count(),
+            all.total_wait().as_seconds(),
+            recent.longest_wait.as_seconds(),
+        );
     }
 
     /// Closes the exporter and logs its totals: recorded, dropped and sent, by collector.
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -14,6 +14,7 @@
 use rustix::io::Errno;
 
 use crate::metrics::Counter;
+use crate::runtime::buffer_use::{held_bytes, BufferUse};
 use crate::runtime::context::{Context, OutboundRequest};
 use crate::runtime::timer::Timer;
 use pool::EndpointConnections;
@@ -106,6 +107,14 @@
         self.connections.len()
     }
 
+    /// Adds the buffers of all connections to endpoints.
+    pub(crate) fn add_buffer_use(&self, buffer_use: &mut BufferUse) {
+        let held = self.connections.values();
+        buffer_use.attempts += held
+            .map(|pooled| held_bytes(&pooled.connection))
+            .sum::<usize>();
+    }
+
     /// Starts an attempt. Its outcome is reported later as an internal event.
     ///
     /// # Errors
