--- a/crates/event-loop/src/connection.rs
+++ b/crates/event-loop/src/connection.rs
@@ -1,12 +1,14 @@
 //! A TCP connection with a readiness callback, an input buffer and an output buffer. A buffer is held only while it contains
-//! data.
+//! data, and is exchanged for a longer one when it is full.
 
 use std::cell::Cell;
 use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::ops::Range;
 use std::rc::Rc;
 
 use calloop::{Interest, Readiness, RegistrationToken};
+use harrierdock_http::BUFFER_BYTES;
 use rustix::buffer::spare_capacity;
 use rustix::io::Errno;
 use rustix::net::{recv, send, RecvFlags, SendFlags};
@@ -29,8 +31,10 @@
     Data,
     /// No input is available now.
     WouldBlock,
-    /// The buffer is full, or none is available.
+    /// The input buffer is full, and no longer one is available.
     NoBuffer,
+    /// The input buffer is full and of the greatest length.
+    BufferFull,
     /// The other side has closed its sending side.
     EndOfStream,
     /// The connection failed and is no longer usable.
@@ -91,8 +95,14 @@
     pub input: Buffer,
     /// Bytes to write, including those already written.
     pub output: Buffer,
+    /// Length of the message in the input buffer, if it is known to need a longer buffer. Zero if it is not known.
+    expected_bytes: usize,
     /// Number of bytes of `output` already written.
     written: usize,
+    /// A buffer with the end of the last message of the output. Without capacity if `output` holds all of it.
+    output_body: Buffer,
+    /// The part of `output_body` that is not written yet.
+    body_range: Range<usize>,
 }
 
 impl Connection {
@@ -129,7 +139,10 @@
             class,
             input: Buffer::new(),
             output: Buffer::new(),
+            expected_bytes: 0,
             written: 0,
+            output_body: Buffer::new(),
+            body_range: 0..0,
         })
     }
 
@@ -168,14 +181,11 @@
 
     /// Reads once into the input buffer, so that a busy socket does not starve others.
     pub fn read<D>(&mut self, context: &mut IoContext<D>) -> ReadResult {
-        if self.input.capacity() == 0 {
-            let Some(buffer) = context.buffers.acquire(self.class) else {
-                context.buffer_shortages.record();
-                return ReadResult::NoBuffer;
-            };
-            self.input = buffer;
+        if self.input.len() == BUFFER_BYTES {
+            return ReadResult::BufferFull;
         }
-        if self.input.len() == self.input.capacity() {
+        if !self.reserve_input(context) {
+            context.buffer_shortages.record();
             return ReadResult::NoBuffer;
         }
         let received = recv(
@@ -188,6 +198,39 @@
         result
     }
 
+    /// Makes room for input. Returns false if the input buffer is full and no longer one is available.
+    fn reserve_input<D>(&mut self, context: &mut IoContext<D>) -> bool {
+        // What arrives on a reserved connection is moved out of the buffer at once, so a long one saves reads.
+        let prefers_long = self.class == ResourceClass::Reserved && self.input.is_empty();
+        let bytes = self.next_input_bytes();
+        let buffers = &mut context.buffers;
+        (prefers_long && buffers.reserve(&mut self.input, BUFFER_BYTES, self.class))
+            || buffers.reserve(&mut self.input, bytes, self.class)
+    }
+
+    /// Whether there is room for more input, or a longer buffer is available.
+    pub fn can_read<D>(&self, context: &IoContext<D>) -> bool {
+        let bytes = self.next_input_bytes();
+        context.buffers.can_reserve(&self.input, bytes, self.class)
+    }
+
+    /// Sets the length of the message whose start is in the input buffer. If it exceeds the buffer, the next one fits it.
+    pub fn expect_input(&mut self, message_bytes: usize) {
+        self.expected_bytes = message_bytes.min(BUFFER_BYTES);
+    }
+
+    fn next_input_bytes(&self) -> usize {
+        match self.input.len() < self.input.capacity() {
+            true => 1,
+            false => self.expected_bytes.saturating_sub(self.input.len()).max(1),
+        }
+    }
+
+    /// Whether input has filled its buffer, so that more may be waiting that the last read had no room for.
+    pub fn is_input_full(&self) -> bool {
+        self.input.capacity() > 0 && self.input.len() == self.input.capacity()
+    }
+
     /// Reads once and discards the input. Needs no pooled buffer.
     pub fn discard_input<D>(&mut self, context: &mut IoContext<D>) -> ReadResult {
         let received = recv(&self.stream, &mut context.discard[..], RecvFlags::empty());
@@ -197,6 +240,7 @@
     /// Releases the empty buffers.
     pub fn release_empty_buffers<D>(&mut self, context: &mut IoContext<D>) {
         if self.input.is_empty() {
+            self.expected_bytes = 0;
             context.buffers.release(&mut self.input);
         }
         if self.output.is_empty() {
@@ -204,31 +248,51 @@
         }
     }
 
-    /// The output buffer. `None` if none is available.
-    pub fn output_buffer<D>(&mut self, context: &mut IoContext<D>) -> Option<&mut Buffer> {
-        if self.output.capacity() == 0 {
-            let Some(buffer) = context.buffers.acquire(ResourceClass::Upstream) else {
-                context.buffer_shortages.record();
-                return None;
-            };
-            self.output = buffer;
+    /// The output buffer, with room for this many more bytes. `None` if it needs a longer buffer and none is available.
+    pub fn output_buffer<D>(
+        &mut self,
+        context: &mut IoContext<D>,
+        bytes: usize,
+    ) -> Option<&mut Buffer> {
+        let buffers = &mut context.buffers;
+        if !buffers.reserve(&mut self.output, bytes, ResourceClass::Upstream) {
+            context.buffer_shortages.record();
+            return None;
         }
         Some(&mut self.output)
     }
 
+    /// Adds the rest of a message, which is written after the output buffer from the buffer that holds it. So a message of any
+    /// length needs no buffer besides that one and a short one. Any earlier output must have been written.
+    pub fn set_output_body(&mut self, buffer: Buffer, range: Range<usize>) {
+        debug_assert!(
+            self.output_body.capacity() == 0,
+            "a message has one body, and the one before was written"
+        );
+        self.output_body = buffer;
+        self.body_range = range;
+    }
+
+    /// The memory that the connection's buffers take, in bytes.
+    pub fn buffer_bytes(&self) -> usize {
+        self.input.capacity() + self.output.capacity() + self.output_body.capacity()
+    }
+
     /// Writes output until it is empty or the socket would block.
     pub fn flush<D>(&mut self, context: &mut IoContext<D>) -> WriteResult {
-        while self.written < self.output.len() {
-            match (&*self.stream).write(&self.output[self.written..]) {
-                Ok(0) => return WriteResult::Failed,
-                Ok(count) => self.written += count,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return WriteResult::Partial,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return WriteResult::Failed,
-            }
+        let head = write_from(&self.stream, &self.output, &mut self.written);
+        if head != WriteResult::Complete {
+            return head;
+        }
+        let body = &self.output_body[..self.body_range.end];
+        let rest = write_from(&self.stream, body, &mut self.body_range.start);
+        if rest != WriteResult::Complete {
+            return rest;
         }
         self.written = 0;
         self.output.clear();
+        self.body_range = 0..0;
+        context.buffers.release(&mut self.output_body);
         self.release_empty_buffers(context);
         WriteResult::Complete
     }
@@ -270,12 +334,27 @@
         context.handle.remove(self.token);
         context.buffers.release(&mut self.input);
         context.buffers.release(&mut self.output);
+        context.buffers.release(&mut self.output_body);
         if self.class != ResourceClass::Reserved {
             context.descriptors.release();
         }
     }
 }
 
+/// Writes the bytes from `written` on, and advances `written`.
+fn write_from(mut stream: &TcpStream, bytes: &[u8], written: &mut usize) -> WriteResult {
+    while *written < bytes.len() {
+        match stream.write(&bytes[*written..]) {
+            Ok(0) => return WriteResult::Failed,
+            Ok(count) => *written += count,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return WriteResult::Partial,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return WriteResult::Failed,
+        }
+    }
+    WriteResult::Complete
+}
+
 fn read_result(received: Result<usize, Errno>) -> ReadResult {
     match received {
         Ok(0) => ReadResult::EndOfStream,
--- a/crates/event-loop/src/lib.rs
+++ b/crates/event-loop/src/lib.rs
@@ -21,7 +21,7 @@
 mod stream_event;
 mod timer_queue;
 
-pub use buffer_pool::{Buffer, BufferPool};
+pub use buffer_pool::{Buffer, BufferPool, SHORT_BUFFER_BYTES};
 pub use buffer_shortages::{BufferShortages, RecentShortages};
 pub use clock::Clock;
 pub use connection::{respond_and_close, Connection, ReadResult, RegisterError, WriteResult};
--- a/crates/event-loop/src/line_stream.rs
+++ b/crates/event-loop/src/line_stream.rs
@@ -178,7 +178,8 @@
         };
         self.reader = MessageReader::without_body_limit();
         self.mode = mode;
-        let Some(out) = connection.output_buffer(context) else {
+        let size = target.len() + write::MAX_FIELDS_BYTES;
+        let Some(out) = connection.output_buffer(context, size) else {
             return self.close(context);
         };
         write::request_line(out, "GET", target);
@@ -246,7 +247,7 @@
         let read = match connection.read(context) {
             ReadResult::Data => Ok(()),
             ReadResult::WouldBlock => return Ok(()),
-            ReadResult::NoBuffer => Err(StreamEnd::NoBuffer),
+            ReadResult::NoBuffer | ReadResult::BufferFull => Err(StreamEnd::NoBuffer),
             ReadResult::EndOfStream => Err(StreamEnd::ClosedByServer),
             ReadResult::Failed => Err(StreamEnd::ConnectionFailed),
         };
--- a/crates/event-loop/src/request_exchange.rs
+++ b/crates/event-loop/src/request_exchange.rs
@@ -60,7 +60,8 @@
     /// Writes a POST request with a JSON body. Returns whether any of it may have been sent.
     pub fn post<D>(&mut self, context: &mut IoContext<D>, path: &str, body: &[u8]) -> bool {
         let address = self.address;
-        let Some(out) = self.connection.output_buffer(context) else {
+        let size = path.len() + body.len() + write::MAX_FIELDS_BYTES;
+        let Some(out) = self.connection.output_buffer(context, size) else {
             return false;
         };
         write::request_line(out, "POST", path);
@@ -131,7 +132,9 @@
         }
         match read {
             ReadResult::Data | ReadResult::WouldBlock => ExchangeEvent::Pending,
-            ReadResult::NoBuffer => ExchangeEvent::Failed(StreamEnd::NoBuffer),
+            ReadResult::NoBuffer | ReadResult::BufferFull => {
+                ExchangeEvent::Failed(StreamEnd::NoBuffer)
+            }
             ReadResult::EndOfStream => ExchangeEvent::Failed(StreamEnd::ClosedByServer),
             ReadResult::Failed => ExchangeEvent::Failed(StreamEnd::ConnectionFailed),
         }
--- a/crates/fault-injection/src/fleet/mod.rs
+++ b/crates/fault-injection/src/fleet/mod.rs
@@ -115,7 +115,7 @@
         let event_loop: EventLoop<Simulation> = EventLoop::try_new()?;
         let io = IoContext::new(
             event_loop.handle(),
-            BufferPool::new(BUFFERS),
+            BufferPool::new(BUFFERS, DESCRIPTORS),
             DescriptorBudget::new(DESCRIPTORS, 0),
         );
         let mut simulation = Simulation::new(io, scenario.seed, true);
--- a/crates/fault-injection/src/simulation/client_connections.rs
+++ b/crates/fault-injection/src/simulation/client_connections.rs
@@ -78,7 +78,8 @@
             return;
         };
         client.request = Some(request);
-        let Some(output) = client.connection.output_buffer(&mut self.io) else {
+        let size = BODY.len() + write::MAX_FIELDS_BYTES;
+        let Some(output) = client.connection.output_buffer(&mut self.io, size) else {
             return;
         };
         let method = if class == RequestClass::Idempotent {
--- a/crates/fault-injection/src/simulation/endpoint_connections.rs
+++ b/crates/fault-injection/src/simulation/endpoint_connections.rs
@@ -127,7 +127,10 @@
         let Some(request) = endpoint_connection.request.take() else {
             return;
         };
-        let Some(output) = endpoint_connection.connection.output_buffer(&mut self.io) else {
+        let Some(output) = endpoint_connection
+            .connection
+            .output_buffer(&mut self.io, write::MAX_FIELDS_BYTES)
+        else {
             return self.close_endpoint_connection(id);
         };
         write::status_line(output, status);
--- a/crates/fault-injection/src/sites/run.rs
+++ b/crates/fault-injection/src/sites/run.rs
@@ -71,7 +71,7 @@
 ) -> Result<Simulation, SitesError> {
     let io = IoContext::new(
         event_loop.handle(),
-        BufferPool::new(BUFFERS),
+        BufferPool::new(BUFFERS, DESCRIPTORS),
         DescriptorBudget::new(DESCRIPTORS, 0),
     );
     let mut simulation = Simulation::new(io, scenario.seed, scenario.shares_idempotency_group);
--- a/crates/gateway/src/dispatch/multi_site.rs
+++ b/crates/gateway/src/dispatch/multi_site.rs
@@ -329,19 +329,23 @@
         if let Some((key, build)) = attributes.key.zip(build) {
             self.handle_policy_event(now, PolicyEvent::StickyVersionLearned { key, build });
         }
-        let answer = match self.context.buffers.acquire(ResourceClass::Upstream) {
-            Some(mut buffer) if body.len() <= buffer.capacity() => {
+        let buffers = &mut self.context.buffers;
+        let answer = match buffers.acquire(body.len(), ResourceClass::Upstream) {
+            Some(mut buffer) => {
                 buffer.extend_from_slice(body);
                 Answer::Succeeded(ResponseBody {
                     buffer,
                     range: 0..body.len(),
                 })
             }
-            Some(mut buffer) => {
-                self.context.buffers.release(&mut buffer);
+            None => {
+                self.context.buffer_shortages.record();
+                tracing::warn!(
+                    "sites: no buffer is available for a forwarded response of {} bytes",
+                    body.len()
+                );
                 Answer::Failed
             }
-            None => Answer::Failed,
         };
         self.answer(id, answer);
     }
--- a/crates/gateway/src/downstream/connection.rs
+++ b/crates/gateway/src/downstream/connection.rs
@@ -1,6 +1,6 @@
 //! A client connection: its current phase, and the ways in which it can be idle.
 
-use harrierdock_event_loop::Connection;
+use harrierdock_event_loop::{Connection, SHORT_BUFFER_BYTES};
 use harrierdock_http::MessageReader;
 use harrierdock_types::{RequestId, TimeDelta, Timestamp};
 
@@ -20,13 +20,15 @@
     Closing,
 }
 
-/// The ways in which a connection can be idle, in the order in which connections are evicted.
+/// The ways in which a connection can be idle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum IdleKind {
     /// No byte has been received since the connection was accepted.
     NeverUsed,
-    /// Part of a request has been received.
+    /// Part of a request has been received, and is held in a short buffer.
     PartialRequest,
+    /// Part of a request has been received, and is held in a longer buffer.
+    LongPartialRequest,
     /// The last response has been written, but the client has not closed the connection.
     Closing,
     /// A response has been written, and no byte of the next request has been received.
@@ -35,6 +37,16 @@
     UnreadResponse,
 }
 
+impl IdleKind {
+    /// Whether part of a request has been received.
+    pub(super) fn is_partial_request(self) -> bool {
+        matches!(
+            self,
+            IdleKind::PartialRequest | IdleKind::LongPartialRequest
+        )
+    }
+}
+
 /// How a connection is idle, and since when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Idle {
@@ -58,8 +70,8 @@
     pub(super) idle_since: Timestamp,
     /// Upper bound on how long the first request waited in the accept queue. Zero once that request has been read.
     pub(super) queue_time: TimeDelta,
-    /// Since when reading has been paused for lack of a buffer. `None` if it is not paused.
-    pub(super) buffer_wait_since: Option<Timestamp>,
+    /// Whether bytes have followed the last request while its client waited for the response.
+    pub(super) has_surplus: bool,
     /// This connection's entry in the list of idle connections. `None` if it is not listed.
     pub(super) listed_idle: Option<Idle>,
 }
@@ -79,14 +91,14 @@
             keeps_alive: false,
             idle_since: now,
             queue_time,
-            buffer_wait_since: None,
+            has_surplus: false,
             listed_idle: None,
         }
     }
 
-    /// Whether the input buffer ends with the request that was read.
+    /// Whether no bytes have followed the request that was read.
     pub(super) fn has_single_request(&self) -> bool {
-        self.reader.body().end >= self.connection.input.len()
+        !self.has_surplus && self.reader.body().end >= self.connection.input.len()
     }
 
     /// Whether the connection waits for a request and has received no byte of it.
@@ -98,11 +110,14 @@
     pub(super) fn idle(&self) -> Option<Idle> {
         let kind = match self.phase {
             Phase::Waiting(_) => return None,
-            Phase::Reading if !self.reader.is_untouched(&self.connection.input) => {
+            Phase::Reading if self.is_between_requests() => match self.keeps_alive {
+                true => IdleKind::BetweenRequests,
+                false => IdleKind::NeverUsed,
+            },
+            Phase::Reading if self.connection.input.capacity() <= SHORT_BUFFER_BYTES => {
                 IdleKind::PartialRequest
             }
-            Phase::Reading if self.keeps_alive => IdleKind::BetweenRequests,
-            Phase::Reading => IdleKind::NeverUsed,
+            Phase::Reading => IdleKind::LongPartialRequest,
             Phase::Responding { .. } => IdleKind::UnreadResponse,
             Phase::Closing => IdleKind::Closing,
         };
--- a/crates/gateway/src/downstream/idle_eviction.rs
+++ b/crates/gateway/src/downstream/idle_eviction.rs
@@ -7,6 +7,7 @@
 use harrierdock_types::{TimeDelta, Timestamp};
 
 use super::connection::{ClientConnection, Idle, IdleKind, Phase};
+use super::requests::Shortage;
 use super::responses::Response;
 use super::{Downstream, MIN_IDLE_TIME};
 use crate::metrics::Counter;
@@ -45,13 +46,8 @@
         self.between_requests -= usize::from(idle.kind == IdleKind::BetweenRequests);
     }
 
-    /// The longest idle connection of this kind, if it has been idle for at least `min_time`.
-    fn longest_idle(
-        &self,
-        kind: IdleKind,
-        min_time: TimeDelta,
-        now: Timestamp,
-    ) -> Option<IdleConnection> {
+    /// The connections of this kind, longest idle first.
+    fn of_kind(&self, kind: IdleKind) -> impl Iterator<Item = IdleConnection> + '_ {
         let first_possible = IdleConnection {
             idle: Idle {
                 kind,
@@ -59,8 +55,28 @@
             },
             id: ConnectionId(0),
         };
-        let first = self.connections.range(first_possible..).next().copied()?;
-        (first.idle.kind == kind && now - first.idle.since >= min_time).then_some(first)
+        self.connections
+            .range(first_possible..)
+            .take_while(move |connection| connection.idle.kind == kind)
+            .copied()
+    }
+
+    /// The longest idle connection of this kind, if it has been idle for at least `min_time`.
+    fn longest_idle(
+        &self,
+        kind: IdleKind,
+        min_time: TimeDelta,
+        now: Timestamp,
+    ) -> Option<IdleConnection> {
+        self.of_kind(kind)
+            .next()
+            .filter(|first| now - first.idle.since >= min_time)
+    }
+
+    /// The oldest incomplete request in a longer buffer, apart from that of one connection.
+    fn oldest_long_request_except(&self, id: ConnectionId) -> Option<IdleConnection> {
+        self.of_kind(IdleKind::LongPartialRequest)
+            .find(|connection| connection.id != id)
     }
 }
 
@@ -98,6 +114,7 @@
         let limits = [
             (IdleKind::NeverUsed, MIN_IDLE_TIME),
             (IdleKind::PartialRequest, MIN_IDLE_TIME),
+            (IdleKind::LongPartialRequest, MIN_IDLE_TIME),
             (IdleKind::Closing, MIN_IDLE_TIME),
             (IdleKind::BetweenRequests, self.idle_timeout),
             (IdleKind::UnreadResponse, self.idle_timeout),
@@ -110,7 +127,6 @@
                 }
             }
         }
-        self.resume_reading(context);
         if context.descriptors.available() > 0 {
             self.resume_accepting(context);
         }
@@ -122,25 +138,8 @@
             .is_some_and(|client| client.listed_idle == Some(connection.idle))
     }
 
-    /// Resumes reading on connections that stopped because no buffer was available.
-    pub(super) fn resume_reading(&mut self, context: &mut Context) {
-        let now = context.now();
-        let reading = self
-            .connections
-            .values_mut()
-            .filter(|client| client.phase == Phase::Reading);
-        for client in reading {
-            if !client.connection.is_reading() && client.connection.input.is_empty() {
-                client.connection.set_interest(context, true, false);
-                if let Some(since) = client.buffer_wait_since.take() {
-                    context.buffer_shortages.record_wait(now - since);
-                }
-            }
-        }
-    }
-
     fn expire(&mut self, context: &mut Context, connection: IdleConnection) {
-        if connection.idle.kind != IdleKind::PartialRequest {
+        if !connection.idle.kind.is_partial_request() {
             return self.close(context, connection.id);
         }
         context.counters.add(Counter::MalformedRequests);
@@ -154,6 +153,7 @@
         let limits = [
             (IdleKind::NeverUsed, TimeDelta::ZERO),
             (IdleKind::PartialRequest, self.stall_timeout),
+            (IdleKind::LongPartialRequest, self.stall_timeout),
             (IdleKind::Closing, self.stall_timeout),
             (IdleKind::BetweenRequests, MIN_IDLE_TIME),
         ];
@@ -177,24 +177,56 @@
     ) -> bool {
         let now = context.now();
         while let Some(oldest) = self.idle.longest_idle(kind, min_time, now) {
-            // Input that arrived in the meantime may complete a request, which is then accepted.
-            self.handle_readiness(context, oldest.id, READABLE);
-            if self.is_still_idle(oldest) {
-                self.close(context, oldest.id);
-            }
-            if !self.connections.contains_key(&oldest.id) {
+            if self.evict_connection(context, oldest) {
                 return true;
             }
         }
         false
     }
 
+    /// Closes an idle connection, unless input has arrived in the meantime that makes it another kind of connection. Returns
+    /// whether it is closed.
+    fn evict_connection(&mut self, context: &mut Context, connection: IdleConnection) -> bool {
+        // Input that arrived in the meantime may complete a request, which is then accepted.
+        self.handle_readiness(context, connection.id, READABLE);
+        if self.is_still_idle(connection) {
+            self.close(context, connection.id);
+        }
+        !self.connections.contains_key(&connection.id)
+    }
+
+    /// Frees memory for a longer input buffer: refuses other incomplete requests that hold a longer buffer, the oldest first.
+    /// Returns whether enough is free.
+    ///
+    /// The oldest has had the most time to arrive. A minimum time would let clients that hold a part of a request for just less
+    /// than this time take all buffers.
+    pub(super) fn free_input_buffer(&mut self, context: &mut Context, id: ConnectionId) -> bool {
+        loop {
+            let Some(client) = self.connections.get(&id) else {
+                return false;
+            };
+            if client.connection.can_read(context) {
+                return true;
+            }
+            let Some(oldest) = self.idle.oldest_long_request_except(id) else {
+                return false;
+            };
+            // Input that arrived in the meantime may complete the request, which is then accepted.
+            self.read_input(context, oldest.id, Shortage::Refuse);
+            self.update_idle_list(oldest.id);
+            if self.is_still_idle(oldest) {
+                self.refuse_incomplete(context, oldest.id);
+                self.update_idle_list(oldest.id);
+            }
+        }
+    }
+
     /// Closes connections between requests during a shutdown. Returns whether all that remain are in the closing phase.
     pub(crate) fn close_between_requests(&mut self, context: &mut Context) -> bool {
         let candidates: Vec<ConnectionId> = self
             .connections
             .iter()
-            .filter(|(_, client)| client.is_between_requests() && client.connection.is_reading())
+            .filter(|(_, client)| client.is_between_requests())
             .map(|(id, _)| *id)
             .collect();
         for id in candidates {
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -12,10 +12,10 @@
 use harrierdock_config::ClassNames;
 use harrierdock_event_loop::ConnectionId;
 use harrierdock_http::RequestHead;
-use harrierdock_types::{RequestId, TimeDelta, Timestamp};
+use harrierdock_types::{RequestId, TimeDelta};
 
 use crate::metrics::Counter;
-use crate::runtime::buffer_use::{held_bytes, BufferUse};
+use crate::runtime::buffer_use::BufferUse;
 use crate::runtime::context::{Context, InternalEvent, OutboundRequest};
 use connection::{ClientConnection, Phase};
 use idle_eviction::{IdleList, READABLE};
@@ -44,7 +44,7 @@
     pub(crate) classes: ClassNames,
     /// How long a connection may stay open between requests, or with a response that its client doesn't read.
     pub(crate) idle_timeout: TimeDelta,
-    /// After this time a stalled connection may be closed if another one needs its descriptor or buffer.
+    /// After this time a stalled connection may be closed if another one needs its descriptor.
     pub(crate) stall_timeout: TimeDelta,
     /// Limit on the file descriptors of the process.
     pub(crate) descriptor_limit: usize,
@@ -125,18 +125,15 @@
         self.connections.len()
     }
 
-    /// Adds the buffers of all client connections, and the connections that wait for one.
-    pub(crate) fn add_buffer_use(&self, now: Timestamp, buffer_use: &mut BufferUse) {
+    /// Adds the buffers of all client connections.
+    pub(crate) fn add_buffer_use(&self, buffer_use: &mut BufferUse) {
         for client in self.connections.values() {
             let holder = match client.phase {
                 Phase::Reading => &mut buffer_use.partial_requests,
                 Phase::Waiting(_) => &mut buffer_use.requests,
                 Phase::Responding { .. } | Phase::Closing => &mut buffer_use.responses,
             };
-            *holder += held_bytes(&client.connection);
-            if let Some(since) = client.buffer_wait_since {
-                buffer_use.add_waiting(now - since);
-            }
+            *holder += client.connection.buffer_bytes();
         }
     }
 
@@ -185,10 +182,6 @@
             context.counters.add(Counter::ClientsDisconnected);
             context.emit(InternalEvent::ClientDisconnected { id: request_id });
         }
-        if let Some(since) = client.buffer_wait_since {
-            let wait = context.now() - since;
-            context.buffer_shortages.record_wait(wait);
-        }
         client.connection.close(context);
     }
 }
--- a/crates/gateway/src/downstream/requests.rs
+++ b/crates/gateway/src/downstream/requests.rs
@@ -5,13 +5,22 @@
 use harrierdock_http::{write, ParseError, Progress, RequestHead};
 use harrierdock_types::{RequestId, TimeDelta};
 
-use super::connection::{IdleKind, Phase};
+use super::connection::Phase;
 use super::request_parser::{ParsedRequest, RequestAttributes};
 use super::responses::{Field, Response};
 use super::{Downstream, GatewayState};
 use crate::metrics::Counter;
 use crate::runtime::context::{Context, InternalEvent, ReceivedRequest};
 
+/// What happens to a request that needs a longer buffer when none is available.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Shortage {
+    /// Other incomplete requests are refused, so that it gets their buffers.
+    EvictOthers,
+    /// It is refused.
+    Refuse,
+}
+
 impl Downstream {
     /// Handles the readiness of a client connection.
     pub(crate) fn handle_readiness(
@@ -37,57 +46,67 @@
     }
 
     fn handle_readable(&mut self, context: &mut Context, id: ConnectionId) {
-        let Some(client) = self.connections.get_mut(&id) else {
+        let Some(client) = self.connections.get(&id) else {
             return;
         };
-        if !client.connection.is_reading() {
-            // Reading is paused, so a readable event means that the connection failed.
-            if !matches!(client.phase, Phase::Responding { .. }) {
-                self.close(context, id);
-            }
-            return;
+        match client.phase {
+            Phase::Reading => self.read_input(context, id, Shortage::EvictOthers),
+            Phase::Waiting(_) | Phase::Closing => self.discard_input(context, id),
+            // The next request is read once the response is written.
+            Phase::Responding { .. } => {}
         }
-        if client.phase == Phase::Closing {
-            let discarded = client.connection.discard_input(context);
-            if matches!(discarded, ReadResult::EndOfStream | ReadResult::Failed) {
-                self.close(context, id);
-            }
+    }
+
+    /// Discards input that belongs to no request. Bytes behind a request under way are not kept: if they filled the buffer, a
+    /// disconnection would go unnoticed.
+    fn discard_input(&mut self, context: &mut Context, id: ConnectionId) {
+        let Some(client) = self.connections.get_mut(&id) else {
             return;
-        }
-        let was_empty = client.connection.input.is_empty();
-        // Discards further bytes that follow a request under way. If they filled the buffer, a disconnection would go
-        // unnoticed. The first of these bytes stay in the buffer, so that the connection is closed after the response.
-        let has_surplus = matches!(client.phase, Phase::Waiting(_)) && !client.has_single_request();
-        let result = if has_surplus {
-            client.connection.discard_input(context)
-        } else {
-            client.connection.read(context)
         };
-        match result {
-            ReadResult::Data if client.phase == Phase::Reading => {
-                // The time limit of a request runs from its first byte, so a client that sends byte by byte gains no time.
-                if was_empty && client.keeps_alive {
-                    client.idle_since = context.now();
-                }
-                self.read_requests(context, id);
-            }
-            ReadResult::Data | ReadResult::WouldBlock => {}
-            ReadResult::NoBuffer => self.handle_buffer_shortage(context, id),
+        match client.connection.discard_input(context) {
+            ReadResult::Data => client.has_surplus = true,
             ReadResult::EndOfStream | ReadResult::Failed => self.close(context, id),
+            ReadResult::WouldBlock | ReadResult::NoBuffer | ReadResult::BufferFull => {}
         }
     }
 
-    /// Stops reading for lack of a buffer. If this connection holds no buffer, evicts one stalled partial request, so that
-    /// partial requests cannot occupy all buffers.
-    fn handle_buffer_shortage(&mut self, context: &mut Context, id: ConnectionId) {
-        let Some(client) = self.connections.get_mut(&id) else {
-            return;
-        };
-        client.buffer_wait_since.get_or_insert(context.now());
-        let has_no_buffer = client.connection.input.is_empty();
-        client.connection.set_interest(context, false, false);
-        if has_no_buffer && self.evict(context, IdleKind::PartialRequest, self.stall_timeout) {
-            self.resume_reading(context);
+    /// Reads until a request is complete or no more input has arrived. Input that fills its buffer is read on at once: a request
+    /// that has arrived in full never waits for a longer buffer while it counts as incomplete.
+    pub(super) fn read_input(
+        &mut self,
+        context: &mut Context,
+        id: ConnectionId,
+        shortage: Shortage,
+    ) {
+        while let Some(client) = self
+            .connections
+            .get_mut(&id)
+            .filter(|client| client.phase == Phase::Reading)
+        {
+            let was_empty = client.connection.input.is_empty();
+            match client.connection.read(context) {
+                ReadResult::Data => {
+                    // The time limit of a request runs from its first byte, so a client that sends byte by byte gains no time.
+                    if was_empty && client.keeps_alive {
+                        client.idle_since = context.now();
+                    }
+                    let may_have_more = client.connection.is_input_full();
+                    self.read_requests(context, id);
+                    if !may_have_more {
+                        return;
+                    }
+                }
+                ReadResult::NoBuffer => {
+                    if shortage == Shortage::Refuse || !self.free_input_buffer(context, id) {
+                        return self.refuse_incomplete(context, id);
+                    }
+                }
+                ReadResult::BufferFull => {
+                    return self.refuse(context, id, ParseError::BodyTooLarge)
+                }
+                ReadResult::WouldBlock => return,
+                ReadResult::EndOfStream | ReadResult::Failed => return self.close(context, id),
+            }
         }
     }
 
@@ -105,7 +124,10 @@
             match client.reader.read_request(&mut client.connection.input) {
                 Ok(Progress::Incomplete) => return,
                 Ok(Progress::ExpectsContinue) => {
-                    let Some(output) = client.connection.output_buffer(context) else {
+                    let output = client
+                        .connection
+                        .output_buffer(context, write::MAX_FIELDS_BYTES);
+                    let Some(output) = output else {
                         return self.close(context, id);
                     };
                     write::continue_response(output);
--- a/crates/gateway/src/downstream/responses.rs
+++ b/crates/gateway/src/downstream/responses.rs
@@ -1,6 +1,6 @@
 //! Writes responses to clients, and then keeps or closes the connection.
 
-use harrierdock_event_loop::{ConnectionId, WriteResult};
+use harrierdock_event_loop::{Buffer, ConnectionId, WriteResult, SHORT_BUFFER_BYTES};
 use harrierdock_http::{write, ParseError};
 use harrierdock_types::{RequestId, TimeDelta};
 
@@ -9,6 +9,9 @@
 use crate::metrics::Counter;
 use crate::runtime::context::{Context, ResponseBody};
 
+/// The status of an incomplete request whose memory is needed.
+const INCOMPLETE_STATUS: u16 = 503;
+
 /// The final result of a request, to be sent to its client.
 pub(crate) enum Answer {
     /// The request succeeded with this endpoint response.
@@ -69,14 +72,9 @@
             return;
         };
         match answer {
-            Answer::Succeeded(mut response) => {
+            Answer::Succeeded(response) => {
                 context.counters.add(Counter::RequestsSucceeded);
-                let answer = Response {
-                    body: response.bytes(),
-                    ..Response::status(200)
-                };
-                self.respond(context, connection_id, &answer);
-                context.buffers.release(&mut response.buffer);
+                self.respond_with_body(context, connection_id, response);
             }
             Answer::Rejected { retry_after } => {
                 context.counters.add(Counter::RequestsRejected);
@@ -106,17 +104,60 @@
         id: ConnectionId,
         response: &Response<'_>,
     ) {
-        let Some(client) = self.connections.get_mut(&id) else {
-            return;
+        let Some(output) = self.start_response(context, id, response, response.body.len()) else {
+            return self.close(context, id);
+        };
+        write::body(output, response.body);
+        self.flush(context, id);
+    }
+
+    /// Writes an endpoint's response body. A body that does not fit into a short buffer is written from the buffer that holds
+    /// it, so that no response needs a longer buffer of its own.
+    fn respond_with_body(&mut self, context: &mut Context, id: ConnectionId, body: ResponseBody) {
+        let response = Response::status(200);
+        let ResponseBody { mut buffer, range } = body;
+        if write::MAX_FIELDS_BYTES + range.len() <= SHORT_BUFFER_BYTES {
+            let response = Response {
+                body: &buffer[range],
+                ..response
+            };
+            self.respond(context, id, &response);
+            return context.buffers.release(&mut buffer);
+        }
+        let Some(output) = self.start_response(context, id, &response, 0) else {
+            context.buffers.release(&mut buffer);
+            return self.close(context, id);
         };
+        write::end_of_head_before_body(output, range.len());
+        if let Some(client) = self.connections.get_mut(&id) {
+            client.connection.set_output_body(buffer, range);
+        }
+        self.flush(context, id);
+    }
+
+    /// Starts a response, without the end of its head, and returns the output buffer with room for a body of this length.
+    /// `None` if the connection is closed, or if a body that does not fit into a short buffer finds no longer one.
+    fn start_response(
+        &mut self,
+        context: &mut Context,
+        id: ConnectionId,
+        response: &Response<'_>,
+        body_bytes: usize,
+    ) -> Option<&mut Buffer> {
+        let client = self.connections.get_mut(&id)?;
         let keeps_open = response.is_request_complete
             && client.has_single_request()
             && client.keeps_alive
             && self.state != GatewayState::ShuttingDown;
         client.phase = Phase::Responding { keeps_open };
-        let Some(output) = client.connection.output_buffer(context) else {
-            return self.close(context, id);
-        };
+        if !keeps_open {
+            // Nothing of the input is needed any more, and the client may take its time to read the response.
+            client.connection.input.clear();
+            client.connection.release_empty_buffers(context);
+        }
+        let output = client
+            .connection
+            .output_buffer(context, write::MAX_FIELDS_BYTES + body_bytes)?;
         write::status_line(output, response.status);
         if let Some(field) = &response.extra_field {
             write::field(output, field.name, &field.value);
@@ -124,8 +165,13 @@
         if !keeps_open {
             write::field(output, "Connection", "close");
         }
-        write::body(output, response.body);
-        self.flush(context, id);
+        Some(output)
+    }
+
+    /// Refuses an incomplete request, because its memory is needed. It had no effect, so the client may retry.
+    pub(super) fn refuse_incomplete(&mut self, context: &mut Context, id: ConnectionId) {
+        context.counters.add(Counter::IncompleteRequestsRefused);
+        self.respond(context, id, &Response::final_status(INCOMPLETE_STATUS));
     }
 
     /// Refuses a malformed request and closes its connection, because the start of the next request is unknown.
@@ -159,8 +205,6 @@
             Phase::Responding { keeps_open: false } => {
                 client.phase = Phase::Closing;
                 client.connection.shut_down_sending();
-                client.connection.input.clear();
-                client.connection.release_empty_buffers(context);
             }
             Phase::Reading | Phase::Waiting(_) | Phase::Closing => {}
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     OtherRequests => "other-requests",
     /// Requests that could not be parsed, or that timed out while incomplete.
     MalformedRequests => "malformed",
+    /// Incomplete requests refused because another request needed their memory.
+    IncompleteRequestsRefused => "incomplete-refused",
     /// Attempts with a successful response from the endpoint.
     AttemptsSucceeded => "attempt-succeeded",
     /// Attempts with an error response from the endpoint.
--- a/crates/gateway/src/runtime/buffer_use.rs
+++ b/crates/gateway/src/runtime/buffer_use.rs
@@ -1,13 +1,10 @@
-//! Which connections hold the memory of the buffer pool, and which wait for some.
+//! Which connections hold the memory of the buffer pool.
 
 use std::fmt;
 
-use harrierdock_event_loop::Connection;
-use harrierdock_types::TimeDelta;
-
 const BYTES_PER_KILOBYTE: usize = 1_024;
 
-/// The bytes of buffers by holder, and the connections that wait for a buffer.
+/// The bytes of buffers by holder.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct BufferUse {
     /// Requests that have not arrived in full.
@@ -18,23 +15,6 @@
     pub(crate) responses: usize,
     /// Attempts: requests being written to endpoints, and responses being read from them.
     pub(crate) attempts: usize,
-    /// Number of connections that wait for a buffer now.
-    pub(crate) waiting: usize,
-    /// How long the first of them has waited.
-    pub(crate) longest_wait: TimeDelta,
-}
-
-impl BufferUse {
-    /// Counts a connection that has waited for a buffer for this long.
-    pub(crate) fn add_waiting(&mut self, wait: TimeDelta) {
-        self.waiting += 1;
-        self.longest_wait = self.longest_wait.max(wait);
-    }
-}
-
-/// The bytes of both buffers of a connection.
-pub(crate) fn held_bytes(connection: &Connection) -> usize {
-    connection.input.capacity() + connection.output.capacity()
 }
 
 impl fmt::Display for BufferUse {
@@ -43,14 +23,11 @@
         let kilobytes = |bytes: usize| bytes.div_ceil(BYTES_PER_KILOBYTE);
         write!(
             f,
-            "kb-in-partial-requests={} kb-in-requests={} kb-in-responses={} kb-in-attempts={} waiting-for-buffer={} \
-             longest-buffer-wait-s={:.3}",
+            "kb-in-partial-requests={} kb-in-requests={} kb-in-responses={} kb-in-attempts={}",
             kilobytes(self.partial_requests),
             kilobytes(self.requests),
             kilobytes(self.responses),
             kilobytes(self.attempts),
-            self.waiting,
-            self.longest_wait.as_seconds(),
         )
     }
 }
--- a/crates/gateway/src/runtime/reporting.rs
+++ b/crates/gateway/src/runtime/reporting.rs
@@ -49,7 +49,7 @@
             context.io.descriptors.take_peak(),
             self.downstream.connection_count(),
             self.upstream.connection_count(),
-            context.io.buffers.in_use,
+            context.io.buffers.in_use(),
             self.dispatcher.requests.unanswered_count()
         );
         self.report_buffers();
@@ -62,8 +62,7 @@
             return;
         }
         let mut buffer_use = BufferUse::default();
-        self.downstream
-            .add_buffer_use(self.context.now(), &mut buffer_use);
+        self.downstream.add_buffer_use(&mut buffer_use);
         self.upstream.add_buffer_use(&mut buffer_use);
         let all = &self.context.buffer_shortages;
         tracing::warn!(
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -135,9 +135,10 @@
     extension: &ExtensionConfig,
     event_loop: &EventLoop<'static, Gateway>,
 ) -> Context {
-    let pool = BufferPool::new(config.limits.memory_mb);
     let reserved = RESERVED_DESCRIPTORS + extension.reserved_descriptors();
-    let descriptors = DescriptorBudget::new(config.limits.descriptors, reserved);
+    let connection_limit = config.limits.descriptors.saturating_sub(reserved);
+    let pool = BufferPool::new(config.limits.memory_mb, connection_limit);
+    let descriptors = DescriptorBudget::new(pool.max_connections(), 0);
     let io = IoContext::new(event_loop.handle(), pool, descriptors);
     Context::new(io, SocketHandlers::of_gateway())
 }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -2,7 +2,7 @@
 
 use calloop::Readiness;
 use harrierdock_event_loop::{ConnectionId, ReadResult, WriteResult};
-use harrierdock_http::{MessageReader, ParseError, Progress, ResponseHead};
+use harrierdock_http::{MessageReader, ParseError, Progress, ResponseHead, BUFFER_BYTES};
 use harrierdock_types::{AttemptOutcome, TimeDelta};
 
 use super::{wire, Phase, Upstream};
@@ -32,15 +32,7 @@
         }
         context.counters.add(Counter::EndpointConnectionsOpened);
         pooled.phase = Phase::WritingRequest;
-        if let Some(exchange) = &mut pooled.exchange {
-            context
-                .timers
-                .cancel(exchange.timer_deadline, Timer::Attempt(id));
-            exchange.timer_deadline = exchange.deadline;
-            context
-                .timers
-                .set(exchange.timer_deadline, Timer::Attempt(id));
-        }
+        self.restore_deadline(context, id);
         Readiness {
             writable: true,
             readable: false,
@@ -97,11 +89,26 @@
         }
     }
 
+    /// Reads until the response is complete or no more input has arrived.
     fn read(&mut self, context: &mut Context, id: ConnectionId) {
+        while let Some(pooled) = self.connections.get_mut(&id) {
+            let result = pooled.connection.read(context);
+            let may_have_more = result == ReadResult::Data && pooled.connection.is_input_full();
+            self.handle_read(context, id, result);
+            let is_awaiting_response = self
+                .connections
+                .get(&id)
+                .is_some_and(|pooled| pooled.phase == Phase::AwaitingResponse);
+            if !may_have_more || !is_awaiting_response {
+                return;
+            }
+        }
+    }
+
+    fn handle_read(&mut self, context: &mut Context, id: ConnectionId, result: ReadResult) {
         let Some(pooled) = self.connections.get_mut(&id) else {
             return;
         };
-        let result = pooled.connection.read(context);
         if result == ReadResult::WouldBlock {
             return;
         }
@@ -123,6 +130,9 @@
         } else if result != ReadResult::Data || progress.is_err() || pooled.reader.is_open_ended() {
             self.fail_exchange(context, id, AttemptOutcome::Reset);
         } else if !pooled.reader.is_untouched(&pooled.connection.input) {
+            // Several responses that grow in steps could take all memory and wait for each other.
+            let message_bytes = pooled.reader.announced_bytes().unwrap_or(BUFFER_BYTES);
+            pooled.connection.expect_input(message_bytes);
             self.shorten_deadline(context, id);
         }
     }
@@ -147,6 +157,24 @@
             .set(exchange.timer_deadline, Timer::Attempt(id));
     }
 
+    /// Lets the attempt on this connection take until its own deadline again.
+    fn restore_deadline(&mut self, context: &mut Context, id: ConnectionId) {
+        let exchange = self
+            .connections
+            .get_mut(&id)
+            .and_then(|pooled| pooled.exchange.as_mut());
+        let Some(exchange) = exchange else {
+            return;
+        };
+        context
+            .timers
+            .cancel(exchange.timer_deadline, Timer::Attempt(id));
+        exchange.timer_deadline = exchange.deadline;
+        context
+            .timers
+            .set(exchange.timer_deadline, Timer::Attempt(id));
+    }
+
     /// Handles a complete response. `is_open`: the endpoint has not closed the connection after the response.
     fn handle_response(&mut self, context: &mut Context, id: ConnectionId, is_open: bool) {
         let Some(pooled) = self.connections.get_mut(&id) else {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -14,7 +14,7 @@
 use rustix::io::Errno;
 
 use crate::metrics::Counter;
-use crate::runtime::buffer_use::{held_bytes, BufferUse};
+use crate::runtime::buffer_use::BufferUse;
 use crate::runtime::context::{Context, OutboundRequest};
 use crate::runtime::timer::Timer;
 use pool::EndpointConnections;
@@ -111,7 +111,7 @@
     pub(crate) fn add_buffer_use(&self, buffer_use: &mut BufferUse) {
         let held = self.connections.values();
         buffer_use.attempts += held
-            .map(|pooled| held_bytes(&pooled.connection))
+            .map(|pooled| pooled.connection.buffer_bytes())
             .sum::<usize>();
     }
 
@@ -130,7 +130,10 @@
         let Some(pooled) = self.connections.get_mut(&id) else {
             return Err(AttemptOutcome::NotSent);
         };
-        let Some(output) = pooled.connection.output_buffer(context) else {
+        let Some(output) = pooled
+            .connection
+            .output_buffer(context, wire::request_bytes(request))
+        else {
             self.close(context, id);
             return Err(AttemptOutcome::NotSent);
         };
--- a/crates/gateway/src/upstream/wire.rs
+++ b/crates/gateway/src/upstream/wire.rs
@@ -15,6 +15,15 @@
 const LINE_END: &str = "\r\n";
 const MICROS_PER_MILLISECOND: i64 = 1000;
 
+/// An upper bound on the length of a request with its time left.
+pub(super) fn request_bytes(request: &OutboundRequest<'_>) -> usize {
+    request.target.len()
+        + request.client_request_id.len()
+        + request.idempotency_key.map_or(0, str::len)
+        + request.body.len()
+        + write::MAX_FIELDS_BYTES
+}
+
 /// Writes a request without the client's remaining time. Returns the offset in `output` at which to insert that time.
 pub(super) fn write_request(
     output: &mut Vec<u8>,
--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 mod graceful_shutdown;
 mod long_lists;
 mod oversized_messages;
+mod partial_requests;
 mod preconditions;
 mod resource_limits;
 mod rollout_platform;
--- a/crates/http/src/message_reader.rs
+++ b/crates/http/src/message_reader.rs
@@ -78,6 +78,15 @@
         }
     }
 
+    /// The length of head and body, if the head has arrived and states it.
+    pub fn announced_bytes(&self) -> Option<usize> {
+        match self.stage {
+            Stage::Body(Framing::Length(length)) => Some(self.head_end + length),
+            Stage::Complete => Some(self.body_end),
+            Stage::Head | Stage::Body(Framing::Chunked | Framing::UntilEnd) => None,
+        }
+    }
+
     /// The range of the head in the buffer.
     pub fn head(&self) -> Range<usize> {
         0..self.head_end
--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -3,6 +3,9 @@
 use std::fmt::Display;
 use std::io::Write;
 
+/// Room for the first line and the fields of a head, in addition to its target and to long field values.
+pub const MAX_FIELDS_BYTES: usize = 512;
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         100 => "Continue",
@@ -49,11 +52,16 @@
 
 /// Completes the head with `Content-Length`, and writes the body.
 pub fn body(out: &mut Vec<u8>, body: &[u8]) {
-    field(out, "Content-Length", body.len());
-    out.extend_from_slice(b"\r\n");
+    end_of_head_before_body(out, body.len());
     out.extend_from_slice(body);
 }
 
+/// Completes the head of a message with `Content-Length`. A body of this length must follow.
+pub fn end_of_head_before_body(out: &mut Vec<u8>, body_bytes: usize) {
+    field(out, "Content-Length", body_bytes);
+    end_of_head(out);
+}
+
 /// Completes the head of a message without a body.
 pub fn end_of_head(out: &mut Vec<u8>) {
     out.extend_from_slice(b"\r\n");
