--- a/crates/event-loop/src/connection.rs
+++ b/crates/event-loop/src/connection.rs
@@ -329,6 +329,12 @@
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
+    /// Writes a last response, as far as the socket accepts it at once, and closes the connection.
+    pub fn close_with_response<D>(self, context: &mut IoContext<D>, response: &[u8]) {
+        respond_and_close(&self.stream, response);
+        self.close(context);
+    }
+
     /// Closes the connection and releases its buffers and descriptor.
     pub fn close<D>(mut self, context: &mut IoContext<D>) {
         context.handle.remove(self.token);
--- a/crates/gateway/src/downstream/idle_eviction.rs
+++ b/crates/gateway/src/downstream/idle_eviction.rs
@@ -73,6 +73,20 @@
             .filter(|first| now - first.idle.since >= min_time)
     }
 
+    /// The connection that has been inactive for the longest time.
+    fn longest_inactive(&self) -> Option<IdleConnection> {
+        const INACTIVE_KINDS: [IdleKind; 4] = [
+            IdleKind::NeverUsed,
+            IdleKind::PartialRequest,
+            IdleKind::LongPartialRequest,
+            IdleKind::Closing,
+        ];
+        INACTIVE_KINDS
+            .into_iter()
+            .filter_map(|kind| self.of_kind(kind).next())
+            .min_by_key(|connection| connection.idle.since)
+    }
+
     /// The oldest incomplete request in a longer buffer, apart from that of one connection.
     fn oldest_long_request_except(&self, id: ConnectionId) -> Option<IdleConnection> {
         self.of_kind(IdleKind::LongPartialRequest)
@@ -147,19 +161,24 @@
         self.update_idle_list(connection.id);
     }
 
-    /// Closes one connection to free its descriptor. Tries never-used connections first, then stalled ones, then those that
-    /// have been between requests for at least `MIN_IDLE_TIME`. Returns whether one was closed.
+    /// Closes one connection to free its descriptor. Tries those first that neither wait for a response nor are between
+    /// requests, then those that have been between requests for at least `MIN_IDLE_TIME`. Returns whether one was closed.
     pub(crate) fn evict_stalled(&mut self, context: &mut Context) -> bool {
-        let limits = [
-            (IdleKind::NeverUsed, TimeDelta::ZERO),
-            (IdleKind::PartialRequest, self.stall_timeout),
-            (IdleKind::LongPartialRequest, self.stall_timeout),
-            (IdleKind::Closing, self.stall_timeout),
-            (IdleKind::BetweenRequests, MIN_IDLE_TIME),
-        ];
-        limits
-            .into_iter()
-            .any(|(kind, limit)| self.evict(context, kind, limit))
+        self.evict_inactive(context)
+            || self.evict(context, IdleKind::BetweenRequests, MIN_IDLE_TIME)
+    }
+
+    /// Closes the connection that has been inactive for the longest time: without a complete request, or with its last response
+    /// written. Returns whether one was closed.
+    ///
+    /// No minimum time applies: clients that keep connections for just less than such a time would leave none to others.
+    fn evict_inactive(&mut self, context: &mut Context) -> bool {
+        while let Some(oldest) = self.idle.longest_inactive() {
+            if self.evict_connection(context, oldest) {
+                return true;
+            }
+        }
+        false
     }
 
     /// Closes the longest idle connection between requests, however short its idle time. Returns whether one was closed.
@@ -190,7 +209,11 @@
         // Input that arrived in the meantime may complete a request, which is then accepted.
         self.handle_readiness(context, connection.id, READABLE);
         if self.is_still_idle(connection) {
-            self.close(context, connection.id);
+            if connection.idle.kind.is_partial_request() {
+                self.refuse_and_close(context, connection.id);
+            } else {
+                self.close(context, connection.id);
+            }
         }
         !self.connections.contains_key(&connection.id)
     }
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -44,8 +44,6 @@
     pub(crate) classes: ClassNames,
     /// How long a connection may stay open between requests, or with a response that its client doesn't read.
     pub(crate) idle_timeout: TimeDelta,
-    /// After this time a stalled connection may be closed if another one needs its descriptor.
-    pub(crate) stall_timeout: TimeDelta,
     /// Limit on the file descriptors of the process.
     pub(crate) descriptor_limit: usize,
 }
@@ -100,7 +98,6 @@
     waiting: WaitingClients,
     classes: ClassNames,
     idle_timeout: TimeDelta,
-    stall_timeout: TimeDelta,
     state: GatewayState,
 }
 
@@ -115,7 +112,6 @@
             waiting: WaitingClients::default(),
             classes: settings.classes,
             idle_timeout: settings.idle_timeout,
-            stall_timeout: settings.stall_timeout,
             state: GatewayState::NotReady,
         }
     }
@@ -171,9 +167,14 @@
     }
 
     fn close(&mut self, context: &mut Context, id: ConnectionId) {
-        let Some(client) = self.connections.remove(&id) else {
-            return;
-        };
+        if let Some(client) = self.remove(context, id) {
+            client.connection.close(context);
+        }
+    }
+
+    /// Removes a connection, which the caller must close. Reports that the client of a request under way has disconnected.
+    fn remove(&mut self, context: &mut Context, id: ConnectionId) -> Option<ClientConnection> {
+        let client = self.connections.remove(&id)?;
         if let Some(idle) = client.listed_idle {
             self.idle.remove(id, idle);
         }
@@ -182,6 +183,6 @@
             context.counters.add(Counter::ClientsDisconnected);
             context.emit(InternalEvent::ClientDisconnected { id: request_id });
         }
-        client.connection.close(context);
+        Some(client)
     }
 }
--- a/crates/gateway/src/downstream/responses.rs
+++ b/crates/gateway/src/downstream/responses.rs
@@ -9,7 +9,7 @@
 use crate::metrics::Counter;
 use crate::runtime::context::{Context, ResponseBody};
 
-/// The status of an incomplete request whose memory is needed.
+/// The status of an incomplete request whose descriptor or memory is needed.
 const INCOMPLETE_STATUS: u16 = 503;
 
 /// The final result of a request, to be sent to its client.
@@ -168,12 +168,24 @@
         Some(output)
     }
 
-    /// Refuses an incomplete request, because its memory is needed. It had no effect, so the client may retry.
+    /// Refuses an incomplete request, because its descriptor or its memory is needed. It had no effect, so the client may retry.
     pub(super) fn refuse_incomplete(&mut self, context: &mut Context, id: ConnectionId) {
         context.counters.add(Counter::IncompleteRequestsRefused);
         self.respond(context, id, &Response::final_status(INCOMPLETE_STATUS));
     }
 
+    /// Refuses an incomplete request, and closes its connection at once.
+    pub(super) fn refuse_and_close(&mut self, context: &mut Context, id: ConnectionId) {
+        context.counters.add(Counter::IncompleteRequestsRefused);
+        let mut response = Vec::new();
+        write::status_line(&mut response, INCOMPLETE_STATUS);
+        write::field(&mut response, "Connection", "close");
+        write::body(&mut response, b"");
+        if let Some(client) = self.remove(context, id) {
+            client.connection.close_with_response(context, &response);
+        }
+    }
+
     /// Refuses a malformed request and closes its connection, because the start of the next request is unknown.
     pub(super) fn refuse(&mut self, context: &mut Context, id: ConnectionId, error: ParseError) {
         context.counters.add(Counter::MalformedRequests);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,7 +31,7 @@
     OtherRequests => "other-requests",
     /// Requests that could not be parsed, or that timed out while incomplete.
     MalformedRequests => "malformed",
-    /// Incomplete requests refused because another request needed their memory.
+    /// Incomplete requests refused because another connection needed their descriptor or memory.
     IncompleteRequestsRefused => "incomplete-refused",
     /// Attempts with a successful response from the endpoint.
     AttemptsSucceeded => "attempt-succeeded",
--- a/crates/gateway/src/runtime/startup.rs
+++ b/crates/gateway/src/runtime/startup.rs
@@ -57,8 +57,7 @@
         let maintenance_interval = limits
             .connect_timeout
             .clamp(MIN_INTERVAL, MIN_IDLE_TIME / 4.0);
-        let downstream_settings =
-            downstream_settings(config, &parameters, &names, maintenance_interval);
+        let downstream_settings = downstream_settings(config, &parameters, &names);
         let gossip = GossipSocket::open(
             &context.handle,
             config,
@@ -160,12 +159,10 @@
     config: &GatewayConfig,
     parameters: &Parameters,
     names: &Names,
-    stall_timeout: TimeDelta,
 ) -> DownstreamSettings {
     DownstreamSettings {
         classes: names.classes.clone(),
         idle_timeout: parameters.limits.idle_timeout,
-        stall_timeout,
         descriptor_limit: config.limits.descriptors,
     }
 }
