--- a/crates/gateway/src/runtime/event_loop.rs
+++ b/crates/gateway/src/runtime/event_loop.rs
@@ -70,6 +70,9 @@
             );
         }
         self.handle_expired_timers();
+        while self.upstream.resume_reading(&mut self.context) {
+            self.process_events();
+        }
         self.downstream.resume_with_descriptor(&self.context);
     }
 
--- a/crates/gateway/src/runtime/reporting.rs
+++ b/crates/gateway/src/runtime/reporting.rs
@@ -63,7 +63,8 @@
         }
         let mut buffer_use = BufferUse::default();
         self.downstream.add_buffer_use(&mut buffer_use);
-        self.upstream.add_buffer_use(&mut buffer_use);
+        self.upstream
+            .add_buffer_use(self.context.now(), &mut buffer_use);
         let all = &self.context.buffer_shortages;
         tracing::warn!(
             "buffers: lacking {} times; {} waits have ended, in {:.3} s together, the longest lately in {:.3} s; {buffer_use}",
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -90,7 +90,7 @@
     }
 
     /// Reads until the response is complete or no more input has arrived.
-    fn read(&mut self, context: &mut Context, id: ConnectionId) {
+    pub(super) fn read(&mut self, context: &mut Context, id: ConnectionId) {
         while let Some(pooled) = self.connections.get_mut(&id) {
             let result = pooled.connection.read(context);
             let may_have_more = result == ReadResult::Data && pooled.connection.is_input_full();
@@ -120,6 +120,9 @@
             // Bytes or a close before the request's last byte is written cannot be its response.
             return self.fail_exchange(context, id, AttemptOutcome::ConnectFailed);
         }
+        if result == ReadResult::NoBuffer {
+            return self.await_buffer(context, id);
+        }
         let progress = pooled.reader.read_response(&mut pooled.connection.input);
         if let Err(error @ (ParseError::BodyTooLarge | ParseError::HeadTooLarge)) = progress {
             context.counters.add(Counter::EndpointResponsesTooLong);
@@ -158,7 +161,7 @@
     }
 
     /// Lets the attempt on this connection take until its own deadline again.
-    fn restore_deadline(&mut self, context: &mut Context, id: ConnectionId) {
+    pub(super) fn restore_deadline(&mut self, context: &mut Context, id: ConnectionId) {
         let exchange = self
             .connections
             .get_mut(&id)
@@ -262,9 +265,10 @@
 
     /// Closes a connection without reporting the attempt on it.
     pub(super) fn close(&mut self, context: &mut Context, id: ConnectionId) {
-        let Some(pooled) = self.connections.remove(&id) else {
+        let Some(mut pooled) = self.connections.remove(&id) else {
             return;
         };
+        pooled.end_buffer_wait(context);
         if let Some(exchange) = pooled.exchange {
             context
                 .timers
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,10 +1,11 @@
 //! Connections to endpoints: each open attempt has its own connection, and idle connections are pooled for reuse.
 
+mod buffer_waiters;
 mod exchange;
 mod pool;
 mod wire;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 
 use harrierdock_attempt_guard::ReusePolicy;
@@ -78,6 +79,18 @@
     exchange: Option<Exchange>,
     /// The offset in the output at which to insert the client's remaining time. `None` once it is inserted.
     time_left_offset: Option<usize>,
+    /// Since when the response has waited for a longer buffer. `None` if it does not wait.
+    buffer_wait_since: Option<Timestamp>,
+}
+
+impl PooledConnection {
+    /// Records the end of the response's wait for a buffer, if it has waited.
+    fn end_buffer_wait(&mut self, context: &mut Context) {
+        if let Some(since) = self.buffer_wait_since.take() {
+            let wait = context.now() - since;
+            context.buffer_shortages.record_wait(wait);
+        }
+    }
 }
 
 /// The connections to all endpoints, and the attempts on them.
@@ -86,6 +99,8 @@
     endpoints: BTreeMap<EndpointId, EndpointConnections>,
     connections: BTreeMap<ConnectionId, PooledConnection>,
     attempts: BTreeMap<AttemptId, ConnectionId>,
+    /// The connections whose response waits for a longer buffer, in the order in which they get one. May contain closed ones.
+    buffer_waiters: VecDeque<ConnectionId>,
     connect_timeout: TimeDelta,
     reuse_policy: ReusePolicy,
 }
@@ -97,6 +112,7 @@
             endpoints: BTreeMap::new(),
             connections: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            buffer_waiters: VecDeque::new(),
             connect_timeout,
             reuse_policy: ReusePolicy::new(connect_timeout, idle_timeout),
         }
@@ -107,12 +123,14 @@
         self.connections.len()
     }
 
-    /// Adds the buffers of all connections to endpoints.
-    pub(crate) fn add_buffer_use(&self, buffer_use: &mut BufferUse) {
-        let held = self.connections.values();
-        buffer_use.attempts += held
-            .map(|pooled| pooled.connection.buffer_bytes())
-            .sum::<usize>();
+    /// Adds the buffers of all connections to endpoints, and the responses that wait for one.
+    pub(crate) fn add_buffer_use(&self, now: Timestamp, buffer_use: &mut BufferUse) {
+        for pooled in self.connections.values() {
+            buffer_use.attempts += pooled.connection.buffer_bytes();
+            if let Some(since) = pooled.buffer_wait_since {
+                buffer_use.add_waiting(now - since);
+            }
+        }
     }
 
     /// Starts an attempt. Its outcome is reported later as an internal event.
@@ -189,6 +207,7 @@
             last_used_at: context.now(),
             exchange: Some(exchange),
             time_left_offset: None,
+            buffer_wait_since: None,
         };
         self.connections.insert(id, pooled);
         Ok(id)
--- a/crates/gateway/tests/unit/gateway_fixture.rs
+++ b/crates/gateway/tests/unit/gateway_fixture.rs
@@ -200,6 +200,18 @@
         head.split(' ').nth(1).unwrap().to_string()
     }
 
+    /// Runs the event loop until the client has received this many bytes after the head of an answer, and returns them.
+    pub(super) fn wait_for_body(&mut self, bytes: usize) -> String {
+        self.run_until("the body of an answer", |fixture| {
+            let mut received = vec![0; bytes];
+            let client = &mut fixture.client;
+            if let Ok(size) = client.stream.read(&mut received) {
+                client.unread += std::str::from_utf8(&received[..size]).unwrap();
+            }
+            (client.unread.len() >= bytes).then(|| std::mem::take(&mut client.unread))
+        })
+    }
+
     /// The only unanswered request.
     pub(super) fn request(&self) -> &RequestEntry {
         let requests = &self.gateway.dispatcher.requests;
