--- a/crates/event-loop/src/line_stream.rs
+++ b/crates/event-loop/src/line_stream.rs
@@ -11,11 +11,12 @@
 use harrierdock_http::{write, MessageReader, Progress, ResponseHead};
 use harrierdock_types::{TimeDelta, Timestamp};
 
-use crate::connection::{Connection, ReadResult, WriteResult};
+use crate::connection::Connection;
 use crate::io_context::{IoContext, ResourceClass};
 use crate::message_buffer::{MessageBuffer, MessageFraming};
 use crate::stream_end::StreamEnd;
 use crate::stream_event::{ResponseMode, StreamEvent};
+use crate::stream_io::{ReadResult, WriteResult};
 
 const STATUS_OK: u16 = 200;
 
--- a/crates/event-loop/src/request_exchange.rs
+++ b/crates/event-loop/src/request_exchange.rs
@@ -8,9 +8,10 @@
 use calloop::Readiness;
 use harrierdock_http::{write, MessageReader, Progress, ResponseHead};
 
-use crate::connection::{Connection, ReadResult, WriteResult};
+use crate::connection::Connection;
 use crate::io_context::{IoContext, ResourceClass};
 use crate::stream_end::StreamEnd;
+use crate::stream_io::{ReadResult, WriteResult};
 
 /// The progress of an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/downstream/idle_eviction.rs
+++ b/crates/gateway/src/downstream/idle_eviction.rs
@@ -1,12 +1,11 @@
 //! Closes idle client connections when they time out or when other connections need their descriptors.
 
-use std::collections::BTreeSet;
-
 use calloop::Readiness;
 use harrierdock_event_loop::ConnectionId;
-use harrierdock_types::{TimeDelta, Timestamp};
+use harrierdock_types::TimeDelta;
 
-use super::connection::{ClientConnection, Idle, IdleKind, Phase};
+use super::connection::{ClientConnection, IdleKind, Phase};
+use super::idle_list::IdleConnection;
 use super::requests::Shortage;
 use super::responses::Response;
 use super::{Downstream, MIN_IDLE_TIME};
@@ -20,80 +19,6 @@
     error: false,
 };
 
-/// An idle connection. Ordered by kind, then by idle time, longest first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct IdleConnection {
-    idle: Idle,
-    id: ConnectionId,
-}
-
-/// The idle connections by kind, each kind longest idle first.
-#[derive(Default)]
-pub(super) struct IdleList {
-    connections: BTreeSet<IdleConnection>,
-    between_requests: usize,
-}
-
-impl IdleList {
-    fn insert(&mut self, id: ConnectionId, idle: Idle) {
-        self.connections.insert(IdleConnection { idle, id });
-        self.between_requests += usize::from(idle.kind == IdleKind::BetweenRequests);
-    }
-
-    /// Removes a connection from the list.
-    pub(super) fn remove(&mut self, id: ConnectionId, idle: Idle) {
-        self.connections.remove(&IdleConnection { idle, id });
-        self.between_requests -= usize::from(idle.kind == IdleKind::BetweenRequests);
-    }
-
-    /// The connections of this kind, longest idle first.
-    fn of_kind(&self, kind: IdleKind) -> impl Iterator<Item = IdleConnection> + '_ {
-        let first_possible = IdleConnection {
-            idle: Idle {
-                kind,
-                since: Timestamp(i64::MIN),
-            },
-            id: ConnectionId(0),
-        };
-        self.connections
-            .range(first_possible..)
-            .take_while(move |connection| connection.idle.kind == kind)
-            .copied()
-    }
-
-    /// The longest idle connection of this kind, if it has been idle for at least `min_time`.
-    fn longest_idle(
-        &self,
-        kind: IdleKind,
-        min_time: TimeDelta,
-        now: Timestamp,
-    ) -> Option<IdleConnection> {
-        self.of_kind(kind)
-            .next()
-            .filter(|first| now - first.idle.since >= min_time)
-    }
-
-    /// The connection that has been inactive for the longest time.
-    fn longest_inactive(&self) -> Option<IdleConnection> {
-        const INACTIVE_KINDS: [IdleKind; 4] = [
-            IdleKind::NeverUsed,
-            IdleKind::PartialRequest,
-            IdleKind::LongPartialRequest,
-            IdleKind::Closing,
-        ];
-        INACTIVE_KINDS
-            .into_iter()
-            .filter_map(|kind| self.of_kind(kind).next())
-            .min_by_key(|connection| connection.idle.since)
-    }
-
-    /// The oldest incomplete request in a longer buffer, apart from that of one connection.
-    fn oldest_long_request_except(&self, id: ConnectionId) -> Option<IdleConnection> {
-        self.of_kind(IdleKind::LongPartialRequest)
-            .find(|connection| connection.id != id)
-    }
-}
-
 impl Downstream {
     /// Updates a connection's entry in the list of idle connections to its current state.
     pub(super) fn update_idle_list(&mut self, id: ConnectionId) {
@@ -116,7 +41,7 @@
     /// Closes the longest idle connections between requests until their number is within the limit. Connections kept after
     /// one request would otherwise leave no descriptors for other clients.
     pub(crate) fn trim_between_requests(&mut self, context: &mut Context) {
-        while self.idle.between_requests > self.max_between_requests
+        while self.idle.between_requests() > self.max_between_requests
             && self.evict(context, IdleKind::BetweenRequests, TimeDelta::ZERO)
         {}
     }
--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -9,19 +9,18 @@
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use harrierdock_event_loop::{respond_and_close, Connection, ResourceClass};
-use harrierdock_http::write;
 use harrierdock_types::{TimeDelta, Timestamp};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::connection::ClientConnection;
+use super::responses::unavailable_response;
 use super::Downstream;
 use crate::metrics::Counter;
 use crate::runtime::context::Context;
 use crate::runtime::error::WatchError;
 
 const LISTEN_BACKLOG: i32 = 1024;
-const SERVICE_UNAVAILABLE: u16 = 503;
 const NO_WAIT: Timespec = Timespec {
     tv_sec: 0,
     tv_nsec: 0,
@@ -113,11 +112,7 @@
 fn reject_unwatched(context: &mut Context, stream: &TcpStream, error: &dyn Error) {
     context.counters.add(Counter::ConnectionsUnwatched);
     tracing::warn!("client connection rejected, the event loop cannot watch it: {error}");
-    let mut response = Vec::new();
-    write::status_line(&mut response, SERVICE_UNAVAILABLE);
-    write::field(&mut response, "Connection", "close");
-    write::body(&mut response, b"");
-    respond_and_close(stream, &response);
+    respond_and_close(stream, &unavailable_response());
 }
 
 impl Downstream {
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod idle_eviction;
+mod idle_list;
 mod listener;
 mod request_parser;
 mod requests;
@@ -18,7 +19,8 @@
 use crate::runtime::buffer_use::BufferUse;
 use crate::runtime::context::{Context, InternalEvent, OutboundRequest};
 use connection::{ClientConnection, Phase};
-use idle_eviction::{IdleList, READABLE};
+use idle_eviction::READABLE;
+use idle_list::IdleList;
 
 pub(crate) use listener::{AcceptResult, Listener};
 pub(crate) use responses::Answer;
--- a/crates/gateway/src/downstream/responses.rs
+++ b/crates/gateway/src/downstream/responses.rs
@@ -9,8 +9,8 @@
 use crate::metrics::Counter;
 use crate::runtime::context::{Context, ResponseBody};
 
-/// The status of an incomplete request whose descriptor or memory is needed.
-const INCOMPLETE_STATUS: u16 = 503;
+/// The status for requests that had no effect and may be repeated.
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// The final result of a request, to be sent to its client.
 pub(crate) enum Answer {
@@ -65,6 +65,15 @@
     }
 }
 
+/// The bytes of a final response with status 503, for a connection that is closed at once.
+pub(super) fn unavailable_response() -> Vec<u8> {
+    let mut response = Vec::new();
+    write::status_line(&mut response, SERVICE_UNAVAILABLE);
+    write::field(&mut response, "Connection", "close");
+    write::body(&mut response, b"");
+    response
+}
+
 impl Downstream {
     /// Sends the answer to a request, if its client still waits.
     pub(crate) fn answer(&mut self, context: &mut Context, id: RequestId, answer: Answer) {
@@ -84,7 +93,7 @@
                 });
                 let answer = Response {
                     extra_field: retry_after,
-                    ..Response::status(503)
+                    ..Response::status(SERVICE_UNAVAILABLE)
                 };
                 self.respond(context, connection_id, &answer);
             }
@@ -171,18 +180,16 @@
     /// Refuses an incomplete request, because its descriptor or its memory is needed. It had no effect, so the client may retry.
     pub(super) fn refuse_incomplete(&mut self, context: &mut Context, id: ConnectionId) {
         context.counters.add(Counter::IncompleteRequestsRefused);
-        self.respond(context, id, &Response::final_status(INCOMPLETE_STATUS));
+        self.respond(context, id, &Response::final_status(SERVICE_UNAVAILABLE));
     }
 
     /// Refuses an incomplete request, and closes its connection at once.
     pub(super) fn refuse_and_close(&mut self, context: &mut Context, id: ConnectionId) {
         context.counters.add(Counter::IncompleteRequestsRefused);
-        let mut response = Vec::new();
-        write::status_line(&mut response, INCOMPLETE_STATUS);
-        write::field(&mut response, "Connection", "close");
-        write::body(&mut response, b"");
         if let Some(client) = self.remove(context, id) {
-            client.connection.close_with_response(context, &response);
+            client
+                .connection
+                .close_with_response(context, &unavailable_response());
         }
     }
 
