--- a/crates/fault-injection/src/soak/requests.rs
+++ b/crates/fault-injection/src/soak/requests.rs
@@ -5,32 +5,11 @@
 use nanorand::{Rng, WyRand};
 
 use super::plan::{draw_milliseconds, draw_one_in};
+pub use crate::simulation::RequestClass;
 
 /// The longest deadline of a request. Longer than the longest deadline that delays a kill.
 const LONGEST_DEADLINE_MS: u64 = 3_251;
 
-/// Retry safety of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestClass {
-    /// Safe to repeat.
-    Idempotent,
-    /// Safe to repeat with its key.
-    Keyed,
-    /// Must not be repeated once it may have taken effect.
-    NonIdempotent,
-}
-
-impl RequestClass {
-    /// The request class's name in the gateway's settings.
-    pub fn name(self) -> &'static str {
-        match self {
-            RequestClass::Idempotent => "draft",
-            RequestClass::Keyed => "payment",
-            RequestClass::NonIdempotent => "lodge",
-        }
-    }
-}
-
 /// How a client sends a request and reads the answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestPlan {
--- a/crates/multi-site/src/multi_site/inbound.rs
+++ b/crates/multi-site/src/multi_site/inbound.rs
@@ -12,14 +12,10 @@
 impl MultiSite {
     /// Accepts or refuses a request. Each request runs at most once, and a refused request never runs, even if copies arrive.
     pub(super) fn handle_inbound_received(&mut self, path: PathId, request: ForwardedRequest) {
-        let Some(sender) = self.peer(path) else {
+        let key = self.inbound_key(path, request.forwarding_id, request.sender_incarnation);
+        let Some(key) = key else {
             return;
         };
-        let key = InboundKey {
-            sender,
-            sender_incarnation: request.sender_incarnation,
-            forwarding_id: request.forwarding_id,
-        };
         if let Some(state) = self.inbound.state(&key) {
             self.counters.duplicates += 1;
             if let InboundState::Completed(completion) = state.clone() {
@@ -114,14 +110,9 @@
         sender_incarnation: u64,
         receiver_incarnation: u64,
     ) {
-        let Some(sender) = self.peer(path) else {
+        let Some(key) = self.inbound_key(path, forwarding_id, sender_incarnation) else {
             return;
         };
-        let key = InboundKey {
-            sender,
-            sender_incarnation,
-            forwarding_id,
-        };
         let completion = match self.inbound.state(&key) {
             Some(InboundState::Running { .. }) => return,
             Some(InboundState::Completed(completion)) => completion.clone(),
@@ -144,19 +135,28 @@
         forwarding_id: u64,
         sender_incarnation: u64,
     ) {
-        let Some(sender) = self.peer(path) else {
+        let Some(key) = self.inbound_key(path, forwarding_id, sender_incarnation) else {
             return;
         };
-        let key = InboundKey {
-            sender,
-            sender_incarnation,
-            forwarding_id,
-        };
         if let Some(inbound) = self.inbound.running(&key) {
             self.actions.push(Action::AbandonInbound { inbound });
         }
     }
 
+    /// The key of a request that arrived on a path. `None` if the path's peer is unknown.
+    fn inbound_key(
+        &self,
+        path: PathId,
+        forwarding_id: u64,
+        sender_incarnation: u64,
+    ) -> Option<InboundKey> {
+        Some(InboundKey {
+            sender: self.peer(path)?,
+            sender_incarnation,
+            forwarding_id,
+        })
+    }
+
     fn respond(&mut self, path: PathId, key: &InboundKey, completion: InboundCompletion) {
         let response = ForwardingResponse {
             forwarding_id: key.forwarding_id,
