--- a/crates/gateway/src/downstream/listener.rs
+++ b/crates/gateway/src/downstream/listener.rs
@@ -20,7 +20,8 @@
 use crate::runtime::context::Context;
 use crate::runtime::error::WatchError;
 
-const LISTEN_BACKLOG: i32 = 1024;
+/// Beyond this length of the accept queue the system drops what clients send, and they repeat it up to a second later.
+const LISTEN_BACKLOG: i32 = 4096;
 const NO_WAIT: Timespec = Timespec {
     tv_sec: 0,
     tv_nsec: 0,
--- a/crates/gateway/tests/sockets/resource_limits.rs
+++ b/crates/gateway/tests/sockets/resource_limits.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -239,3 +240,20 @@
     assert!(sent <= left + slack, "{sent:?} sent, {left:?} left");
     assert_eq!(queued.receive(), "200 answer");
 }
+
+// Beyond the accept queue, the system drops a client's connection or request, and it arrives a second later.
+#[test]
+fn the_accept_queue_holds_more_clients_than_the_gateway_may_have_connections() {
+    const CLIENTS: usize = 1_100;
+    let system_limit = fs::read_to_string("/proc/sys/net/core/somaxconn").unwrap();
+    let expected = CLIENTS.min(system_limit.trim().parse().unwrap());
+    let gateway = start_gateway(&gateway_configuration(unresponsive_server(), &[]));
+    gateway.suspend();
+    let connect = || {
+        let timeout = Duration::from_millis(500);
+        TcpStream::connect_timeout(&gateway.address, timeout).ok()
+    };
+    let clients: Vec<TcpStream> = std::iter::from_fn(connect).take(CLIENTS).collect();
+    gateway.signal(Signal::CONT);
+    assert!(clients.len() >= expected, "{} connected", clients.len());
+}
