--- a/crates/policy/src/endpoint_selection.rs
+++ b/crates/policy/src/endpoint_selection.rs
@@ -56,6 +56,8 @@
     pub(crate) request: &'a Request,
     /// The oldest build that may serve the request; build 0 if every build may.
     pub(crate) sticky_build: BuildId,
+    /// Whether the canary may receive the request as far as the memory for its key is concerned.
+    pub(crate) has_room_for_key: bool,
     pub(crate) rng: &'a mut WyRand,
 }
 
@@ -162,6 +164,7 @@
             && retry_safety != RetrySafety::Idempotent;
         endpoint.is_ready()
             && build >= self.sticky_build
+            && (!is_canary || self.has_room_for_key)
             && !is_guarded
             && endpoint.concurrency.has_capacity()
             && !endpoint.health.is_backing_off(context.now)
--- a/crates/policy/src/periodic.rs
+++ b/crates/policy/src/periodic.rs
@@ -1,5 +1,7 @@
 //! The policy's periodic work: updates of time-dependent state, retries, and removal of old state.
 
+use harrierdock_types::RolloutPhase;
+
 use crate::Policy;
 
 impl Policy {
@@ -47,8 +49,32 @@
         self.slow_start.drop_before(cutoff);
         self.traffic.forget_expired(&self.context);
         self.endpoints.forget_expired(&self.context);
-        if let Some(earliest) = self.endpoints.earliest_build() {
-            self.sticky_versions.release_through(earliest);
+        self.release_sticky_versions();
+    }
+
+    /// Releases the keys that no endpoint is too old for, and keeps the memory of the others within its bound.
+    ///
+    /// Keys of the build in rollout, and of later builds, outlive the older endpoints: these may return after any absence, and
+    /// only a rollback lets them answer such keys again.
+    fn release_sticky_versions(&mut self) {
+        let Some(earliest) = self.endpoints.earliest_build() else {
+            return;
+        };
+        let Some(update) = self.rollout.update() else {
+            return self.sticky_versions.release_through(earliest);
+        };
+        let build = update.build;
+        let no_older_endpoint = earliest >= build;
+        match update.phase {
+            RolloutPhase::RollingBack | RolloutPhase::RolledBack => {
+                self.sticky_versions.release_through(earliest.min(build));
+            }
+            // No key needs an older build, so one entry for all keys takes the place of many.
+            RolloutPhase::Released if no_older_endpoint => self.sticky_versions.keep_all(build),
+            RolloutPhase::Canary if no_older_endpoint => self.sticky_versions.release_before(build),
+            RolloutPhase::Released | RolloutPhase::Canary => {
+                self.sticky_versions.release_through(earliest);
+            }
         }
     }
 }
--- a/crates/policy/src/request_flow.rs
+++ b/crates/policy/src/request_flow.rs
@@ -1,7 +1,7 @@
 //! How the policy handles a request: it receives the request, attempts it at endpoints, and answers it.
 
 use harrierdock_types::{
-    AffinityKey, AttemptOutcome, BuildId, ClassId, EndpointId, GossipId, OutcomeReport,
+    AffinityKey, Arm, AttemptOutcome, BuildId, ClassId, EndpointId, GossipId, OutcomeReport,
     ReportedEvent, RequestId, TimeDelta,
 };
 use nanorand::Rng;
@@ -105,6 +105,11 @@
         self.slow_start.record_selection(self.context.now);
         let request = self.requests.get(id)?;
         let sticky_build = self.sticky_build_of(request.key);
+        // Without an older endpoint a new key can only go to the canary.
+        let has_room_for_key = self.endpoints.arm(Arm::Baseline).is_empty()
+            || request
+                .key
+                .is_none_or(|key| self.sticky_versions.has_room_for(key));
         let mut selector = EndpointSelector {
             fleet: FleetView {
                 context: &self.context,
@@ -118,6 +123,7 @@
             slow_start: &self.slow_start,
             request,
             sticky_build,
+            has_room_for_key,
             rng: &mut self.rng,
         };
         let sticky_versions = &self.sticky_versions;
--- a/crates/policy/tests/decisions/main.rs
+++ b/crates/policy/tests/decisions/main.rs
@@ -16,3 +16,4 @@
 mod rollout_votes;
 mod slow_start;
 mod sticky_versions;
+mod sticky_versions_after_absence;
