--- a/crates/multi-site/src/multi_site/inbound.rs
+++ b/crates/multi-site/src/multi_site/inbound.rs
@@ -3,14 +3,15 @@
 use harrierdock_site_messages::{
     ForwardedRequest, ForwardingOutcome, ForwardingResponse, PathId, SiteMessage,
 };
-use harrierdock_types::{AffinityKey, ClassId, RetrySafety, TimeDelta};
+use harrierdock_types::{AffinityKey, ClassId, TimeDelta};
 
 use super::MultiSite;
 use crate::requests::{InboundCompletion, InboundKey, InboundState};
 use crate::{Action, InboundId};
 
 impl MultiSite {
-    /// Accepts or refuses a request. Each request runs at most once, and a refused request never runs, even if copies arrive.
+    /// Accepts or refuses a request. Each request runs at most once, and a refused request never runs, however late its message or
+    /// a copy arrives.
     pub(super) fn handle_inbound_received(&mut self, path: PathId, request: ForwardedRequest) {
         let key = self.inbound_key(path, request.forwarding_id, request.sender_incarnation);
         let Some(key) = key else {
@@ -23,6 +24,11 @@
             }
             return;
         }
+        if self.inbound.may_have_forgotten(&key) {
+            self.counters.inbound_refused += 1;
+            let completion = InboundCompletion::without_answer(ForwardingOutcome::Unknown);
+            return self.respond(path, &key, completion);
+        }
         match self.try_admit(path, &request) {
             Ok((class, remaining)) => {
                 self.counters.inbound_accepted += 1;
@@ -65,24 +71,21 @@
         if !self.offered_capacity.admit(path, class) {
             return Err(ForwardingOutcome::NotAccepted);
         }
-        let remaining = self.remaining(path, class, request);
+        let remaining = self.remaining(path, request);
         if remaining <= self.config.tick {
             return Err(ForwardingOutcome::NotAccepted);
         }
         Ok((class, remaining))
     }
 
-    /// The time left for a request. A request with an idempotency key may have run at the other site meanwhile, and both runs
-    /// must lie within the deduplication window. So the maximum age of such a request is subtracted.
-    fn remaining(&self, path: PathId, class: ClassId, request: &ForwardedRequest) -> TimeDelta {
+    /// The time left for a request: what its sender stated, less the maximum age of its message. A message that a cut or loss
+    /// held back may arrive after the client has its answer. Also, a request with an idempotency key may have run at the other
+    /// site meanwhile, and both runs must lie within the deduplication window.
+    fn remaining(&self, path: PathId, request: &ForwardedRequest) -> TimeDelta {
         let remaining = TimeDelta(i64::from(request.remaining_ms) * 1000);
-        match self.config.classes[class.0].retry_safety {
-            RetrySafety::IdempotencyKey { .. } => self
-                .membership
-                .max_message_age(self.now, path, request.heartbeat_sequence)
-                .map_or(TimeDelta::ZERO, |age| remaining - age),
-            RetrySafety::Idempotent | RetrySafety::NonIdempotent => remaining,
-        }
+        self.membership
+            .max_message_age(self.now, path, request.heartbeat_sequence)
+            .map_or(TimeDelta::ZERO, |age| remaining - age)
     }
 
     /// Responds to a completed inbound request if its sender is reachable.
@@ -116,6 +119,9 @@
         let completion = match self.inbound.state(&key) {
             Some(InboundState::Running { .. }) => return,
             Some(InboundState::Completed(completion)) => completion.clone(),
+            None if self.inbound.may_have_forgotten(&key) => {
+                InboundCompletion::without_answer(ForwardingOutcome::Unknown)
+            }
             None if receiver_incarnation == self.incarnation() => {
                 let outcome = ForwardingOutcome::NotAccepted;
                 let completion = InboundCompletion::without_answer(outcome);
--- a/crates/multi-site/src/requests/inbound.rs
+++ b/crates/multi-site/src/requests/inbound.rs
@@ -1,18 +1,20 @@
-//! Inbound requests: running requests, and the stored completions of earlier requests, by which late copies are recognized.
+//! Inbound requests: running requests, and the stored completions of earlier requests. No request that was accepted or refused
+//! once is accepted later, also after its completion is forgotten.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use harrierdock_site_messages::{ForwardingOutcome, GatewayName};
 use harrierdock_types::{BuildId, TimeDelta, Timestamp};
 
+use super::forgotten::ForgottenRequests;
 use crate::{InboundId, PathId};
 
-/// How long a completion is stored, in multiples of the longest timeout, so that late copies are recognized.
+/// How long a completion is stored, in multiples of the longest timeout, so that a sender that asks late learns the outcome.
 const STORED_TIMEOUTS: f64 = 2.0;
 /// The maximum number of inbound requests that run at once.
 const MAX_RUNNING: usize = 4096;
 /// The maximum number of stored completions. Beyond it, the oldest are removed.
-const MAX_COMPLETED: usize = 65_536;
+const MAX_COMPLETED: usize = 16_384;
 
 /// Identifies an inbound request across gateways and their restarts.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,6 +63,7 @@
     running: BTreeMap<InboundId, InboundKey>,
     /// The completed requests by time of completion.
     completed: BTreeSet<(Timestamp, InboundKey)>,
+    forgotten: ForgottenRequests,
     stored_for: TimeDelta,
     stored_bytes: usize,
     max_stored_bytes: usize,
@@ -75,6 +78,7 @@
             states: BTreeMap::new(),
             running: BTreeMap::new(),
             completed: BTreeSet::new(),
+            forgotten: ForgottenRequests::default(),
             stored_for: longest_timeout * STORED_TIMEOUTS,
             stored_bytes: 0,
             max_stored_bytes,
@@ -94,6 +98,11 @@
         self.states.get(key)
     }
 
+    /// Whether a request without a state may have been accepted or refused before.
+    pub(crate) fn may_have_forgotten(&self, key: &InboundKey) -> bool {
+        self.forgotten.may_include(key)
+    }
+
     /// Enters a request as running, and returns its new id.
     pub(crate) fn accept(&mut self, key: InboundKey, path: PathId) -> InboundId {
         self.last_id += 1;
@@ -177,6 +186,7 @@
         let Some((_, key)) = self.completed.pop_first() else {
             return;
         };
+        self.forgotten.record(&key);
         if self.with_body.front() == Some(&key) {
             self.with_body.pop_front();
         }
--- a/crates/multi-site/src/requests/mod.rs
+++ b/crates/multi-site/src/requests/mod.rs
@@ -1,5 +1,6 @@
 //! Ownership of requests between the sites: forwarded requests that await a response, and inbound requests that run here.
 
+mod forgotten;
 mod inbound;
 mod outbound;
 
--- a/crates/multi-site/tests/multi_site/main.rs
+++ b/crates/multi-site/tests/multi_site/main.rs
@@ -4,3 +4,4 @@
 mod fixture;
 mod forwarding;
 mod inbound;
+mod late_messages;
