--- a/crates/multi-site/src/multi_site/inbound.rs
+++ b/crates/multi-site/src/multi_site/inbound.rs
@@ -134,7 +134,8 @@
         self.respond(path, &key, completion);
     }
 
-    /// Abandons a running inbound request whose client disconnected.
+    /// Abandons an inbound request whose client disconnected. A request that has not arrived is marked as not accepted: the
+    /// short cancel overtakes a request that is being repeated.
     pub(super) fn handle_inbound_cancelled(
         &mut self,
         path: PathId,
@@ -144,8 +145,18 @@
         let Some(key) = self.inbound_key(path, forwarding_id, sender_incarnation) else {
             return;
         };
-        if let Some(inbound) = self.inbound.running(&key) {
-            self.actions.push(Action::AbandonInbound { inbound });
+        match self.inbound.state(&key) {
+            Some(InboundState::Running { inbound, .. }) => {
+                let inbound = *inbound;
+                self.actions.push(Action::AbandonInbound { inbound });
+            }
+            Some(InboundState::Completed(_)) => {}
+            None if self.inbound.may_have_forgotten(&key) => {}
+            None => {
+                let outcome = ForwardingOutcome::NotAccepted;
+                let completion = InboundCompletion::without_answer(outcome);
+                self.inbound.complete(self.now, key, completion);
+            }
         }
     }
 
--- a/crates/multi-site/src/multi_site/outbound.rs
+++ b/crates/multi-site/src/multi_site/outbound.rs
@@ -113,21 +113,21 @@
         });
     }
 
-    /// Sends a cancel for a forwarded request whose client disconnected.
+    /// Sends a cancel for a forwarded request whose client disconnected. Without a usable path it waits on the request's own, as
+    /// the request itself may.
     pub(super) fn handle_client_disconnected(&mut self, id: RequestId) {
         let Some((forwarding_id, request)) = self.outbound.take_abandoned(id) else {
             return;
         };
         let path = self
             .membership
-            .usable_path_to(&request.peer, Some(request.path));
-        if let Some(path) = path {
-            let message = SiteMessage::Cancel {
-                forwarding_id,
-                sender_incarnation: self.incarnation(),
-            };
-            self.send(path, message);
-        }
+            .usable_path_to(&request.peer, Some(request.path))
+            .unwrap_or(request.path);
+        let message = SiteMessage::Cancel {
+            forwarding_id,
+            sender_incarnation: self.incarnation(),
+        };
+        self.send(path, message);
     }
 
     /// Handles the first response to a forwarded request, and counts any other as unmatched.
--- a/crates/multi-site/src/requests/inbound.rs
+++ b/crates/multi-site/src/requests/inbound.rs
@@ -113,14 +113,6 @@
         inbound
     }
 
-    /// The id of a request if it still runs.
-    pub(crate) fn running(&self, key: &InboundKey) -> Option<InboundId> {
-        match self.states.get(key) {
-            Some(InboundState::Running { inbound, .. }) => Some(*inbound),
-            Some(InboundState::Completed(_)) | None => None,
-        }
-    }
-
     /// The running requests that an earlier incarnation of the sender forwarded.
     pub(crate) fn running_for_earlier_incarnation(
         &self,
