--- a/crates/multi-site/src/multi_site/outbound.rs
+++ b/crates/multi-site/src/multi_site/outbound.rs
@@ -119,6 +119,7 @@
         let Some((forwarding_id, request)) = self.outbound.take_abandoned(id) else {
             return;
         };
+        self.path_selector.record_abandoned(request.path);
         let path = self
             .membership
             .usable_path_to(&request.peer, Some(request.path))
--- a/crates/multi-site/src/path_selection.rs
+++ b/crates/multi-site/src/path_selection.rs
@@ -162,6 +162,13 @@
         }
     }
 
+    /// Ends a forwarded request whose response is no longer awaited. It says nothing about the path.
+    pub(crate) fn record_abandoned(&mut self, path: PathId) {
+        if let Some(credit) = self.credit.get_mut(&path) {
+            credit.in_flight = (credit.in_flight - 1.0).max(0.0);
+        }
+    }
+
     pub(crate) fn start_interval(&mut self, path_count: usize) {
         for (requested, demand) in self.requested.iter_mut().zip(&mut self.demand) {
             // Demand rises at once and falls slowly.
--- a/crates/multi-site/tests/multi_site/forwarding.rs
+++ b/crates/multi-site/tests/multi_site/forwarding.rs
@@ -5,6 +5,7 @@
 use harrierdock_site_messages::{
     ForwardingOutcome, Heartbeat, MemberRecord, MemberState, SiteMessage,
 };
+use harrierdock_types::RequestId;
 
 use crate::fixture::{
     gateway_name, Fixture, DRAFT, LEDGER, LODGE, PATH, PAYMENT, PEER_INCARNATION,
@@ -161,3 +162,21 @@
     fixture.reject_locally(2000, DRAFT, 1400.0);
     assert_eq!(fixture.trace, "2000 rejected\n");
 }
+
+// Guards against forwarding that stops for good after some clients have left early.
+#[test]
+fn requests_whose_clients_left_do_not_use_up_the_in_flight_window() {
+    let mut fixture = Fixture::new();
+    fixture.handle(Event::OperatorCommand(OperatorCommand::Drain));
+    for id in 0..100 {
+        fixture.receive_heartbeats(1);
+        fixture.receive_request(id, DRAFT);
+        fixture.handle(Event::ClientDisconnected { id: RequestId(id) });
+    }
+    fixture.trace.clear();
+    fixture.receive_request(1000, DRAFT);
+    expect![[r#"
+        1000 forwarded as 101 to 77, 1495 ms left
+    "#]]
+    .assert_eq(&fixture.trace);
+}
