--- a/crates/gateway/src/dispatch/answers.rs
+++ b/crates/gateway/src/dispatch/answers.rs
@@ -1,9 +1,10 @@
 //! Answers. Every request gets exactly one: an endpoint's response, the policy's rejection, or a failure at the deadline.
 
+use harrierdock_attempt_guard::IdRelease;
 use harrierdock_flow_metering::FlowOutcome;
 use harrierdock_multi_site::{Event as MultiSiteEvent, RequestEnd};
 use harrierdock_site_messages::ForwardingOutcome;
-use harrierdock_types::{EndpointId, Event, RequestId, TimeDelta, Timestamp};
+use harrierdock_types::{EndpointId, Event, RequestId, RetrySafety, TimeDelta, Timestamp};
 
 use crate::dispatch::request_table::{RequestEntry, ServingSite};
 use crate::downstream::Answer;
@@ -24,6 +25,15 @@
             .cancel(entry.overdue_at, Timer::RequestDeadline(id));
         let class = entry.class;
         let received_at = entry.received_at;
+        // An idempotent request may run again at once, also while attempts of the first are open.
+        let retry_safety = self.dispatcher.policy.parameters().classes[class.0].retry_safety;
+        if retry_safety == RetrySafety::Idempotent {
+            if let Some(client_id) = entry.client_id.take() {
+                self.context
+                    .client_ids
+                    .release(client_id, IdRelease::Reusable);
+            }
+        }
         let is_local = matches!(
             entry.serving_site,
             ServingSite::Local | ServingSite::ReturnedToLocal
@@ -41,6 +51,18 @@
         true
     }
 
+    /// Removes a request that is answered and has no open attempt. Its client's id stays spent if it may have had an effect.
+    pub(super) fn remove_request_if_complete(&mut self, id: RequestId) {
+        let Some(mut entry) = self.dispatcher.requests.remove_if_complete(id) else {
+            return;
+        };
+        if let Some(client_id) = entry.client_id.take() {
+            self.context
+                .client_ids
+                .release(client_id, entry.id_release());
+        }
+    }
+
     /// Answers a request with an endpoint's response. Drops the response if the request is already answered.
     pub(super) fn answer_with_response(
         &mut self,
@@ -96,7 +118,7 @@
         } else {
             self.downstream.answer(&mut self.context, id, answer);
         }
-        self.dispatcher.requests.remove_if_complete(id);
+        self.remove_request_if_complete(id);
     }
 
     /// Handles the policy's rejection of a request. Offers the request to the other site if neither that site nor an endpoint
@@ -146,7 +168,7 @@
         );
         self.handle_multi_site_event(now, MultiSiteEvent::ClientDisconnected { id });
         self.handle_policy_event(now, Event::ClientDisconnected { id });
-        self.dispatcher.requests.remove_if_complete(id);
+        self.remove_request_if_complete(id);
     }
 
     /// Fails a request that the policy left unanswered beyond its deadline, so that its client always gets an answer.
--- a/crates/gateway/src/dispatch/attempts.rs
+++ b/crates/gateway/src/dispatch/attempts.rs
@@ -162,6 +162,6 @@
             is_request_finished: self.dispatcher.requests.is_finished(id),
         };
         self.handle_policy_event(now, event);
-        self.dispatcher.requests.remove_if_complete(id);
+        self.remove_request_if_complete(id);
     }
 }
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -142,6 +142,7 @@
         let is_inbound = request.inbound.is_some();
         let overdue_at = now + time_left + self.dispatcher.tick;
         let entry = RequestEntry {
+            client_id: Some(request.client_id),
             class,
             key: request.key,
             is_client_retry: request.is_client_retry,
--- a/crates/gateway/src/dispatch/multi_site.rs
+++ b/crates/gateway/src/dispatch/multi_site.rs
@@ -222,6 +222,10 @@
 
     /// Queues a request forwarded by the other site as a received request.
     fn accept_inbound(&mut self, request: InboundRequest) {
+        let client_id = self.context.client_ids.open(&request.message.request_id);
+        let Some(client_id) = client_id else {
+            return self.refuse_repeated_inbound(request.received_at, request.inbound);
+        };
         let id = self.context.next_request_id();
         let is_client_retry = request.message.is_client_retry;
         let sticky_build = BuildId(request.message.minimum_build);
@@ -241,6 +245,7 @@
         }
         let received = ReceivedRequest {
             id,
+            client_id,
             class: request.class,
             key: request.key,
             is_client_retry,
@@ -253,6 +258,18 @@
         );
     }
 
+    /// Fails a request from the other site that is a copy of one that is under way here or may have had an effect.
+    fn refuse_repeated_inbound(&mut self, now: Timestamp, inbound: InboundId) {
+        self.context.counters.add(Counter::RepeatedRequests);
+        let event = Event::InboundCompleted {
+            inbound,
+            outcome: ForwardingOutcome::Failed,
+            build: None,
+            body: Vec::new(),
+        };
+        self.handle_multi_site_event(now, event);
+    }
+
     /// Drops a forwarded request that the other site no longer waits for.
     fn abandon_inbound(&mut self, inbound: InboundId) {
         let id = self
--- a/crates/gateway/src/dispatch/request_table.rs
+++ b/crates/gateway/src/dispatch/request_table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use harrierdock_attempt_guard::Precondition;
+use harrierdock_attempt_guard::{IdRelease, Precondition, RequestIdHash};
 use harrierdock_types::{AffinityKey, AttemptOutcome, ClassId, EndpointId, RequestId, Timestamp};
 
 /// An attempt of a request, open or finished.
@@ -38,6 +38,8 @@
 
 /// A request that lacks an answer or has an open attempt.
 pub(crate) struct RequestEntry {
+    /// The client's own id for the request; `None` once it is released.
+    pub(crate) client_id: Option<RequestIdHash>,
     /// The request class that the client named.
     pub(crate) class: ClassId,
     /// The affinity key, or `None` if the request carries none.
@@ -66,6 +68,19 @@
         self.attempts.iter().any(|attempt| !attempt.had_no_effect)
     }
 
+    /// Whether the client's id for the request may come again once the request is complete.
+    pub(crate) fn id_release(&self) -> IdRelease {
+        let may_have_run_elsewhere = matches!(
+            self.serving_site,
+            ServingSite::Other | ServingSite::ReturnedToLocal
+        );
+        if self.may_have_effect() || may_have_run_elsewhere {
+            IdRelease::Spent
+        } else {
+            IdRelease::Reusable
+        }
+    }
+
     fn is_complete(&self) -> bool {
         self.is_answered && self.attempts.iter().all(|attempt| !attempt.is_open)
     }
@@ -168,11 +183,12 @@
         })
     }
 
-    /// Removes the request if it is answered and has no open attempt.
-    pub(crate) fn remove_if_complete(&mut self, id: RequestId) {
+    /// Removes and returns the request if it is answered and has no open attempt.
+    pub(crate) fn remove_if_complete(&mut self, id: RequestId) -> Option<RequestEntry> {
         if self.get(id).is_some_and(RequestEntry::is_complete) {
-            self.entries.remove(&id);
+            return self.entries.remove(&id);
         }
+        None
     }
 
     /// The ids of the unanswered requests, in ascending order.
--- a/crates/gateway/src/downstream/mod.rs
+++ b/crates/gateway/src/downstream/mod.rs
@@ -8,7 +8,7 @@
 mod requests;
 mod responses;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use harrierdock_config::ClassNames;
 use harrierdock_event_loop::ConnectionId;
@@ -50,46 +50,6 @@
     pub(crate) descriptor_limit: usize,
 }
 
-/// A client that waits for the response to its request.
-struct WaitingClient {
-    connection_id: ConnectionId,
-    client_request_id: String,
-}
-
-/// The clients that wait for a response, by request id.
-#[derive(Default)]
-struct WaitingClients {
-    clients: BTreeMap<RequestId, WaitingClient>,
-    client_request_ids: BTreeSet<String>,
-}
-
-impl WaitingClients {
-    fn insert(&mut self, id: RequestId, connection_id: ConnectionId, client_request_id: &str) {
-        self.client_request_ids.insert(client_request_id.into());
-        let client = WaitingClient {
-            connection_id,
-            client_request_id: client_request_id.into(),
-        };
-        self.clients.insert(id, client);
-    }
-
-    /// Removes the client of a request and returns its connection.
-    fn remove(&mut self, id: RequestId) -> Option<ConnectionId> {
-        let client = self.clients.remove(&id)?;
-        self.client_request_ids.remove(&client.client_request_id);
-        Some(client.connection_id)
-    }
-
-    /// Whether any client waits for a request with this client request id.
-    fn contains(&self, client_request_id: &str) -> bool {
-        self.client_request_ids.contains(client_request_id)
-    }
-
-    fn connection_of(&self, id: RequestId) -> Option<ConnectionId> {
-        Some(self.clients.get(&id)?.connection_id)
-    }
-}
-
 /// Client connections and the listener that accepts them.
 pub(crate) struct Downstream {
     listener: Listener,
@@ -97,7 +57,8 @@
     idle: IdleList,
     /// Limit on open connections between requests.
     max_between_requests: usize,
-    waiting: WaitingClients,
+    /// The connections of the clients that wait for a response.
+    waiting: BTreeMap<RequestId, ConnectionId>,
     classes: ClassNames,
     idle_timeout: TimeDelta,
     state: GatewayState,
@@ -111,7 +72,7 @@
             connections: BTreeMap::new(),
             idle: IdleList::default(),
             max_between_requests: settings.descriptor_limit / DESCRIPTORS_PER_REQUEST / 2,
-            waiting: WaitingClients::default(),
+            waiting: BTreeMap::new(),
             classes: settings.classes,
             idle_timeout: settings.idle_timeout,
             state: GatewayState::NotReady,
@@ -148,10 +109,10 @@
     /// Reads the client's connection and returns whether the client still waits for this request. The client may have
     /// disconnected while the event loop handled other sockets; no attempt may be sent for a client that has disconnected.
     pub(crate) fn is_client_waiting(&mut self, context: &mut Context, id: RequestId) -> bool {
-        if let Some(connection_id) = self.waiting.connection_of(id) {
-            self.handle_readiness(context, connection_id, READABLE);
+        if let Some(connection_id) = self.waiting.get(&id) {
+            self.handle_readiness(context, *connection_id, READABLE);
         }
-        self.waiting.connection_of(id).is_some()
+        self.waiting.contains_key(&id)
     }
 
     /// Calls `function` with the request's bytes. Returns `None` if the client no longer waits.
@@ -160,7 +121,7 @@
         id: RequestId,
         function: impl FnOnce(OutboundRequest<'_>) -> T,
     ) -> Option<T> {
-        let client = self.connections.get(&self.waiting.connection_of(id)?)?;
+        let client = self.connections.get(self.waiting.get(&id)?)?;
         let bytes = &client.connection.input;
         let head = RequestHead::parse(&bytes[client.reader.head()])
             .ok()
@@ -181,7 +142,7 @@
             self.idle.remove(id, idle);
         }
         if let Phase::Waiting(request_id) = client.phase {
-            self.waiting.remove(request_id);
+            self.waiting.remove(&request_id);
             context.counters.add(Counter::ClientsDisconnected);
             context.emit(InternalEvent::ClientDisconnected { id: request_id });
         }
--- a/crates/gateway/src/downstream/requests.rs
+++ b/crates/gateway/src/downstream/requests.rs
@@ -1,6 +1,7 @@
 //! Reads requests from client connections, and drops a request when its client disconnects.
 
 use calloop::Readiness;
+use harrierdock_attempt_guard::RequestIdHash;
 use harrierdock_event_loop::{ConnectionId, ReadResult};
 use harrierdock_http::{write, ParseError, Progress, RequestHead};
 use harrierdock_types::{RequestId, TimeDelta};
@@ -159,16 +160,16 @@
         let message;
         let response = match ParsedRequest::from_head(&head, &self.classes) {
             ParsedRequest::Request(attributes) => {
-                if !self.waiting.contains(attributes.client_request_id) {
+                if let Some(client_id) = context.client_ids.open(attributes.client_request_id) {
                     let request_id = context.next_request_id();
                     client.phase = Phase::Waiting(request_id);
-                    self.waiting
-                        .insert(request_id, id, attributes.client_request_id);
-                    let request = received_request(request_id, &attributes, queue_time);
+                    self.waiting.insert(request_id, id);
+                    let request = received_request(request_id, client_id, &attributes, queue_time);
                     context.counters.add(Counter::RequestsReceived);
                     return context.emit(InternalEvent::RequestReceived(request));
                 }
-                // Another request with the same id is under way. Refuses this one and leaves the first unaffected.
+                // A copy of a request that is under way or may have had an effect. No promise that trying again is harmless.
+                context.counters.add(Counter::RepeatedRequests);
                 Response::status(409)
             }
             ParsedRequest::ReadinessCheck if self.state == GatewayState::Ready => {
@@ -199,11 +200,13 @@
 /// Builds a request for the dispatcher. Subtracts the time that it may have waited in the accept queue from the time left.
 fn received_request(
     id: RequestId,
+    client_id: RequestIdHash,
     attributes: &RequestAttributes<'_>,
     queue_time: TimeDelta,
 ) -> ReceivedRequest {
     ReceivedRequest {
         id,
+        client_id,
         class: attributes.class,
         key: attributes.key,
         is_client_retry: attributes.is_client_retry,
--- a/crates/gateway/src/downstream/responses.rs
+++ b/crates/gateway/src/downstream/responses.rs
@@ -77,7 +77,7 @@
 impl Downstream {
     /// Sends the answer to a request, if its client still waits.
     pub(crate) fn answer(&mut self, context: &mut Context, id: RequestId, answer: Answer) {
-        let Some(connection_id) = self.waiting.remove(id) else {
+        let Some(connection_id) = self.waiting.remove(&id) else {
             return;
         };
         match answer {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     ClientsDisconnected => "client-disconnected",
     /// Readiness checks, duplicates of requests under way, and requests with an unknown path, method or field value.
     OtherRequests => "other-requests",
+    /// Requests under the id of one that is under way or may have had an effect; from clients, counted as other requests, too.
+    RepeatedRequests => "repeated",
     /// Requests that could not be parsed, or that timed out while incomplete.
     MalformedRequests => "malformed",
     /// Incomplete requests refused because another connection needed their descriptor or memory.
--- a/crates/gateway/src/runtime/context.rs
+++ b/crates/gateway/src/runtime/context.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::ops::{Deref, DerefMut, Range};
 
+use harrierdock_attempt_guard::{RequestIdHash, RequestIds};
 use harrierdock_event_loop::{Buffer, IoContext, TimerQueue};
 use harrierdock_multi_site::InboundId;
 use harrierdock_types::{
@@ -48,6 +49,8 @@
 pub(crate) struct ReceivedRequest {
     /// Id assigned by this gateway.
     pub(crate) id: RequestId,
+    /// The client's own id for the request, under which no other request is under way.
+    pub(crate) client_id: RequestIdHash,
     /// Request class that the client named.
     pub(crate) class: ClassId,
     /// Affinity key, if the request has one.
@@ -114,6 +117,8 @@
     pub(crate) events: VecDeque<QueuedEvent>,
     /// Functions that the event loop calls when a socket is ready.
     pub(crate) handlers: SocketHandlers,
+    /// The clients' ids for their requests, by which copies are recognized.
+    pub(crate) client_ids: RequestIds,
     last_request_id: u64,
 }
 
@@ -140,6 +145,7 @@
             timers: TimerQueue::default(),
             events: VecDeque::new(),
             handlers,
+            client_ids: RequestIds::default(),
             last_request_id: 0,
         }
     }
