--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod attempts;
 pub(crate) mod dispatcher;
 mod flow_records;
+mod inbound;
 mod leases;
 mod multi_site;
 pub(crate) mod preconditions;
--- a/crates/gateway/src/dispatch/multi_site.rs
+++ b/crates/gateway/src/dispatch/multi_site.rs
@@ -3,35 +3,23 @@
 use std::time::Instant;
 
 use harrierdock_event_loop::ResourceClass;
-use harrierdock_multi_site::{Action, Change, Event, InboundId};
+use harrierdock_multi_site::{Action, Change, Event};
 use harrierdock_site_messages::{
     self as site_messages, ForwardedRequest, ForwardingOutcome, ForwardingResponse, SiteMessage,
     MAX_MESSAGE_BYTES,
 };
 use harrierdock_site_transport::{CloseCause, PathId, TransportEvent};
-use harrierdock_types::{
-    AffinityKey, BuildId, ClassId, Event as PolicyEvent, RequestId, TimeDelta, Timestamp,
-};
+use harrierdock_types::{BuildId, Event as PolicyEvent, RequestId, TimeDelta, Timestamp};
 
+use crate::dispatch::inbound::InboundRequest;
 use crate::downstream::Answer;
 use crate::metrics::Counter;
-use crate::multi_site::forwarding::{InboundAnswer, OutboundAttributes};
+use crate::multi_site::forwarding::OutboundAttributes;
 use crate::multi_site::log;
-use crate::runtime::context::{InternalEvent, OutboundRequest, ReceivedRequest, ResponseBody};
+use crate::runtime::context::{OutboundRequest, ResponseBody};
 use crate::runtime::gateway::Gateway;
 use crate::runtime::timer::Timer;
 
-/// A request that the other site forwarded to this site.
-struct InboundRequest {
-    inbound: InboundId,
-    class: ClassId,
-    key: Option<AffinityKey>,
-    /// When the request's message was handled. `time_left` counts from this time.
-    received_at: Timestamp,
-    time_left: TimeDelta,
-    message: ForwardedRequest,
-}
-
 /// A request to forward to the other site.
 struct OutboundForward {
     id: RequestId,
@@ -220,67 +208,6 @@
         }
     }
 
-    /// Queues a request forwarded by the other site as a received request.
-    fn accept_inbound(&mut self, request: InboundRequest) {
-        let client_id = self.context.client_ids.open(&request.message.request_id);
-        let Some(client_id) = client_id else {
-            return self.refuse_repeated_inbound(request.received_at, request.inbound);
-        };
-        let id = self.context.next_request_id();
-        let is_client_retry = request.message.is_client_retry;
-        let sticky_build = BuildId(request.message.minimum_build);
-        if let Some(forwarding) = &mut self.forwarding {
-            forwarding
-                .inbound
-                .insert(id, request.inbound, request.message);
-        }
-        self.context.counters.add(Counter::InboundRequests);
-        if let Some(key) = request.key.filter(|_| sticky_build > BuildId(0)) {
-            let learned = PolicyEvent::StickyVersionLearned {
-                key,
-                build: sticky_build,
-            };
-            self.context
-                .emit_at(request.received_at, InternalEvent::Policy(learned));
-        }
-        let received = ReceivedRequest {
-            id,
-            client_id,
-            class: request.class,
-            key: request.key,
-            is_client_retry,
-            time_left: request.time_left,
-            inbound: Some(request.inbound),
-        };
-        self.context.emit_at(
-            request.received_at,
-            InternalEvent::RequestReceived(received),
-        );
-    }
-
-    /// Fails a request from the other site that is a copy of one that is under way here or may have had an effect.
-    fn refuse_repeated_inbound(&mut self, now: Timestamp, inbound: InboundId) {
-        self.context.counters.add(Counter::RepeatedRequests);
-        let event = Event::InboundCompleted {
-            inbound,
-            outcome: ForwardingOutcome::Failed,
-            build: None,
-            body: Vec::new(),
-        };
-        self.handle_multi_site_event(now, event);
-    }
-
-    /// Drops a forwarded request that the other site no longer waits for.
-    fn abandon_inbound(&mut self, inbound: InboundId) {
-        let id = self
-            .forwarding
-            .as_ref()
-            .and_then(|forwarding| forwarding.inbound.request_id(inbound));
-        if let Some(id) = id {
-            self.context.emit(InternalEvent::ClientDisconnected { id });
-        }
-    }
-
     /// Sends a client's request to the other site. Does nothing if the request is already answered.
     fn forward_request(&mut self, now: Timestamp, forward: OutboundForward) {
         let id = forward.id;
@@ -367,23 +294,6 @@
         self.answer(id, answer);
     }
 
-    /// Sends the answer of an inbound request back to the other site. Ignores a request that was not forwarded.
-    pub(crate) fn answer_inbound(&mut self, now: Timestamp, id: RequestId, answer: InboundAnswer) {
-        let inbound = self
-            .forwarding
-            .as_mut()
-            .and_then(|forwarding| forwarding.inbound.remove(id));
-        if let Some(inbound) = inbound {
-            let event = Event::InboundCompleted {
-                inbound,
-                outcome: answer.outcome,
-                build: answer.build,
-                body: answer.body,
-            };
-            self.handle_multi_site_event(now, event);
-        }
-    }
-
     /// Reports the number of ready endpoints at this site to cross-site forwarding.
     pub(crate) fn update_local_capacity(&mut self, now: Timestamp) {
         if self.forwarding.is_some() {
