--- a/crates/gateway/tests/unit/mod.rs
+++ b/crates/gateway/tests/unit/mod.rs
@@ -6,5 +6,6 @@
 mod inbound_deadlines;
 mod late_responses;
 mod random_pauses;
+mod repeated_inbound;
 mod scripted_clock;
 mod stated_time;
