--- a/crates/policy/src/sticky_versions.rs
+++ b/crates/policy/src/sticky_versions.rs
@@ -16,8 +16,8 @@
 
 /// The builds that affinity keys stick to.
 ///
-/// Memory is bounded without forgetting that a build has answered a key: the keys of a released build are replaced by
-/// [`common_build`](Self::common_build), and a full table takes no new keys of the canary.
+/// Memory is bounded without forgetting that a build has answered a key: one build that all keys stick to replaces the keys of a
+/// released build, and a full table takes no new keys of the canary.
 #[derive(Debug, Default)]
 pub struct StickyVersions {
     /// The keys that stick to a newer build than the common one.
