--- a/crates/flow-export/src/exporter.rs
+++ b/crates/flow-export/src/exporter.rs
@@ -131,7 +131,8 @@
         })
     }
 
-    /// Sets the newest rollout, which determines the stages and exposure limits in records.
+    /// Sets the newest rollout, which determines the stages and exposure limits in records. Ignores an update without a rollout
+    /// state.
     pub fn set_rollout(&mut self, update: &RolloutUpdate) {
         self.shares.set_rollout(update);
     }
--- a/crates/flow-export/src/rollout_share.rs
+++ b/crates/flow-export/src/rollout_share.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use harrierdock_types::{BuildId, RolloutUpdate, Timestamp};
+use harrierdock_types::{BuildId, PlatformStatus, RolloutUpdate, Timestamp};
 
 /// The maximum number of pending shares per collector.
 const MAX_PENDING_SHARES: usize = 256;
@@ -48,7 +48,11 @@
         }
     }
 
+    /// Sets the newest rollout. Ignores an update without a rollout state, as a failed vote brings.
     pub(crate) fn set_rollout(&mut self, update: &RolloutUpdate) {
+        if update.status != PlatformStatus::Valid {
+            return;
+        }
         let exposure_limit = update.exposure_limit.clamp(0.0, 1.0);
         self.exposure_limit_ppm = (exposure_limit * PPM as f64) as u64;
         self.rollout = BuildStage {
