--- a/crates/gateway/src/dispatch/multi_site.rs
+++ b/crates/gateway/src/dispatch/multi_site.rs
@@ -214,9 +214,9 @@
         let Some(attributes) = self.dispatcher.requests.mark_forwarded(id) else {
             return;
         };
-        let sticky_build = attributes
-            .key
-            .map_or(BuildId(0), |key| self.dispatcher.sticky_build(key));
+        let sticky_build = attributes.key.map_or(BuildId(0), |key| {
+            self.dispatcher.policy.sticky_build_elsewhere(key)
+        });
         let class = self.dispatcher.names.classes.name(attributes.class);
         let Some(forwarding) = &mut self.forwarding else {
             return;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -233,6 +233,21 @@
         self.sticky_build_of(Some(key))
     }
 
+    /// The oldest build that may serve requests with this affinity key at another site; build 0 if every build may.
+    ///
+    /// Keys that stick to a released build only because all do are not held to it there: the other site may be behind in its own
+    /// rollout, and would have to reject them.
+    pub fn sticky_build_elsewhere(&self, key: AffinityKey) -> BuildId {
+        if !self.context.parameters.rollout.monotonic_versions {
+            return BuildId(0);
+        }
+        let own = self.sticky_versions.own_build_of(key);
+        let in_flight = self
+            .requests
+            .newest_build_in_flight(key, self.rollout.rolled_back_build());
+        own.max(in_flight).unwrap_or(BuildId(0))
+    }
+
     /// Whether an attempt that was recorded at `recorded_at` may still start at `now`. Withdraws the earlier record, and records
     /// an admitted canary attempt again at `now`.
     ///
--- a/crates/policy/src/sticky_versions.rs
+++ b/crates/policy/src/sticky_versions.rs
@@ -56,7 +56,12 @@
     /// The oldest build that may answer a key; `None` if any build may.
     pub fn build_of(&self, key: AffinityKey) -> Option<BuildId> {
         let common = Some(self.common_build).filter(|build| *build > BuildId(0));
-        common.max(self.builds.get(&key).copied())
+        common.max(self.own_build_of(key))
+    }
+
+    /// The build that a key sticks to by itself, whatever all keys stick to.
+    pub fn own_build_of(&self, key: AffinityKey) -> Option<BuildId> {
+        self.builds.get(&key).copied()
     }
 
     /// Whether an answer of the canary to this key can be remembered.
--- a/crates/policy/tests/decisions/sticky_versions_after_absence.rs
+++ b/crates/policy/tests/decisions/sticky_versions_after_absence.rs
@@ -118,6 +118,23 @@
     .assert_eq(&lines);
 }
 
+// Guards against a site that is behind in its own rollout and has to reject all that this one forwards.
+#[test]
+fn only_keys_with_a_sticky_version_of_their_own_are_held_to_it_at_another_site() {
+    let mut lines = String::new();
+    for phase in [RolloutPhase::Canary, RolloutPhase::Released] {
+        let mut gateway = gateway_with_answered_keys(phase);
+        lines += &format!("{phase:?}: {}", gateway.sticky_builds(0));
+        lose_older_endpoint(&mut gateway, Absence::Removed);
+        lines += &format!("; after the absence: {}\n", gateway.sticky_builds(0));
+    }
+    expect![[r#"
+        Canary: build 2 here, 2 elsewhere; after the absence: build 2 here, 2 elsewhere
+        Released: build 2 here, 2 elsewhere; after the absence: build 2 here, 0 elsewhere
+    "#]]
+    .assert_eq(&lines);
+}
+
 /// The older build may serve every key once the newer one is rolled back, whatever was remembered of it.
 #[test]
 fn a_rollback_frees_the_keys_of_an_absence() {
--- a/crates/policy/tests/support/scripted_gateway.rs
+++ b/crates/policy/tests/support/scripted_gateway.rs
@@ -79,6 +79,14 @@
         )
     }
 
+    /// The oldest builds that may serve a key here and at another site.
+    pub fn sticky_builds(&self, key: u64) -> String {
+        let key = AffinityKey(key);
+        let here = self.policy.sticky_build(key);
+        let elsewhere = self.policy.sticky_build_elsewhere(key);
+        format!("build {here} here, {elsewhere} elsewhere")
+    }
+
     /// Receives a datagram from a peer; a datagram that can't be decoded is dropped.
     pub fn receive_gossip(&mut self, from: usize, datagram: &str) {
         if let Some(message) = gossip::decode(datagram) {
